--- /dev/null
+++ b/src/barrier.rs
@@ -0,0 +1,398 @@
+//! The barrier between a protocol and the decision module.
+//!
+//! It turns what happened into the module's events, has the module's actions carried out by a [`Lane`],
+//! and sees to it that every driver (a request owed one answer) gets exactly one final answer. Nothing here knows of sockets or
+//! of a wire format, so that a second protocol goes through the same decisions and keeps the same rules.
+
+use crate::api::{
+    Action, ClassId, Condition, Ending, Entry, Event, Outcome, Report, RequestId, SettingsError, TenantId,
+    UpstreamId,
+};
+use crate::config::House;
+use crate::state::Balancer;
+use std::collections::{BTreeSet, HashMap, VecDeque};
+
+/// The final answer for a driver.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum Answer {
+    /// The node's answer to this attempt, as it is.
+    Served {
+        /// Number of the attempt.
+        attempt: u32,
+    },
+    /// Declined; trying again is harmless.
+    Refused {
+        /// When to come again, in seconds.
+        retry_after: Option<f64>,
+    },
+    /// Failed, with no promise.
+    Failed {
+        /// It failed for want of time.
+        late: bool,
+    },
+}
+
+/// An alarm that the barrier wants to get back through [`Barrier::rung`].
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum Alarm {
+    /// The module's own.
+    Wake(u64),
+    /// The caller of this request gives up.
+    Deadline(RequestId),
+    /// An attempt's own time-out.
+    Patience(RequestId, u32),
+}
+
+/// What a protocol does for the barrier. No call may come back into the barrier.
+pub trait Lane {
+    /// Sends an attempt. Unless it is withdrawn, one [`Barrier::outcome`] must follow.
+    fn pass(&mut self, id: RequestId, attempt: u32, to: UpstreamId);
+    /// Stops waiting for an attempt, of which nothing more is to be told.
+    fn withdraw(&mut self, id: RequestId, attempt: u32);
+    /// Gives the caller its one final answer.
+    fn answer(&mut self, id: RequestId, answer: Answer);
+    /// Probes a node; one [`Barrier::probed`] must follow.
+    fn probe(&mut self, node: UpstreamId);
+    /// Asks discovery for changes from now on.
+    fn watch(&mut self);
+    /// Sets an alarm for the first tick at or after this time.
+    fn alarm(&mut self, at: f64, alarm: Alarm);
+}
+
+/// A request as its caller put it.
+#[derive(Clone, Copy, Debug)]
+pub struct Arrival {
+    /// Its class.
+    pub class: ClassId,
+    /// Its tenant, if any.
+    pub tenant: Option<TenantId>,
+    /// How long the caller will wait.
+    pub budget: f64,
+    /// The caller says that it is a repeat.
+    pub repeat: bool,
+}
+
+/// Someone at the barrier: a request that is owed one answer, and what was sent for it.
+struct Driver {
+    deadline: f64,
+    answered: bool,
+    passes: Vec<Pass>,
+}
+
+struct Pass {
+    to: UpstreamId,
+    sent: f64,
+    out: bool,
+    may_have_run: bool,
+    ending: Option<Ending>,
+}
+
+/// What has been counted since the start.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Counts {
+    /// Requests taken.
+    pub taken: u64,
+    /// Served.
+    pub served: u64,
+    /// Refused.
+    pub refused: u64,
+    /// Failed.
+    pub failed: u64,
+    /// Callers that went away first.
+    pub gone: u64,
+    /// Attempts.
+    pub passes: u64,
+    /// Attempts that brought no answer to serve.
+    pub turned: u64,
+    /// Finals that the barrier had to give because the module had not.
+    pub forced: u64,
+}
+
+/// The module with all that it is owed and owes.
+pub struct Barrier {
+    balancer: Balancer,
+    drivers: HashMap<RequestId, Driver>,
+    /// Nodes that may get something new.
+    open: BTreeSet<UpstreamId>,
+    next_id: u64,
+    tick: f64,
+    max_attempts: usize,
+    retry_after: Option<f64>,
+    actions: Vec<Action>,
+    backlog: VecDeque<Event>,
+    counts: Counts,
+}
+
+impl Barrier {
+    /// A barrier round a new copy of the module whose clock stands at 0.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`SettingsError`] when the settings make no sense.
+    pub fn new(house: &House, seed: u64) -> Result<Self, SettingsError> {
+        let s = &house.settings;
+        Ok(Barrier {
+            balancer: Balancer::new(s.clone(), seed, 0.0)?,
+            drivers: HashMap::new(),
+            open: BTreeSet::new(),
+            next_id: 0,
+            tick: s.tick,
+            max_attempts: s.max_attempts as usize,
+            retry_after: s.retry_after.then_some(s.max_retry_after),
+            actions: Vec::new(),
+            backlog: VecDeque::new(),
+            counts: Counts::default(),
+        })
+    }
+
+    /// Whether there is a node that may get something new.
+    pub fn is_ready(&self) -> bool {
+        !self.open.is_empty()
+    }
+
+    /// What has been counted.
+    pub fn counts(&self) -> Counts {
+        self.counts
+    }
+
+    /// Drivers that still wait for their answer.
+    pub fn owed(&self) -> usize {
+        self.drivers.values().filter(|d| !d.answered).count()
+    }
+
+    /// How long a refused caller should stay away, where callers are told.
+    pub fn retry_after(&self) -> Option<f64> {
+        self.retry_after
+    }
+
+    /// The id of the next request, for a lane that has to know it before [`Barrier::arrive`].
+    pub fn next_id(&mut self) -> RequestId {
+        self.next_id += 1;
+        RequestId(self.next_id)
+    }
+
+    /// Takes a request; its clock starts now.
+    pub fn arrive(&mut self, now: f64, id: RequestId, arrival: Arrival, lane: &mut dyn Lane) {
+        let Arrival { class, tenant, budget, repeat } = arrival;
+        let deadline = now + budget;
+        self.counts.taken += 1;
+        self.drivers.insert(id, Driver { deadline, answered: false, passes: Vec::new() });
+        // One tick early: the answer after an expired attempt has to be there in time.
+        lane.alarm(deadline - self.tick, Alarm::Deadline(id));
+        let ttl = budget;
+        self.feed(now, Event::Request { id, class, tenant, ttl, work_hint: None, repeat }, lane);
+    }
+
+    /// The caller has gone away. What is out for it still gets its outcome.
+    pub fn gone(&mut self, now: f64, id: RequestId, lane: &mut dyn Lane) {
+        let Some(d) = self.drivers.get_mut(&id).filter(|d| !d.answered) else { return };
+        d.answered = true;
+        self.counts.gone += 1;
+        self.feed(now, Event::Gone(id), lane);
+        self.forget(id);
+    }
+
+    /// Time left for an attempt whose connection has come up, or `None` if it must not be sent any more:
+    /// its driver has left or is out of time, or by now the node is known to drain.
+    pub fn may_pass(&self, now: f64, id: RequestId, attempt: u32) -> Option<f64> {
+        let d = self.drivers.get(&id).filter(|d| !d.answered && now + self.tick < d.deadline)?;
+        let pass = d.passes.get(attempt as usize)?;
+        // Guards against a send past the drain limit: it counts from the first byte, not from the decision.
+        (pass.out && self.open.contains(&pass.to)).then_some(d.deadline - now)
+    }
+
+    /// An attempt has ended. Later words on the same attempt are passed over.
+    pub fn outcome(
+        &mut self,
+        now: f64,
+        id: RequestId,
+        attempt: u32,
+        ending: Ending,
+        report: Option<Report>,
+        lane: &mut dyn Lane,
+    ) {
+        if let Some(event) = self.close(now, id, attempt, ending, report, lane) {
+            self.feed(now, event, lane);
+        }
+        self.forget(id);
+    }
+
+    /// Strikes an attempt off and gives its event; the first that is delivered is the driver's answer.
+    fn close(
+        &mut self,
+        now: f64,
+        id: RequestId,
+        attempt: u32,
+        ending: Ending,
+        report: Option<Report>,
+        lane: &mut dyn Lane,
+    ) -> Option<Event> {
+        let d = self.drivers.get_mut(&id)?;
+        let pass = d.passes.get_mut(attempt as usize).filter(|p| p.out)?;
+        pass.out = false;
+        pass.may_have_run = !ending.never_ran();
+        pass.ending = Some(ending);
+        let (upstream, elapsed) = (pass.to, (now - pass.sent).max(0.0));
+        if ending != Ending::Delivered {
+            self.counts.turned += 1;
+        } else if !d.answered {
+            d.answered = true;
+            self.counts.served += 1;
+            lane.answer(id, Answer::Served { attempt });
+        }
+        let last = d.answered;
+        Some(Event::Outcome(Outcome { id, attempt, upstream, ending, elapsed, last, report }))
+    }
+
+    /// A probe has ended.
+    pub fn probed(
+        &mut self,
+        now: f64,
+        upstream: UpstreamId,
+        ending: Ending,
+        elapsed: f64,
+        report: Option<Report>,
+        lane: &mut dyn Lane,
+    ) {
+        self.feed(now, Event::Probed { upstream, ending, elapsed, report }, lane);
+    }
+
+    /// News of the node list: the whole of it or what changed.
+    pub fn told(&mut self, now: f64, whole: bool, entries: Vec<Entry>, lane: &mut dyn Lane) {
+        if whole {
+            // Who is absent has been removed.
+            self.open.clear();
+        }
+        for e in &entries {
+            if e.condition == Condition::On {
+                self.open.insert(e.upstream);
+            } else {
+                self.open.remove(&e.upstream);
+            }
+        }
+        self.feed(now, if whole { Event::FullList(entries) } else { Event::ListChanges(entries) }, lane);
+    }
+
+    /// A call for the node list has failed.
+    pub fn untold(&mut self, now: f64, lane: &mut dyn Lane) {
+        self.feed(now, Event::ListFailed, lane);
+    }
+
+    /// An alarm set through [`Lane::alarm`] has come due.
+    pub fn rung(&mut self, now: f64, alarm: Alarm, lane: &mut dyn Lane) {
+        match alarm {
+            Alarm::Wake(token) => self.feed(now, Event::Wake(token), lane),
+            Alarm::Patience(id, attempt) => self.expire(now, id, attempt, lane),
+            Alarm::Deadline(id) => {
+                let Some(d) = self.drivers.get(&id) else { return };
+                for attempt in 0..d.passes.len() as u32 {
+                    self.expire(now, id, attempt, lane);
+                }
+                self.force(now, id, lane);
+            }
+        }
+    }
+
+    fn expire(&mut self, now: f64, id: RequestId, attempt: u32, lane: &mut dyn Lane) {
+        let out = |d: &Driver| d.passes.get(attempt as usize).is_some_and(|p| p.out);
+        if self.drivers.get(&id).is_some_and(out) {
+            lane.withdraw(id, attempt);
+            self.outcome(now, id, attempt, Ending::Expired, None, lane);
+        }
+    }
+
+    /// The last resort at the deadline: a driver whom the module has not answered is answered here.
+    fn force(&mut self, now: f64, id: RequestId, lane: &mut dyn Lane) {
+        let Some(d) = self.drivers.get(&id).filter(|d| !d.answered) else { return };
+        let ran = d.passes.iter().any(|p| p.may_have_run);
+        let out: Vec<u32> = (0..d.passes.len() as u32).filter(|n| d.passes[*n as usize].out).collect();
+        self.counts.forced += 1;
+        self.finish(
+            id,
+            if ran {
+                Answer::Failed { late: true }
+            } else {
+                Answer::Refused { retry_after: self.retry_after }
+            },
+            lane,
+        );
+        self.feed(now, Event::Gone(id), lane);
+        // Sent by the module in answer to the last expiry, with no time left.
+        for attempt in out {
+            self.expire(now, id, attempt, lane);
+        }
+        self.forget(id);
+    }
+
+    /// Hands an event to the module and carries out what it asks for, until nothing is left to do.
+    fn feed(&mut self, now: f64, event: Event, lane: &mut dyn Lane) {
+        self.backlog.push_back(event);
+        while let Some(event) = self.backlog.pop_front() {
+            let mut actions = std::mem::take(&mut self.actions);
+            self.balancer.handle(now, event, &mut actions);
+            for action in actions.drain(..) {
+                self.carry_out(now, action, lane);
+            }
+            self.actions = actions;
+        }
+    }
+
+    fn carry_out(&mut self, now: f64, action: Action, lane: &mut dyn Lane) {
+        match action {
+            Action::Send { id, upstream, patience } => self.send(now, id, upstream, patience, lane),
+            Action::Cancel { id, attempt } => {
+                let out = |d: &Driver| d.passes.get(attempt as usize).is_some_and(|p| p.out);
+                if self.drivers.get(&id).is_some_and(out) {
+                    lane.withdraw(id, attempt);
+                    let event = self.close(now, id, attempt, Ending::Revoked, None, lane);
+                    self.backlog.extend(event);
+                }
+            }
+            Action::Refuse { id, retry_after } => self.finish(id, Answer::Refused { retry_after }, lane),
+            Action::Fail { id } => {
+                let expired = |d: &Driver| d.passes.iter().any(|p| p.ending == Some(Ending::Expired));
+                let late = self.drivers.get(&id).is_some_and(expired);
+                self.finish(id, Answer::Failed { late }, lane);
+            }
+            Action::Wake { after, token } => lane.alarm(now + after, Alarm::Wake(token)),
+            Action::Probe(node) => lane.probe(node),
+            Action::Watch => lane.watch(),
+        }
+    }
+
+    fn send(&mut self, now: f64, id: RequestId, to: UpstreamId, patience: Option<f64>, lane: &mut dyn Lane) {
+        let Some(d) = self.drivers.get_mut(&id) else { return };
+        let attempt = d.passes.len() as u32;
+        let in_time = now + self.tick < d.deadline;
+        let allowed = !d.answered && d.passes.len() < self.max_attempts && in_time;
+        d.passes.push(Pass { to, sent: now, out: true, may_have_run: true, ending: None });
+        if !allowed || !self.open.contains(&to) {
+            let event = self.close(now, id, attempt, Ending::Unused, None, lane);
+            self.backlog.extend(event);
+            return;
+        }
+        self.counts.passes += 1;
+        if let Some(p) = patience.filter(|p| *p > 0.0 && now + *p < d.deadline) {
+            lane.alarm(now + p, Alarm::Patience(id, attempt));
+        }
+        lane.pass(id, attempt, to);
+    }
+
+    /// Gives the one final answer; a driver that has had it gets nothing more.
+    fn finish(&mut self, id: RequestId, answer: Answer, lane: &mut dyn Lane) {
+        let Some(d) = self.drivers.get_mut(&id).filter(|d| !d.answered) else { return };
+        d.answered = true;
+        match answer {
+            Answer::Refused { .. } => self.counts.refused += 1,
+            _ => self.counts.failed += 1,
+        }
+        lane.answer(id, answer);
+        self.forget(id);
+    }
+
+    fn forget(&mut self, id: RequestId) {
+        if self.drivers.get(&id).is_some_and(|d| d.answered && d.passes.iter().all(|p| !p.out)) {
+            self.drivers.remove(&id);
+        }
+    }
+}
--- a/src/bin/magpiepick-adapter/main.rs
+++ b/src/bin/passrelay-simhost/main.rs
@@ -3,12 +3,13 @@
 
 mod wire;
 
-use magpiepick::{Action, Balancer, Event};
+use passrelay::config::{House, Item, Names};
+use passrelay::{Action, Balancer, Event};
 use std::collections::BTreeMap;
 use std::io::{self, BufRead, Write};
 use std::panic::{catch_unwind, AssertUnwindSafe};
 use std::process::ExitCode;
-use wire::{Expected, Fields, Item, Names};
+use wire::{Expected, Fields};
 
 struct Instance {
     /// `None` once it has failed.
@@ -68,9 +69,9 @@
                     return Err("power_on with an instance and a seed".to_owned());
                 }
                 let (who, seed) = (f.need(0, "an instance")?, f.need(1, "a seed")?);
-                let (settings, names) = wire::settings(f.rest(2))?;
-                let balancer = Balancer::new(settings, seed, now).map_err(|e| e.to_string())?;
-                self.instances.insert(who, Instance { balancer: Some(balancer), names });
+                let house = House::from_pairs(f.rest(2)).map_err(|e| format!("power_on: {e}"))?;
+                let balancer = Balancer::new(house.settings, seed, now).map_err(|e| e.to_string())?;
+                self.instances.insert(who, Instance { balancer: Some(balancer), names: house.names });
             }
             "stop" => {
                 f.count(1, 1)?;
@@ -137,7 +138,7 @@
             Ok(0) => break,
             Ok(_) => {}
             Err(e) => {
-                eprintln!("magpiepick-adapter: line {number}: expected UTF-8 text: {e}");
+                eprintln!("passrelay-simhost: line {number}: expected UTF-8 text: {e}");
                 return ExitCode::FAILURE;
             }
         }
@@ -145,13 +146,13 @@
             Ok(false) => {}
             Ok(true) => {
                 if output.write_all(host.out.as_bytes()).and_then(|()| output.flush()).is_err() {
-                    eprintln!("magpiepick-adapter: standard output is closed");
+                    eprintln!("passrelay-simhost: standard output is closed");
                     return ExitCode::FAILURE;
                 }
                 host.out.clear();
             }
             Err(expected) => {
-                eprintln!("magpiepick-adapter: line {number}: expected {expected}");
+                eprintln!("passrelay-simhost: line {number}: expected {expected}");
                 return ExitCode::FAILURE;
             }
         }
--- a/src/bin/magpiepick-adapter/wire.rs
+++ b/src/bin/passrelay-simhost/wire.rs
@@ -1,10 +1,9 @@
 //! Parsing and printing of the wire's lines. No decisions are made here.
 
-use magpiepick::{
-    Action, Class, ClassId, Condition, DedupScope, Effect, Ending, Entry, Event, Outcome, Report, RequestId,
-    Settings, Tenant, TenantId, UpstreamId, ZoneId,
+use passrelay::config::{Item, Names};
+use passrelay::{
+    Action, ClassId, Condition, Ending, Entry, Event, Outcome, Report, RequestId, UpstreamId, ZoneId,
 };
-use std::collections::BTreeMap;
 use std::fmt::Write as _;
 use std::str::FromStr;
 
@@ -78,13 +77,6 @@
     }
 }
 
-/// A list line whose zone is still a name.
-#[derive(Clone)]
-pub struct Item {
-    entry: Entry,
-    zone: String,
-}
-
 /// Parses an `item` line.
 pub fn item(f: &Fields) -> Result<Item, Expected> {
     f.count(5, 7)?;
@@ -101,135 +93,6 @@
     Ok(Item { entry, zone: f.text(1).unwrap_or("").to_owned() })
 }
 
-/// The names an instance was given at its start, by position.
-pub struct Names {
-    classes: Vec<String>,
-    tenants: Vec<String>,
-    zones: Vec<String>,
-}
-
-impl Names {
-    fn zone(&mut self, name: &str) -> ZoneId {
-        let known = self.zones.iter().position(|z| z == name);
-        ZoneId(known.unwrap_or_else(|| {
-            self.zones.push(name.to_owned());
-            self.zones.len() - 1
-        }))
-    }
-
-    /// Gives list lines the zone numbers of this instance.
-    pub fn entries(&mut self, items: &[Item]) -> Vec<Entry> {
-        items.iter().map(|i| Entry { zone: self.zone(&i.zone), ..i.entry }).collect()
-    }
-}
-
-struct Pairs<'a>(BTreeMap<&'a str, &'a str>);
-
-impl<'a> Pairs<'a> {
-    fn text(&self, key: &str) -> Option<&'a str> {
-        self.0.get(key).copied().filter(|v| *v != "-" && !v.is_empty())
-    }
-
-    fn get<T: FromStr>(&self, key: &str, default: T) -> Result<T, Expected> {
-        let Some(text) = self.text(key) else { return Ok(default) };
-        text.parse().map_err(|_| format!("power_on: {key} has the value '{text}'"))
-    }
-
-    fn flag(&self, key: &str, default: bool) -> Result<bool, Expected> {
-        match self.text(key) {
-            None => Ok(default),
-            Some("true" | "1") => Ok(true),
-            Some("false" | "0") => Ok(false),
-            Some(other) => Err(format!("power_on: {key} should be true or false, is '{other}'")),
-        }
-    }
-
-    fn class(&self, at: usize) -> Result<(String, Class), Expected> {
-        let key = |k: &str| format!("Classes.{at}.{k}");
-        let d = Class::default();
-        let scope = match self.text(&key("DedupScope")) {
-            Some("all") | None => DedupScope::All,
-            Some("zone") => DedupScope::Zone,
-            Some("cell") => DedupScope::Cell,
-            Some(other) => return Err(format!("power_on: unknown repeat scope '{other}'")),
-        };
-        let effect = match self.text(&key("Idempotency")) {
-            Some("read_like") => Effect::Safe,
-            Some("idempotency_key") => Effect::Keyed { scope, window: self.get(&key("RepeatWindow"), 0.0)? },
-            Some("non_idempotent") | None => Effect::Unsafe,
-            Some(other) => return Err(format!("power_on: unknown repeat rule '{other}'")),
-        };
-        let name = self.text(&key("Name")).unwrap_or("").to_owned();
-        let class = Class {
-            aim: self.get(&key("Aim"), self.get(&key("GiveUp"), d.aim)?)?,
-            aim_stretch: self.get(&key("AimStretch"), d.aim_stretch)?,
-            gain: self.get(&key("Gain"), d.gain)?,
-            late_value: self.get(&key("LateValue"), d.late_value)?,
-            effect,
-        };
-        Ok((name, class))
-    }
-}
-
-/// Parses the settings of a `power_on` line. Unknown keys are skipped, absent ones get defaults.
-pub fn settings(pairs: &[&str]) -> Result<(Settings, Names), Expected> {
-    let mut map = BTreeMap::new();
-    for pair in pairs.iter().filter(|p| !p.is_empty() && **p != "-") {
-        let bad = || format!("power_on: a setting should be path=value, is '{pair}'");
-        let (key, value) = pair.split_once('=').ok_or_else(bad)?;
-        map.insert(key, value);
-    }
-    let p = Pairs(map);
-    let list = |key: &str| -> Vec<String> {
-        p.text(key).map(|v| v.split(',').map(str::to_owned).collect()).unwrap_or_default()
-    };
-    let mut names = Names { classes: Vec::new(), tenants: Vec::new(), zones: list("Dcs") };
-    let zone = names.zone(p.text("Az").unwrap_or(""));
-    let mut classes = Vec::new();
-    for at in 0..p.get("Classes.count", 0)? {
-        let (name, class) = p.class(at)?;
-        names.classes.push(name);
-        classes.push(class);
-    }
-    let mut tenants = Vec::new();
-    for at in 0..p.get("Tenants.count", 0)? {
-        names.tenants.push(p.text(&format!("Tenants.{at}.Name")).unwrap_or("").to_owned());
-        let allowance_per_s = p.get(&format!("Tenants.{at}.AllowancePerS"), f64::INFINITY)?;
-        tenants.push(Tenant { allowance_per_s });
-    }
-    let fields = list("Report.Fields");
-    let d = Settings::default();
-    let settings = Settings {
-        balancers: p.get("Balancers", d.balancers)?,
-        rank: p.get("Rank", d.rank)?,
-        classes,
-        tenants,
-        over_share_worth: p.get("OverShareWorth", d.over_share_worth)?,
-        worth_by_work: p.text("CountedBy") == Some("work"),
-        zone,
-        price_cross_zone: p.get("Deductions.CrossZone", d.price_cross_zone)?,
-        price_probe: p.get("Deductions.Probe", d.price_probe)?,
-        ask_for_list: p.text("RegistryMode") == Some("ask"),
-        ask_every: p.get("Rules.AskEvery", d.ask_every)?,
-        reports_in_answers: p.text("Report.Source").is_none_or(|s| s == "piggyback"),
-        reports_held: fields.iter().any(|f| f == "active"),
-        probes: p.flag("Limits.Probes", d.probes)?,
-        cancel: p.flag("Limits.Cancel", d.cancel)?,
-        duplicates: p.flag("Limits.MayDuplicate", d.duplicates)?,
-        max_attempts: p.get("Limits.AttemptsCap", d.max_attempts)?,
-        retry_after: p.flag("Limits.RetryAfter", d.retry_after)?,
-        max_retry_after: p.get("Limits.MaxRetryAfter", d.max_retry_after)?,
-        connect_timeout: p.get("Limits.ConnectTimeout", d.connect_timeout)?,
-        drain_grace: p.get("Rules.DrainGrace", d.drain_grace)?,
-        cold_from: p.get("Rules.ColdFrom", d.cold_from)?,
-        warm_within: p.get("Rules.WarmWithin", d.warm_within)?,
-        overload_factor: p.get("Rules.OverloadFactor", d.overload_factor)?,
-        fall: p.get("Rules.Fall", d.fall)?,
-        tick: p.get("Tick", d.tick)?,
-    };
-    Ok((settings, names))
-}
-
 fn ending(name: &str) -> Result<Ending, Expected> {
     Ok(match name {
         "delivered" => Ending::Delivered,
@@ -245,23 +108,7 @@
 }
 
 fn report(text: Option<&str>) -> Result<Option<Report>, Expected> {
-    let Some(text) = text else { return Ok(None) };
-    let mut r = Report::default();
-    for pair in text.split(',') {
-        let bad = || format!("a report value should be name:number, is '{pair}'");
-        let (name, value) = pair.split_once(':').ok_or_else(bad)?;
-        let value: f64 = value.parse().map_err(|_| bad())?;
-        match name {
-            "active" => r.active = Some(value),
-            "waiting" => r.waiting = Some(value),
-            "cpu" => r.cpu = Some(value),
-            "avg_ms" => r.avg_ms = Some(value),
-            "rps" => r.rps = Some(value),
-            "err_rps" => r.err_rps = Some(value),
-            _ => {}
-        }
-    }
-    Ok(Some(r))
+    text.map(|t| Report::parse(t, ':')).transpose()
 }
 
 /// Parses an event of one instance other than those about lists, starts and stops. `None`: not for the module.
@@ -274,13 +121,8 @@
             let class = f.need_text(2, "a class")?;
             let known = names.classes.iter().position(|c| c == class);
             let class = known.ok_or_else(|| format!("submit: unknown class '{class}'"))?;
-            let tenant = match f.text(3).filter(|_| !names.tenants.is_empty()) {
-                None | Some("0") => None,
-                Some(t) => {
-                    let known = names.tenants.iter().position(|n| n == t);
-                    Some(TenantId(known.ok_or_else(|| format!("submit: unknown tenant '{t}'"))?))
-                }
-            };
+            let tenant = names.tenant(f.text(3).filter(|t| *t != "0"));
+            let tenant = tenant.map_err(|t| format!("submit: unknown tenant '{t}'"))?;
             f.number::<u64>(4, "a key")?;
             let flags: u64 = f.number(7, "flags")?.unwrap_or(0);
             Event::Request {
--- /dev/null
+++ b/src/config.rs
@@ -0,0 +1,384 @@
+//! The one place where configuration is read, checked and given defaults.
+//!
+//! A sidecar is told its settings as nested JSON, the simulator's host as `path=value` pairs. Both are
+//! brought into the form of pairs and go through the same checks.
+
+use crate::api::{Class, DedupScope, Effect, Entry, Settings, Tenant, TenantId, ZoneId};
+use crate::sheet::Sheet;
+use serde_json::Value;
+use std::collections::BTreeMap;
+use std::fmt;
+use std::net::SocketAddr;
+use std::str::FromStr;
+
+/// Descriptors kept free for standard streams, the poller, signals, the gate and discovery.
+const SPARE_SOCKETS: usize = 24;
+/// What one connection may cost at most: a buffer and a little beside it, in KiB.
+const CONNECTION_KIB: usize = 96;
+
+/// A key of the configuration and what is wrong with it.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct ConfigError {
+    /// The key, as a path.
+    pub key: String,
+    /// What is wrong with it.
+    pub problem: String,
+}
+
+impl fmt::Display for ConfigError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}: {}", self.key, self.problem)
+    }
+}
+
+impl std::error::Error for ConfigError {}
+
+fn wrong<T>(key: &str, problem: impl Into<String>) -> Result<T, ConfigError> {
+    Err(ConfigError { key: key.to_owned(), problem: problem.into() })
+}
+
+/// The names that the settings give, by position.
+#[derive(Clone, Debug, Default)]
+pub struct Names {
+    /// Of the classes.
+    pub classes: Vec<String>,
+    /// Of the tenants.
+    pub tenants: Vec<String>,
+    zones: Vec<String>,
+}
+
+impl Names {
+    /// The number of a zone; a new name gets a new number.
+    pub fn zone(&mut self, name: &str) -> ZoneId {
+        let known = self.zones.iter().position(|z| z == name);
+        ZoneId(known.unwrap_or_else(|| {
+            self.zones.push(name.to_owned());
+            self.zones.len() - 1
+        }))
+    }
+
+    /// The tenant of a request: `None` where the site has none, an error where the name is unknown.
+    ///
+    /// # Errors
+    ///
+    /// Returns the name that is not in the settings.
+    pub fn tenant(&self, name: Option<&str>) -> Result<Option<TenantId>, String> {
+        let Some(name) = name.filter(|_| !self.tenants.is_empty()) else { return Ok(None) };
+        let known = self.tenants.iter().position(|t| t == name);
+        known.map(|t| Some(TenantId(t))).ok_or_else(|| name.to_owned())
+    }
+}
+
+/// The settings as the module takes them, and what the program round it needs beside.
+#[derive(Clone, Debug)]
+pub struct House {
+    /// For the decision module.
+    pub settings: Settings,
+    /// Names by position.
+    pub names: Names,
+    /// The longest time that a client of each class waits.
+    pub give_up: Vec<f64>,
+    /// A node closes a connection that has been idle for so long.
+    pub conn_idle: f64,
+    /// How late a final answer may come.
+    pub answer_slack: f64,
+    /// Most open requests.
+    pub max_open: usize,
+    /// The tier's name, for the log.
+    pub tier: String,
+}
+
+/// `path=value` pairs of the settings.
+struct Pairs(BTreeMap<String, String>);
+
+impl Pairs {
+    fn text(&self, key: &str) -> Option<&str> {
+        self.0.get(key).map(String::as_str).filter(|v| *v != "-" && !v.is_empty())
+    }
+
+    fn get<T: FromStr>(&self, key: &str, default: T) -> Result<T, ConfigError> {
+        let Some(text) = self.text(key) else { return Ok(default) };
+        text.parse().or_else(|_| wrong(key, format!("has the value '{text}'")))
+    }
+
+    /// A span that the program itself uses: finite and not negative.
+    fn span(&self, key: &str, default: f64) -> Result<f64, ConfigError> {
+        let value = self.get(key, default)?;
+        if value.is_finite() && value >= 0.0 {
+            return Ok(value);
+        }
+        wrong(key, "should be finite and not negative")
+    }
+
+    fn flag(&self, key: &str, default: bool) -> Result<bool, ConfigError> {
+        match self.text(key) {
+            None => Ok(default),
+            Some("true" | "1") => Ok(true),
+            Some("false" | "0") => Ok(false),
+            Some(other) => wrong(key, format!("should be true or false, is '{other}'")),
+        }
+    }
+
+    fn list(&self, key: &str) -> Vec<String> {
+        self.text(key).map(|v| v.split(',').map(str::to_owned).collect()).unwrap_or_default()
+    }
+
+    fn class(&self, at: usize) -> Result<(String, Class, f64), ConfigError> {
+        let key = |k: &str| format!("Classes.{at}.{k}");
+        let d = Class::default();
+        let scope = match self.text(&key("DedupScope")) {
+            Some("all") | None => DedupScope::All,
+            Some("zone") => DedupScope::Zone,
+            Some("cell") => DedupScope::Cell,
+            Some(other) => return wrong(&key("DedupScope"), format!("unknown repeat scope '{other}'")),
+        };
+        let effect = match self.text(&key("Idempotency")) {
+            Some("read_like") => Effect::Safe,
+            Some("idempotency_key") => Effect::Keyed { scope, window: self.get(&key("RepeatWindow"), 0.0)? },
+            Some("non_idempotent") | None => Effect::Unsafe,
+            Some(other) => return wrong(&key("Idempotency"), format!("unknown repeat rule '{other}'")),
+        };
+        let name = self.text(&key("Name")).unwrap_or("").to_owned();
+        let class = Class {
+            aim: self.get(&key("Aim"), self.get(&key("GiveUp"), d.aim)?)?,
+            aim_stretch: self.get(&key("AimStretch"), d.aim_stretch)?,
+            gain: self.get(&key("Gain"), d.gain)?,
+            late_value: self.get(&key("LateValue"), d.late_value)?,
+            effect,
+        };
+        let give_up = self.span(&key("GiveUp"), class.aim.max(0.0))?;
+        Ok((name, class, give_up))
+    }
+}
+
+impl House {
+    /// Reads settings given as `path=value` pairs. Unknown keys are skipped, absent ones get defaults.
+    ///
+    /// # Errors
+    ///
+    /// Names the first key that is wrong.
+    pub fn from_pairs(pairs: &[&str]) -> Result<House, ConfigError> {
+        let mut map = BTreeMap::new();
+        for pair in pairs.iter().filter(|p| !p.is_empty() && **p != "-") {
+            let Some((key, value)) = pair.split_once('=') else {
+                return wrong(pair, "a setting should be path=value");
+            };
+            map.insert(key.to_owned(), value.to_owned());
+        }
+        House::read(&Pairs(map))
+    }
+
+    /// Reads settings given as nested JSON.
+    ///
+    /// # Errors
+    ///
+    /// Names the first key that is wrong.
+    pub fn from_json(value: &Value) -> Result<House, ConfigError> {
+        if !value.is_object() {
+            return wrong("settings", "should be an object");
+        }
+        let mut map = BTreeMap::new();
+        flatten("", value, &mut map);
+        House::read(&Pairs(map)).map_err(|e| ConfigError { key: format!("settings.{}", e.key), ..e })
+    }
+
+    fn read(p: &Pairs) -> Result<House, ConfigError> {
+        let mut names = Names { zones: p.list("Dcs"), ..Names::default() };
+        let zone = names.zone(p.text("Az").unwrap_or(""));
+        let (mut classes, mut give_up, mut tenants) = (Vec::new(), Vec::new(), Vec::new());
+        for at in 0..p.get("Classes.count", 0)? {
+            let (name, class, longest) = p.class(at)?;
+            names.classes.push(name);
+            classes.push(class);
+            give_up.push(longest);
+        }
+        for at in 0..p.get("Tenants.count", 0)? {
+            names.tenants.push(p.text(&format!("Tenants.{at}.Name")).unwrap_or("").to_owned());
+            let allowance_per_s = p.get(&format!("Tenants.{at}.AllowancePerS"), f64::INFINITY)?;
+            tenants.push(Tenant { allowance_per_s });
+        }
+        let fields = p.list("Report.Fields");
+        let d = Settings::default();
+        let settings = Settings {
+            balancers: p.get("Balancers", d.balancers)?,
+            rank: p.get("Rank", d.rank)?,
+            classes,
+            tenants,
+            over_share_worth: p.get("OverShareWorth", d.over_share_worth)?,
+            worth_by_work: p.text("CountedBy") == Some("work"),
+            zone,
+            price_cross_zone: p.get("Deductions.CrossZone", d.price_cross_zone)?,
+            price_probe: p.get("Deductions.Probe", d.price_probe)?,
+            ask_for_list: p.text("RegistryMode") == Some("ask"),
+            ask_every: p.get("Rules.AskEvery", d.ask_every)?,
+            reports_in_answers: p.text("Report.Source").is_none_or(|s| s == "piggyback"),
+            reports_held: fields.iter().any(|f| f == "active"),
+            probes: p.flag("Limits.Probes", d.probes)?,
+            cancel: p.flag("Limits.Cancel", d.cancel)?,
+            duplicates: p.flag("Limits.MayDuplicate", d.duplicates)?,
+            max_attempts: p.get("Limits.AttemptsCap", d.max_attempts)?,
+            retry_after: p.flag("Limits.RetryAfter", d.retry_after)?,
+            max_retry_after: p.get("Limits.MaxRetryAfter", d.max_retry_after)?,
+            connect_timeout: p.get("Limits.ConnectTimeout", d.connect_timeout)?,
+            drain_grace: p.get("Rules.DrainGrace", d.drain_grace)?,
+            cold_from: p.get("Rules.ColdFrom", d.cold_from)?,
+            warm_within: p.get("Rules.WarmWithin", d.warm_within)?,
+            overload_factor: p.get("Rules.OverloadFactor", d.overload_factor)?,
+            fall: p.get("Rules.Fall", d.fall)?,
+            tick: p.get("Tick", d.tick)?,
+        };
+        if let Err(e) = settings.validate() {
+            return wrong(&format!("setting {}", e.name), e.problem);
+        }
+        let layer: usize = p.get("Layer", 0)?;
+        Ok(House {
+            settings,
+            names,
+            give_up,
+            conn_idle: p.span("Limits.ConnIdle", 30.0)?,
+            answer_slack: p.span("Rules.AnswerSlack", 0.02)?,
+            max_open: p.get("Limits.MaxOpen", usize::MAX)?,
+            tier: p.list("Layers").get(layer).cloned().unwrap_or_else(|| layer.to_string()),
+        })
+    }
+}
+
+/// Nested JSON as pairs: plain lists joined by commas, lists of objects as a count and their items.
+fn flatten(path: &str, value: &Value, into: &mut BTreeMap<String, String>) {
+    let below = |key: &str| if path.is_empty() { key.to_owned() } else { format!("{path}.{key}") };
+    match value {
+        Value::Null => {}
+        Value::Object(fields) => fields.iter().for_each(|(key, v)| flatten(&below(key), v, into)),
+        Value::Array(items) if items.iter().any(Value::is_object) => {
+            into.insert(below("count"), items.len().to_string());
+            items.iter().enumerate().for_each(|(at, v)| flatten(&below(&at.to_string()), v, into));
+        }
+        Value::Array(items) => {
+            let plain = |v: &Value| v.as_str().map_or_else(|| v.to_string(), str::to_owned);
+            into.insert(path.to_owned(), items.iter().map(plain).collect::<Vec<_>>().join(","));
+        }
+        Value::String(text) => {
+            into.insert(path.to_owned(), text.clone());
+        }
+        other => {
+            into.insert(path.to_owned(), other.to_string());
+        }
+    }
+}
+
+/// Everything that one sidecar is told.
+#[derive(Clone, Debug)]
+pub struct Config {
+    /// Its name.
+    pub name: String,
+    /// Where callers connect.
+    pub listen: SocketAddr,
+    /// Where discovery listens.
+    pub discovery: SocketAddr,
+    /// For random numbers.
+    pub seed: u64,
+    /// Most connections to callers.
+    pub max_kiosks: usize,
+    /// Most connections to nodes.
+    pub max_bays: usize,
+    /// The node list as this sidecar last had it.
+    pub known: Option<Sheet>,
+    /// The settings.
+    pub house: House,
+}
+
+impl Config {
+    /// Reads the file named by `RELAY_CONFIG`; the other variables, where set, go before what it says.
+    ///
+    /// # Errors
+    ///
+    /// Names the first variable or key that is missing or wrong.
+    pub fn from_env() -> Result<Config, ConfigError> {
+        let env = |key: &str| std::env::var(key).ok().filter(|v| !v.is_empty());
+        let Some(path) = env("RELAY_CONFIG") else { return wrong("RELAY_CONFIG", "is not set") };
+        let text = std::fs::read_to_string(&path)
+            .or_else(|e| wrong("RELAY_CONFIG", format!("cannot read '{path}': {e}")))?;
+        let mut file: Value =
+            serde_json::from_str(&text).or_else(|e| wrong("RELAY_CONFIG", format!("is not JSON: {e}")))?;
+        if !file.is_object() {
+            return wrong("RELAY_CONFIG", "should hold a JSON object");
+        }
+        for (variable, key) in
+            [("RELAY_NAME", "name"), ("RELAY_LISTEN", "listen"), ("RELAY_DISCOVERY", "discovery")]
+        {
+            if let Some(value) = env(variable) {
+                file[key] = Value::String(value);
+            }
+        }
+        Config::from_json(&file)
+    }
+
+    /// Reads the configuration from JSON.
+    ///
+    /// # Errors
+    ///
+    /// Names the first key that is missing or wrong.
+    pub fn from_json(file: &Value) -> Result<Config, ConfigError> {
+        let text = |key: &str| match file[key].as_str() {
+            Some(text) if !text.is_empty() => Ok(text),
+            _ => wrong(key, "is missing or not text"),
+        };
+        let address = |key: &str| {
+            let value = text(key)?;
+            value.parse().or_else(|_| wrong(key, format!("should be address:port, is '{value}'")))
+        };
+        let seed = match &file["seed"] {
+            Value::Null => 0,
+            Value::String(hex) => u64::from_str_radix(hex, 16)
+                .or_else(|_| wrong("seed", format!("should be hex digits, is '{hex}'")))?,
+            other => other.as_u64().map_or_else(|| wrong("seed", "should be hex digits"), Ok)?,
+        };
+        let limit = |key: &str, default: u64| match &file["limits"][key] {
+            Value::Null => Ok(default as usize),
+            v => match v.as_u64() {
+                Some(n) if n > 0 => Ok(n as usize),
+                _ => wrong(&format!("limits.{key}"), format!("should be a whole number above 0, is {v}")),
+            },
+        };
+        let sockets = limit("sockets", 1024)?;
+        let memory_mb = limit("memory_mb", 192)?;
+        // Guards against the kill for memory: half of it at most goes to connections.
+        let connections = sockets.saturating_sub(SPARE_SOCKETS).min(memory_mb * 512 / CONNECTION_KIB);
+        if connections < 4 {
+            return wrong("limits", "leave no room for connections");
+        }
+        let known = match &file["known"] {
+            Value::Null => None,
+            list => {
+                Some(Sheet::parse(list).map_err(|problem| ConfigError { key: "known".to_owned(), problem })?)
+            }
+        };
+        let house = House::from_json(&file["settings"])?;
+        Ok(Config {
+            name: text("name")?.to_owned(),
+            listen: address("listen")?,
+            discovery: address("discovery")?,
+            seed,
+            max_kiosks: connections / 2,
+            max_bays: connections - connections / 2,
+            known,
+            house,
+        })
+    }
+}
+
+/// A list line whose zone is still a name.
+#[derive(Clone, Debug)]
+pub struct Item {
+    /// The line, its zone not yet set.
+    pub entry: Entry,
+    /// The name of its zone.
+    pub zone: String,
+}
+
+impl Names {
+    /// Gives list lines the zone numbers of these settings.
+    pub fn entries(&mut self, items: &[Item]) -> Vec<Entry> {
+        items.iter().map(|i| Entry { zone: self.zone(&i.zone), ..i.entry }).collect()
+    }
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -5,8 +5,8 @@
 //! the caller hands it events with its own clock and carries out the actions it gets back.
 //!
 //! ```
-//! use magpiepick::{Action, Balancer, ClassId, Condition, Entry, Event};
-//! use magpiepick::{RequestId, Settings, UpstreamId, ZoneId};
+//! use passrelay::{Action, Balancer, ClassId, Condition, Entry, Event};
+//! use passrelay::{RequestId, Settings, UpstreamId, ZoneId};
 //!
 //! let mut balancer = Balancer::new(Settings::default(), 7, 0.0)?;
 //! let mut actions = Vec::new();
@@ -28,13 +28,20 @@
 //! };
 //! balancer.handle(0.1, request, &mut actions);
 //! assert!(matches!(actions[..], [Action::Send { upstream: UpstreamId(1), .. }]));
-//! # Ok::<(), magpiepick::SettingsError>(())
+//! # Ok::<(), passrelay::SettingsError>(())
 //! ```
 #![forbid(unsafe_code)]
 #![warn(missing_docs)]
 
 mod api;
+pub mod barrier;
+pub mod cli;
+pub mod config;
+pub mod log;
+pub mod net;
+mod report;
 mod rules;
+pub mod sheet;
 mod state;
 
 pub use api::{
--- /dev/null
+++ b/src/net/http.rs
@@ -0,0 +1,279 @@
+//! HTTP/1.1 framing: heads by httparse, bodies by length, in chunks or up to the end of the connection.
+
+use super::tray::{Tray, BODY_ROOM, HEAD_ROOM};
+use std::fmt::Display;
+use std::io::Write;
+
+/// Most header lines of one message.
+const MAX_HEADERS: usize = 64;
+/// The longest line that states a chunk's size, extensions included, and the longest trailer line.
+const MAX_LINE: usize = 1024;
+
+/// What is wrong with a message, as the status that says so.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Fault(pub u16);
+
+/// How far a body's end is known from its head.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum Framing {
+    Length(usize),
+    Chunked,
+    UntilClose,
+}
+
+/// The head of a message.
+#[derive(Debug, PartialEq)]
+pub struct Head {
+    /// Bytes up to the body.
+    pub len: usize,
+    pub method: String,
+    pub target: String,
+    pub status: u16,
+    headers: Vec<(String, String)>,
+    pub framing: Framing,
+    /// The other side closes after this message.
+    pub close: bool,
+}
+
+impl Head {
+    /// The value of a header given by its lower-case name; `None` if absent or given twice.
+    pub fn header(&self, name: &str) -> Option<&str> {
+        let mut values = self.headers.iter().filter(|(n, _)| n == name).map(|(_, v)| v.as_str());
+        values.next().filter(|_| values.next().is_none())
+    }
+
+    fn all<'a>(&'a self, name: &'a str) -> impl Iterator<Item = &'a str> {
+        self.headers.iter().filter(move |(n, _)| n == name).map(|(_, v)| v.as_str())
+    }
+
+    /// Headers that go on to the next party: neither about the connection nor about the framing.
+    pub fn onward(&self) -> impl Iterator<Item = &(String, String)> {
+        let own = ["connection", "keep-alive", "te", "trailer", "transfer-encoding", "upgrade", "host"];
+        let more = ["content-length", "expect", "proxy-connection", "proxy-authorization"];
+        let named = |n: &str| self.lists("connection", n);
+        self.headers
+            .iter()
+            .filter(move |(n, _)| !own.contains(&n.as_str()) && !more.contains(&n.as_str()) && !named(n))
+    }
+
+    /// Whether a header that is a list names `word`.
+    pub fn lists(&self, header: &str, word: &str) -> bool {
+        self.all(header).flat_map(|v| v.split(',')).any(|w| w.trim().eq_ignore_ascii_case(word))
+    }
+
+    /// Reads the head of a request; `None`: more bytes are needed.
+    pub fn of_request(bytes: &[u8]) -> Result<Option<Head>, Fault> {
+        let mut slots = [httparse::EMPTY_HEADER; MAX_HEADERS];
+        let mut parsed = httparse::Request::new(&mut slots);
+        let status = match parsed.parse(bytes) {
+            Ok(status) => status,
+            Err(httparse::Error::TooManyHeaders) => return Err(Fault(431)),
+            Err(_) => return Err(Fault(400)),
+        };
+        let httparse::Status::Complete(len) = status else {
+            return if bytes.len() >= HEAD_ROOM { Err(Fault(431)) } else { Ok(None) };
+        };
+        let mut head = Head::new(len, parsed.version, parsed.headers)?;
+        head.method = parsed.method.unwrap_or("").to_owned();
+        head.target = parsed.path.unwrap_or("").to_owned();
+        head.framing = match head.stated_framing()? {
+            Some(Framing::Length(n)) if n > BODY_ROOM => return Err(Fault(413)),
+            Some(framing) => framing,
+            None => Framing::Length(0),
+        };
+        if !head.target.starts_with('/') || len > HEAD_ROOM {
+            return Err(Fault(if len > HEAD_ROOM { 431 } else { 400 }));
+        }
+        Ok(Some(head))
+    }
+
+    /// Reads the head of an answer; `None`: more bytes are needed.
+    pub fn of_answer(bytes: &[u8]) -> Result<Option<Head>, Fault> {
+        let mut slots = [httparse::EMPTY_HEADER; MAX_HEADERS];
+        let mut parsed = httparse::Response::new(&mut slots);
+        let httparse::Status::Complete(len) = parsed.parse(bytes).map_err(|_| Fault(502))? else {
+            return if bytes.len() >= HEAD_ROOM { Err(Fault(502)) } else { Ok(None) };
+        };
+        let mut head = Head::new(len, parsed.version, parsed.headers).map_err(|_| Fault(502))?;
+        head.status = parsed.code.unwrap_or(0);
+        let stated = head.stated_framing().map_err(|_| Fault(502))?;
+        head.framing = match head.status {
+            100..=199 | 204 | 304 => Framing::Length(0),
+            _ => stated.unwrap_or(Framing::UntilClose),
+        };
+        match head.framing {
+            Framing::Length(n) if n > BODY_ROOM => return Err(Fault(502)),
+            Framing::UntilClose => head.close = true,
+            _ => {}
+        }
+        Ok(Some(head))
+    }
+
+    fn new(len: usize, version: Option<u8>, headers: &[httparse::Header]) -> Result<Head, Fault> {
+        let text = |v: &[u8]| std::str::from_utf8(v).map(|v| v.trim().to_owned()).map_err(|_| Fault(400));
+        let headers = headers.iter().map(|h| Ok((h.name.to_ascii_lowercase(), text(h.value)?)));
+        let (method, target) = (String::new(), String::new());
+        let framing = Framing::Length(0);
+        let headers = headers.collect::<Result<Vec<_>, _>>()?;
+        let mut head = Head { len, method, target, status: 0, headers, framing, close: false };
+        let old = version != Some(1) && !head.lists("connection", "keep-alive");
+        head.close = old || head.lists("connection", "close");
+        Ok(head)
+    }
+
+    /// Guards against two readings of one message: a length beside chunks, or two lengths, are refused.
+    fn stated_framing(&self) -> Result<Option<Framing>, Fault> {
+        let mut codings = self.all("transfer-encoding");
+        let mut lengths = self.all("content-length");
+        match (codings.next(), lengths.next()) {
+            (None, None) => Ok(None),
+            (Some(coding), None) if coding.eq_ignore_ascii_case("chunked") && codings.next().is_none() => {
+                Ok(Some(Framing::Chunked))
+            }
+            (None, Some(length)) => {
+                let digits = !length.is_empty() && length.bytes().all(|b| b.is_ascii_digit());
+                let same = lengths.all(|l| l == length);
+                let Ok(n) = length.parse::<usize>() else {
+                    return Err(Fault(if digits { 413 } else { 400 }));
+                };
+                if digits && same {
+                    Ok(Some(Framing::Length(n)))
+                } else {
+                    Err(Fault(400))
+                }
+            }
+            _ => Err(Fault(400)),
+        }
+    }
+}
+
+#[derive(Clone, Copy, Debug)]
+enum Step {
+    Size,
+    Data(usize),
+    DataEnd,
+    Trailer,
+}
+
+/// Reads one body inside its buffer; chunks are joined in place.
+#[derive(Debug)]
+pub struct BodyReader {
+    framing: Framing,
+    step: Step,
+    /// Where the body stands in the buffer.
+    pub start: usize,
+    pub end: usize,
+    /// The first byte that does not belong to it, as far as read.
+    pub raw: usize,
+}
+
+impl BodyReader {
+    pub fn new(head: &Head) -> Self {
+        let start = head.len;
+        BodyReader { framing: head.framing, step: Step::Size, start, end: start, raw: start }
+    }
+
+    /// Takes in what the buffer holds by now; true when the body is whole.
+    pub fn read(&mut self, tray: &mut Tray, ended: bool) -> Result<bool, Fault> {
+        let filled = tray.bytes().len();
+        match self.framing {
+            Framing::Length(n) => {
+                self.end = filled.min(self.start + n);
+                self.raw = self.end;
+                Ok(self.end == self.start + n)
+            }
+            Framing::UntilClose => {
+                (self.end, self.raw) = (filled, filled);
+                if self.end - self.start > BODY_ROOM {
+                    Err(Fault(413))
+                } else {
+                    Ok(ended)
+                }
+            }
+            Framing::Chunked => {
+                let done = self.chunks(tray)?;
+                if !done && self.raw > self.end {
+                    tray.cut(self.end, self.raw);
+                    self.raw = self.end;
+                }
+                Ok(done)
+            }
+        }
+    }
+
+    fn chunks(&mut self, tray: &mut Tray) -> Result<bool, Fault> {
+        loop {
+            let filled = tray.bytes().len();
+            let rest = &tray.bytes()[self.raw..];
+            match self.step {
+                Step::Size => match httparse::parse_chunk_size(rest) {
+                    Ok(httparse::Status::Complete((used, size))) => {
+                        if size > (BODY_ROOM - (self.end - self.start)) as u64 {
+                            return Err(Fault(413));
+                        }
+                        self.raw += used;
+                        self.step = if size == 0 { Step::Trailer } else { Step::Data(size as usize) };
+                    }
+                    Ok(httparse::Status::Partial) if rest.len() <= MAX_LINE => return Ok(false),
+                    _ => return Err(Fault(400)),
+                },
+                Step::Data(left) => {
+                    let n = left.min(filled - self.raw);
+                    tray.shift(self.raw, self.raw + n, self.end);
+                    self.end += n;
+                    self.raw += n;
+                    self.step = if n == left { Step::DataEnd } else { Step::Data(left - n) };
+                    if n < left {
+                        return Ok(false);
+                    }
+                }
+                Step::DataEnd => {
+                    if rest.len() < 2 {
+                        return Ok(false);
+                    }
+                    if &rest[..2] != b"\r\n" {
+                        return Err(Fault(400));
+                    }
+                    self.raw += 2;
+                    self.step = Step::Size;
+                }
+                Step::Trailer => {
+                    let Some(at) = rest.windows(2).position(|w| w == b"\r\n") else {
+                        return if rest.len() > MAX_LINE { Err(Fault(400)) } else { Ok(false) };
+                    };
+                    self.raw += at + 2;
+                    if at == 0 {
+                        return Ok(true);
+                    }
+                }
+            }
+        }
+    }
+}
+
+fn reason(status: u16) -> &'static str {
+    match status {
+        200 => "OK",
+        400 => "Bad Request",
+        404 => "Not Found",
+        405 => "Method Not Allowed",
+        408 => "Request Timeout",
+        413 => "Content Too Large",
+        431 => "Request Header Fields Too Large",
+        502 => "Bad Gateway",
+        503 => "Service Unavailable",
+        504 => "Gateway Timeout",
+        _ => "Error",
+    }
+}
+
+/// The head of an answer with a body of `length` bytes.
+pub fn answer_head(status: u16, length: usize, close: bool, more: &[(&str, &dyn Display)]) -> Vec<u8> {
+    let mut head = Vec::with_capacity(160);
+    let _ = write!(head, "HTTP/1.1 {status} {}\r\nContent-Length: {length}\r\n", reason(status));
+    for (name, value) in more {
+        let _ = write!(head, "{name}: {value}\r\n");
+    }
+    head.extend_from_slice(if close { b"Connection: close\r\n\r\n" } else { b"\r\n" });
+    head
+}
--- /dev/null
+++ b/src/net/kiosk.rs
@@ -0,0 +1,215 @@
+//! A kiosk: the connection of one caller. It brings one driver at a time and takes its answer back.
+
+use super::http::{BodyReader, Fault, Head};
+use super::tray::{Rack, Tray};
+use crate::api::RequestId;
+use mio::net::TcpStream;
+use std::io::{self, IoSlice, Read, Write};
+use std::net::Shutdown;
+use std::ops::Range;
+
+/// What a kiosk has brought.
+pub enum Brought {
+    /// Nothing that is whole yet.
+    Nothing,
+    /// A whole request.
+    Request(Head),
+    /// Something that is no request.
+    Bad(Fault),
+    /// The caller has gone.
+    Closed,
+}
+
+/// What a kiosk does just now.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum Stage {
+    /// Between two requests.
+    Idle,
+    /// A request is coming in.
+    Reading,
+    /// A driver waits for its answer.
+    Waiting(RequestId),
+    /// An answer goes out.
+    Writing,
+    /// The last answer is out; what the caller still sends is thrown away until it closes. Guards against
+    /// a reset that would take the answer from a caller who has not read it yet.
+    Leaving,
+}
+
+/// One caller's connection.
+pub struct Kiosk {
+    pub sock: TcpStream,
+    pub stage: Stage,
+    /// Since when it has been in this stage.
+    pub since: f64,
+    /// It ends after the answer that goes out now or next.
+    pub close: bool,
+    tray: Option<Tray>,
+    reading: Option<(Head, BodyReader)>,
+    body: Range<usize>,
+    /// The first byte behind the request.
+    rest: usize,
+    continued: bool,
+    out_head: Vec<u8>,
+    out_body: Option<(Tray, Range<usize>)>,
+    written: usize,
+}
+
+impl Kiosk {
+    pub fn new(sock: TcpStream, now: f64) -> Self {
+        Kiosk {
+            sock,
+            stage: Stage::Idle,
+            since: now,
+            close: false,
+            tray: None,
+            reading: None,
+            body: 0..0,
+            rest: 0,
+            continued: false,
+            out_head: Vec::new(),
+            out_body: None,
+            written: 0,
+        }
+    }
+
+    /// The body of the request that waits.
+    pub fn request_body(&self) -> &[u8] {
+        self.tray.as_ref().map_or(&[], |t| &t.bytes()[self.body.clone()])
+    }
+
+    /// Callback: bytes may have come. Called again until it brings nothing.
+    pub fn on_readable(&mut self, now: f64, rack: &mut Rack) -> Brought {
+        match self.stage {
+            Stage::Waiting(_) | Stage::Writing => return self.watch_waiting(),
+            Stage::Leaving => return self.throw_away(),
+            Stage::Idle | Stage::Reading => {}
+        }
+        loop {
+            match self.take_in() {
+                Ok(Some(head)) => return Brought::Request(head),
+                Ok(None) => {}
+                Err(fault) => return Brought::Bad(fault),
+            }
+            let tray = self.tray.get_or_insert_with(|| rack.take());
+            if tray.is_full() {
+                return Brought::Bad(Fault(413));
+            }
+            match tray.fill_from(&mut self.sock) {
+                Ok(0) => return Brought::Closed,
+                Ok(_) if self.stage == Stage::Idle => (self.stage, self.since) = (Stage::Reading, now),
+                Ok(_) => {}
+                Err(e) if e.kind() == io::ErrorKind::Interrupted => {}
+                Err(e) if e.kind() == io::ErrorKind::WouldBlock => {
+                    // Held only while bytes are in flight.
+                    if self.stage == Stage::Idle {
+                        self.tray.take().into_iter().for_each(|t| rack.give_back(t));
+                    }
+                    return Brought::Nothing;
+                }
+                Err(_) => return Brought::Closed,
+            }
+        }
+    }
+
+    /// While a driver waits only the caller's going is looked for; early bytes stay for later.
+    fn watch_waiting(&mut self) -> Brought {
+        let Some(tray) = self.tray.as_mut() else { return Brought::Nothing };
+        while !tray.is_full() {
+            match tray.fill_from(&mut self.sock) {
+                Ok(0) => return Brought::Closed,
+                Ok(_) => {}
+                Err(e) if e.kind() == io::ErrorKind::Interrupted => {}
+                Err(e) if e.kind() == io::ErrorKind::WouldBlock => return Brought::Nothing,
+                Err(_) => return Brought::Closed,
+            }
+        }
+        Brought::Nothing
+    }
+
+    /// Looks for a whole request in what has been read.
+    fn take_in(&mut self) -> Result<Option<Head>, Fault> {
+        let Some(tray) = self.tray.as_mut().filter(|t| !t.bytes().is_empty()) else { return Ok(None) };
+        if self.reading.is_none() {
+            let Some(head) = Head::of_request(tray.bytes())? else { return Ok(None) };
+            let body = BodyReader::new(&head);
+            self.continued = !head.lists("expect", "100-continue");
+            self.reading = Some((head, body));
+        }
+        let Some((_, body)) = self.reading.as_mut() else { return Ok(None) };
+        if body.read(tray, false)? {
+            (self.body, self.rest) = (body.start..body.end, body.raw);
+            return Ok(self.reading.take().map(|(head, _)| head));
+        }
+        if !self.continued {
+            self.continued = true;
+            // Small enough for an empty send buffer; a caller that misses it sends the body unasked.
+            let _ = self.sock.write(b"HTTP/1.1 100 Continue\r\n\r\n");
+        }
+        Ok(None)
+    }
+
+    /// Puts an answer in place; it goes out by [`Kiosk::on_writable`].
+    pub fn reply(&mut self, now: f64, head: Vec<u8>, body: Option<(Tray, Range<usize>)>) {
+        (self.out_head, self.out_body, self.written) = (head, body, 0);
+        (self.stage, self.since) = (Stage::Writing, now);
+    }
+
+    /// Callback: writes what is left of an answer; true when it is out.
+    pub fn on_writable(&mut self, now: f64, rack: &mut Rack) -> io::Result<bool> {
+        if self.stage != Stage::Writing {
+            return Ok(false);
+        }
+        loop {
+            let body: &[u8] = self.out_body.as_ref().map_or(&[], |(t, r)| &t.bytes()[r.clone()]);
+            let head = &self.out_head[self.written.min(self.out_head.len())..];
+            let body = &body[self.written.saturating_sub(self.out_head.len()).min(body.len())..];
+            if head.is_empty() && body.is_empty() {
+                break;
+            }
+            match self.sock.write_vectored(&[IoSlice::new(head), IoSlice::new(body)]) {
+                Ok(0) => return Err(io::ErrorKind::WriteZero.into()),
+                Ok(n) => self.written += n,
+                Err(e) if e.kind() == io::ErrorKind::Interrupted => {}
+                Err(e) if e.kind() == io::ErrorKind::WouldBlock => return Ok(false),
+                Err(e) => return Err(e),
+            }
+        }
+        self.out_body.take().into_iter().for_each(|(t, _)| rack.give_back(t));
+        if let Some(tray) = self.tray.as_mut() {
+            tray.cut(0, self.rest);
+        }
+        let early = self.tray.as_ref().is_some_and(|t| !t.bytes().is_empty());
+        if !early {
+            self.tray.take().into_iter().for_each(|t| rack.give_back(t));
+        }
+        (self.rest, self.body) = (0, 0..0);
+        (self.stage, self.since) = (if early { Stage::Reading } else { Stage::Idle }, now);
+        Ok(true)
+    }
+
+    /// The last answer is out: says so to the caller.
+    pub fn leave(&mut self, now: f64) {
+        let _ = self.sock.shutdown(Shutdown::Write);
+        (self.stage, self.since) = (Stage::Leaving, now);
+    }
+
+    fn throw_away(&mut self) -> Brought {
+        let mut sink = [0; 4096];
+        loop {
+            match self.sock.read(&mut sink) {
+                Ok(n) if n > 0 => {}
+                Err(e) if e.kind() == io::ErrorKind::Interrupted => {}
+                Err(e) if e.kind() == io::ErrorKind::WouldBlock => return Brought::Nothing,
+                _ => return Brought::Closed,
+            }
+        }
+    }
+
+    /// Gives the buffers back.
+    pub fn clear(mut self, rack: &mut Rack) -> TcpStream {
+        self.tray.take().into_iter().for_each(|t| rack.give_back(t));
+        self.out_body.take().into_iter().for_each(|(t, _)| rack.give_back(t));
+        self.sock
+    }
+}
--- /dev/null
+++ b/src/net/lot.rs
@@ -0,0 +1,233 @@
+//! Lots: the connections to each node. A bay is one connection and carries one errand at a time.
+
+use super::http::{BodyReader, Head};
+use super::tray::{Rack, Tray};
+use crate::api::{Ending, Report, RequestId, UpstreamId};
+use mio::net::TcpStream;
+use std::collections::HashMap;
+use std::io::{self, Read, Write};
+use std::net::SocketAddr;
+use std::ops::Range;
+
+/// What a bay is out for.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum Errand {
+    /// An attempt of a request.
+    Pass { id: RequestId, attempt: u32 },
+    /// A probe, sent at this time.
+    Probe { sent: f64 },
+}
+
+/// What a bay does just now.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum Phase {
+    /// The connection is coming up.
+    Dialing,
+    /// Up and in use.
+    Busy,
+    /// Up, without an errand.
+    Idle,
+}
+
+/// How an errand ended.
+pub struct Return {
+    pub ending: Ending,
+    pub report: Option<Report>,
+    /// The body of an answer to serve, and its media type.
+    pub load: Option<Load>,
+    /// The connection can carry another errand.
+    pub reusable: bool,
+}
+
+/// An answer to serve.
+pub struct Load {
+    pub tray: Tray,
+    pub body: Range<usize>,
+    pub media: Option<String>,
+}
+
+/// One connection to a node.
+pub struct Bay {
+    pub sock: TcpStream,
+    pub node: UpstreamId,
+    pub dial: SocketAddr,
+    pub phase: Phase,
+    pub errand: Option<Errand>,
+    /// Since when it has been in this phase.
+    pub since: f64,
+    tray: Option<Tray>,
+    /// Bytes written so far; all of them are out once the buffer is cleared for the answer.
+    written: usize,
+    sent: bool,
+    answer: Option<(Head, BodyReader)>,
+}
+
+impl Bay {
+    pub fn new(sock: TcpStream, node: UpstreamId, dial: SocketAddr, errand: Errand, now: f64) -> Self {
+        Bay {
+            sock,
+            node,
+            dial,
+            phase: Phase::Dialing,
+            errand: Some(errand),
+            since: now,
+            tray: None,
+            written: 0,
+            sent: false,
+            answer: None,
+        }
+    }
+
+    /// Callback while dialing: `None` while the connection is still coming up.
+    pub fn on_dialed(&mut self) -> Option<io::Result<()>> {
+        match self.sock.take_error() {
+            Ok(None) => {}
+            Ok(Some(e)) | Err(e) => return Some(Err(e)),
+        }
+        match self.sock.peer_addr() {
+            Ok(_) => Some(Ok(())),
+            Err(e) if e.kind() == io::ErrorKind::NotConnected => None,
+            Err(e) => Some(Err(e)),
+        }
+    }
+
+    /// Puts a whole request in place; it goes out by [`Bay::on_ready`].
+    pub fn load(&mut self, now: f64, errand: Errand, tray: Tray) {
+        (self.phase, self.since, self.errand) = (Phase::Busy, now, Some(errand));
+        (self.tray, self.written, self.sent, self.answer) = (Some(tray), 0, false, None);
+    }
+
+    /// Whether an idle connection is still good: open and with nothing to read.
+    pub fn is_quiet(&mut self) -> bool {
+        matches!(self.sock.read(&mut [0]), Err(e) if e.kind() == io::ErrorKind::WouldBlock)
+    }
+
+    /// Callback: writes and reads what can be; the end of the errand, if it has come.
+    pub fn on_ready(&mut self) -> Option<Return> {
+        if self.phase != Phase::Busy {
+            return None;
+        }
+        while !self.sent {
+            let Some(tray) = self.tray.as_mut() else { return Some(self.broken()) };
+            match self.sock.write(&tray.bytes()[self.written..]) {
+                Ok(0) => return Some(self.broken()),
+                Ok(n) => self.written += n,
+                Err(e) if e.kind() == io::ErrorKind::Interrupted => {}
+                Err(e) if e.kind() == io::ErrorKind::WouldBlock => return None,
+                Err(_) => return Some(self.broken()),
+            }
+            if self.written == tray.bytes().len() {
+                self.sent = true;
+                tray.clear();
+            }
+        }
+        loop {
+            let Some(tray) = self.tray.as_mut() else { return Some(self.broken()) };
+            if tray.is_full() {
+                return Some(self.broken());
+            }
+            let ended = match tray.fill_from(&mut self.sock) {
+                Ok(n) => n == 0,
+                Err(e) if e.kind() == io::ErrorKind::Interrupted => continue,
+                Err(e) if e.kind() == io::ErrorKind::WouldBlock => return None,
+                Err(_) => return Some(self.broken()),
+            };
+            match self.take_in(ended) {
+                Ok(true) => return Some(self.finished(ended)),
+                Ok(false) if !ended => {}
+                // The end before a whole answer, or bytes that are no answer.
+                _ => return Some(self.broken()),
+            }
+        }
+    }
+
+    /// Looks for a whole answer in what has been read; `Err` for bytes that are none.
+    fn take_in(&mut self, ended: bool) -> Result<bool, ()> {
+        let tray = self.tray.as_mut().ok_or(())?;
+        while self.answer.is_none() {
+            let Some(head) = Head::of_answer(tray.bytes()).map_err(|_| ())? else { return Ok(false) };
+            if head.status == 101 {
+                return Err(());
+            }
+            if (100..200).contains(&head.status) {
+                tray.cut(0, head.len);
+                continue;
+            }
+            let body = BodyReader::new(&head);
+            self.answer = Some((head, body));
+        }
+        let (_, body) = self.answer.as_mut().ok_or(())?;
+        body.read(tray, ended).map_err(|_| ())
+    }
+
+    /// The connection has broken: the request has not run only if its last byte was never written.
+    pub fn broken(&mut self) -> Return {
+        let ending = if self.sent { Ending::Dropped } else { Ending::DialFailed };
+        Return { ending, report: None, load: None, reusable: false }
+    }
+
+    fn finished(&mut self, ended: bool) -> Return {
+        let (Some((head, body)), Some(tray)) = (self.answer.take(), self.tray.take()) else {
+            return self.broken();
+        };
+        let probe = matches!(self.errand, Some(Errand::Probe { .. }));
+        let ending = match head.status {
+            200 => Ending::Delivered,
+            503 | 504 if head.header("x-rejected") == Some("1") => Ending::Shed,
+            503 if probe => Ending::Shed,
+            _ => Ending::AppError,
+        };
+        let text = std::str::from_utf8(&tray.bytes()[body.start..body.end]).ok();
+        let text = head.header("x-load-report").or(text.filter(|_| probe));
+        let report = text.and_then(|t| Report::parse(t.trim(), '=').ok());
+        // Bytes behind the answer belong to no request: the connection is not used again.
+        let reusable = !head.close && !ended && body.raw == tray.bytes().len();
+        let media = head.header("content-type").map(str::to_owned);
+        Return { ending, report, load: Some(Load { tray, body: body.start..body.end, media }), reusable }
+    }
+
+    /// Gives the buffer back.
+    pub fn clear(mut self, rack: &mut Rack) -> TcpStream {
+        self.tray.take().into_iter().for_each(|t| rack.give_back(t));
+        self.sock
+    }
+}
+
+/// The connections to one node.
+pub struct Lot {
+    pub dial: SocketAddr,
+    /// Named by the list as a node that may get something new.
+    pub open: bool,
+    /// Bays without an errand, the warmest last.
+    pub idle: Vec<usize>,
+}
+
+/// All lots, and names as numbers.
+#[derive(Default)]
+pub struct Lots {
+    pub by_node: HashMap<UpstreamId, Lot>,
+    numbers: HashMap<String, UpstreamId>,
+    taken: HashMap<UpstreamId, String>,
+}
+
+impl Lots {
+    /// The number of a host: the same at every sidecar and after every restart (FNV-1a of its name).
+    pub fn number(&mut self, host: &str) -> UpstreamId {
+        if let Some(id) = self.numbers.get(host) {
+            return *id;
+        }
+        let fold = |h: u64, b: u8| (h ^ u64::from(b)).wrapping_mul(0x0100_0000_01b3);
+        let mut id = UpstreamId(host.bytes().fold(0xcbf2_9ce4_8422_2325, fold));
+        while self.taken.contains_key(&id) {
+            id.0 = id.0.wrapping_add(1);
+        }
+        self.taken.insert(id, host.to_owned());
+        self.numbers.insert(host.to_owned(), id);
+        id
+    }
+
+    /// The host behind a number, for the log.
+    pub fn host(&self, node: UpstreamId) -> &str {
+        self.taken.get(&node).map_or("?", String::as_str)
+    }
+}
--- /dev/null
+++ b/src/net/mod.rs
@@ -0,0 +1,13 @@
+//! The sidecar on real sockets: one thread, one loop, HTTP/1.1.
+
+mod gate;
+mod http;
+mod kiosk;
+mod lot;
+mod node_list;
+mod sidecar;
+mod tray;
+mod wheel;
+mod yard;
+
+pub use sidecar::Sidecar;
--- /dev/null
+++ b/src/net/node_list.rs
@@ -0,0 +1,202 @@
+//! The node list: one connection to discovery, one call at a time.
+
+use super::http::{BodyReader, Head};
+use super::tray::{Rack, Tray};
+use crate::sheet::Sheet;
+use mio::net::TcpStream;
+use std::io::{self, Write};
+use std::net::SocketAddr;
+
+/// How long discovery may hold a watch open.
+const WATCH_S: f64 = 20.0;
+/// How much longer than that an answer may take; its news counts as told 2 s after the wait is over.
+const WATCH_SLACK_S: f64 = 1.5;
+/// How long a call for the whole list may take.
+const WHOLE_S: f64 = 3.0;
+/// The pause after an answer, well under the 200 ms after which a watch would end.
+pub const PAUSE_S: f64 = 0.05;
+/// An answer to a watch that comes sooner than this and tells nothing is out of order ...
+const HASTY_S: f64 = 1.0;
+/// ... and so many of them in a row are a failure: guards against a storm of calls.
+const MAX_HASTY: u32 = 3;
+
+/// What discovery said.
+pub enum Word {
+    /// Nothing whole yet.
+    Nothing,
+    /// News; the next call is to follow after [`PAUSE_S`].
+    News(Sheet),
+    /// The call failed; discovery is to be left alone until the module asks again.
+    Failed(String),
+}
+
+/// The connection to discovery.
+pub struct NodeList {
+    address: SocketAddr,
+    pub sock: Option<TcpStream>,
+    up: bool,
+    /// The version held; `None` before the first list.
+    seq: Option<u64>,
+    /// Changes are wanted.
+    pub wanted: bool,
+    /// A call is out.
+    pub asking: bool,
+    asked_at: f64,
+    /// Counts calls, so that an alarm for an older one can be told apart.
+    pub call: u64,
+    tray: Option<Tray>,
+    request: Vec<u8>,
+    written: usize,
+    answer: Option<(Head, BodyReader)>,
+    hasty: u32,
+}
+
+impl NodeList {
+    pub fn new(address: SocketAddr, seq: Option<u64>) -> Self {
+        NodeList {
+            address,
+            sock: None,
+            up: false,
+            seq,
+            wanted: false,
+            asking: false,
+            asked_at: 0.0,
+            call: 0,
+            tray: None,
+            request: Vec::new(),
+            written: 0,
+            answer: None,
+            hasty: 0,
+        }
+    }
+
+    /// Starts a call; the new socket, if any, must be registered. Returns how long the call may take.
+    pub fn ask(&mut self, now: f64, name: &str) -> io::Result<(bool, f64)> {
+        let (target, patience) = match self.seq {
+            Some(seq) => {
+                let wait_ms = (WATCH_S * 1000.0) as u64;
+                (format!("/v1/endpoints?since={seq}&timeout_ms={wait_ms}"), WATCH_S + WATCH_SLACK_S)
+            }
+            None => ("/v1/endpoints".to_owned(), WHOLE_S),
+        };
+        let fresh = self.sock.is_none();
+        if fresh {
+            self.sock = Some(TcpStream::connect(self.address)?);
+            self.up = false;
+        }
+        self.request = format!(
+            "GET {target} HTTP/1.1\r\nHost: {}\r\nUser-Agent: passrelay/{name}\r\n\r\n",
+            self.address
+        )
+        .into_bytes();
+        (self.asking, self.asked_at, self.written, self.answer) = (true, now, 0, None);
+        self.call += 1;
+        Ok((fresh, patience))
+    }
+
+    /// Ends a call that has failed. The connection is not used again.
+    pub fn fail(&mut self, rack: &mut Rack) {
+        self.asking = false;
+        self.sock = None;
+        self.tray.take().into_iter().for_each(|t| rack.give_back(t));
+    }
+
+    /// Callback: writes and reads what can be.
+    pub fn on_ready(&mut self, now: f64, rack: &mut Rack) -> Word {
+        if !self.asking {
+            // Whatever comes between calls ends the connection; the next call opens a new one.
+            self.sock = None;
+            return Word::Nothing;
+        }
+        match self.advance(now, rack) {
+            Ok(word) => word,
+            Err(problem) => {
+                self.fail(rack);
+                Word::Failed(problem)
+            }
+        }
+    }
+
+    fn advance(&mut self, now: f64, rack: &mut Rack) -> Result<Word, String> {
+        let Some(sock) = self.sock.as_mut() else { return Err("no connection".to_owned()) };
+        if !self.up {
+            if let Some(e) = sock.take_error().map_err(|e| e.to_string())? {
+                return Err(e.to_string());
+            }
+            if sock.peer_addr().is_err() {
+                return Ok(Word::Nothing);
+            }
+            self.up = true;
+        }
+        while self.written < self.request.len() {
+            match sock.write(&self.request[self.written..]) {
+                Ok(n) if n > 0 => self.written += n,
+                Ok(_) => return Err("cannot write".to_owned()),
+                Err(e) if e.kind() == io::ErrorKind::Interrupted => {}
+                Err(e) if e.kind() == io::ErrorKind::WouldBlock => return Ok(Word::Nothing),
+                Err(e) => return Err(e.to_string()),
+            }
+        }
+        loop {
+            let tray = self.tray.get_or_insert_with(|| rack.take());
+            if tray.is_full() {
+                return Err("answer too long".to_owned());
+            }
+            let ended = match tray.fill_from(sock) {
+                Ok(n) => n == 0,
+                Err(e) if e.kind() == io::ErrorKind::Interrupted => continue,
+                Err(e) if e.kind() == io::ErrorKind::WouldBlock => {
+                    if tray.bytes().is_empty() {
+                        self.tray.take().into_iter().for_each(|t| rack.give_back(t));
+                    }
+                    return Ok(Word::Nothing);
+                }
+                Err(e) => return Err(e.to_string()),
+            };
+            if self.answer.is_none() {
+                match Head::of_answer(tray.bytes()).map_err(|_| "not an answer")? {
+                    Some(head) => {
+                        let body = BodyReader::new(&head);
+                        self.answer = Some((head, body));
+                    }
+                    None if ended => return Err("the connection ended".to_owned()),
+                    None => continue,
+                }
+            }
+            let Some((head, body)) = self.answer.as_mut() else { continue };
+            if !body.read(tray, ended).map_err(|_| "a bad body")? {
+                if ended {
+                    return Err("the connection ended".to_owned());
+                }
+                continue;
+            }
+            if head.status != 200 {
+                return Err(format!("status {}", head.status));
+            }
+            let value = serde_json::from_slice(&tray.bytes()[body.start..body.end]);
+            let sheet = Sheet::parse(&value.map_err(|e| format!("not JSON: {e}"))?)?;
+            let close = head.close || ended;
+            return self.news(now, sheet, close, rack);
+        }
+    }
+
+    fn news(&mut self, now: f64, sheet: Sheet, close: bool, rack: &mut Rack) -> Result<Word, String> {
+        if self.seq.is_none() && !sheet.whole {
+            return Err("changes to a list that was never sent".to_owned());
+        }
+        let idle = self.seq == Some(sheet.seq) && now - self.asked_at < HASTY_S;
+        self.hasty = if idle { self.hasty + 1 } else { 0 };
+        if self.hasty > MAX_HASTY {
+            self.hasty = 0;
+            return Err("answers that tell nothing come too fast".to_owned());
+        }
+        self.seq = Some(sheet.seq);
+        self.asking = false;
+        self.answer = None;
+        self.tray.take().into_iter().for_each(|t| rack.give_back(t));
+        if close {
+            self.sock = None;
+        }
+        Ok(Word::News(sheet))
+    }
+}
--- /dev/null
+++ b/src/net/sidecar.rs
@@ -0,0 +1,493 @@
+//! The loop: what the poller, the wheel and the yard report goes to the barrier.
+
+use super::gate::{Comer, Gate};
+use super::http::Head;
+use super::kiosk::{Brought, Stage};
+use super::lot::{Errand, Phase, Return};
+use super::node_list::{NodeList, Word, PAUSE_S};
+use super::yard::{owner, Bell, Bounds, News, Owner, Yard, GATE, NODE_LIST, SIGNALS};
+use crate::api::{Condition, Effect, Ending, Entry, RequestId, ZoneId};
+use crate::barrier::{Arrival, Barrier};
+use crate::config::{Config, House, Item};
+use crate::log::Log;
+use crate::sheet::Sheet;
+use mio::{Events, Interest, Poll};
+use signal_hook::consts::{SIGINT, SIGTERM};
+use signal_hook_mio::v1_0::Signals;
+use std::error::Error;
+use std::fmt::Display;
+use std::io;
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
+
+/// After SIGTERM new connections go on arriving for 0.4 s.
+const ARRIVALS_END_S: f64 = 0.45;
+/// How often idle and slow connections are looked through.
+const SWEEP_S: f64 = 0.25;
+/// How often the figures go to the log.
+const FIGURES_S: f64 = 10.0;
+/// The longest wait for events.
+const MAX_WAIT_S: f64 = 0.5;
+/// Callers let in at one go, so that a crowd at the gate does not hold up answers.
+const COMERS: usize = 64;
+
+/// How far a planned end has come.
+#[derive(Clone, Copy, PartialEq)]
+enum Shift {
+    /// Serving.
+    On,
+    /// Told to end; arrivals go on.
+    Ending,
+    /// The gate is closed; what was taken is answered.
+    Closed,
+}
+
+/// One sidecar: the barrier, its yard and the loop that drives them.
+pub struct Sidecar {
+    poll: Poll,
+    signals: Signals,
+    gate: Option<Gate>,
+    barrier: Barrier,
+    yard: Yard,
+    house: House,
+    max_kiosks: usize,
+    began: Instant,
+    /// Unix time at 0 of the module's clock.
+    epoch: f64,
+    shift: Shift,
+    gate_full: bool,
+}
+
+impl Sidecar {
+    /// Opens the gate and takes in the node list that is known.
+    ///
+    /// # Errors
+    ///
+    /// Fails where the address cannot be listened on or the system gives no poller.
+    pub fn open(config: Config) -> Result<Sidecar, Box<dyn Error>> {
+        let Config { name, listen, discovery, seed, max_kiosks, max_bays, known, house } = config;
+        let poll = Poll::new()?;
+        let mut gate = Gate::open(listen).map_err(|e| format!("listen: {listen}: {e}"))?;
+        poll.registry().register(&mut gate.listener, GATE, Interest::READABLE)?;
+        let mut signals = Signals::new([SIGTERM, SIGINT])?;
+        poll.registry().register(&mut signals, SIGNALS, Interest::READABLE)?;
+        // One reading of both clocks: a start time that moved would look like a restart.
+        let (began, epoch) = (Instant::now(), SystemTime::now().duration_since(UNIX_EPOCH)?.as_secs_f64());
+        let s = &house.settings;
+        let bounds = Bounds { max_bays, connect_timeout: s.connect_timeout, conn_idle: house.conn_idle };
+        let list = NodeList::new(discovery, known.as_ref().map(|k| k.seq));
+        let registry = poll.registry().try_clone()?;
+        let mut yard = Yard::new(registry, s.tick, list, Log::new(&name), &name, &bounds);
+        let barrier = Barrier::new(&house, seed)?;
+        yard.wheel.set(SWEEP_S, Bell::Sweep);
+        yard.wheel.set(FIGURES_S, Bell::Figures);
+        yard.say("info", "started", &[("tier", &house.tier), ("listen", &listen), ("rank", &s.rank)]);
+        let (gate, shift) = (Some(gate), Shift::On);
+        let mut sidecar = Sidecar {
+            poll,
+            signals,
+            gate,
+            barrier,
+            yard,
+            house,
+            max_kiosks,
+            began,
+            epoch,
+            shift,
+            gate_full: false,
+        };
+        sidecar.learn(known.unwrap_or(Sheet { whole: true, ..Sheet::default() }));
+        if !sidecar.yard.list.wanted {
+            // The list is asked for also where changes come unasked in the simulator: here they never do.
+            crate::barrier::Lane::watch(&mut sidecar.yard);
+        }
+        sidecar.settle();
+        Ok(sidecar)
+    }
+
+    /// Serves until it was told to end and all that was taken is answered.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the poller does.
+    pub fn run(&mut self) -> io::Result<()> {
+        let mut events = Events::with_capacity(1024);
+        while !self.is_done() {
+            let now = self.began.elapsed().as_secs_f64();
+            let wait = (self.yard.wheel.next_look() - now).clamp(0.0, MAX_WAIT_S);
+            let wait = if self.gate_full { wait.min(SWEEP_S) } else { wait };
+            match self.poll.poll(&mut events, Some(Duration::from_secs_f64(wait))) {
+                Err(e) if e.kind() == io::ErrorKind::Interrupted => continue,
+                other => other?,
+            }
+            self.tick();
+            for event in &events {
+                match event.token() {
+                    GATE => self.gate_ready(),
+                    SIGNALS => self.signalled(),
+                    NODE_LIST => self.list_ready(),
+                    token => match owner(token) {
+                        Owner::Kiosk(key) => self.kiosk_ready(key),
+                        Owner::Bay(key) => self.bay_ready(key),
+                    },
+                }
+                self.settle();
+            }
+            while let Some(bell) = self.yard.wheel.ring(self.yard.now) {
+                self.ring(bell);
+                self.settle();
+            }
+        }
+        self.figures("ended");
+        Ok(())
+    }
+
+    /// Brings the clock up to date.
+    fn tick(&mut self) {
+        self.yard.now = self.began.elapsed().as_secs_f64();
+    }
+
+    fn is_done(&self) -> bool {
+        let leaving = |k: &super::kiosk::Kiosk| matches!(k.stage, Stage::Idle | Stage::Leaving);
+        self.shift == Shift::Closed
+            && self.barrier.owed() == 0
+            && self.yard.kiosks.iter().all(|(_, k)| leaving(k))
+    }
+
+    /// Tells the barrier what has come up in the yard meanwhile.
+    fn settle(&mut self) {
+        while let Some(news) = self.yard.news.pop_front() {
+            let now = self.yard.now;
+            match news {
+                News::Pass { id, attempt, ending } => {
+                    self.barrier.outcome(now, id, attempt, ending, None, &mut self.yard);
+                }
+                News::Probe { node, ending } => {
+                    self.barrier.probed(now, node, ending, 0.0, None, &mut self.yard);
+                }
+                News::ListFailed => self.barrier.untold(now, &mut self.yard),
+                News::Back { bay, end } => self.returned(bay, end),
+                News::Free { kiosk } => self.kiosk_ready(kiosk),
+            }
+        }
+    }
+
+    fn ring(&mut self, bell: Bell) {
+        let now = self.yard.now;
+        match bell {
+            Bell::Barrier(alarm) => self.barrier.rung(now, alarm, &mut self.yard),
+            Bell::Dial(key, errand) => self.overdue(key, errand, Phase::Dialing, Ending::DialFailed),
+            Bell::Probe(key, errand) => self.overdue(key, errand, Phase::Busy, Ending::Expired),
+            Bell::Ask => self.yard.ask(),
+            Bell::Overdue(call) => {
+                if self.yard.list.asking && self.yard.list.call == call {
+                    self.yard.list_failed("no answer");
+                }
+            }
+            Bell::Sweep => {
+                self.yard.sweep();
+                self.yard.wheel.set(now + SWEEP_S, Bell::Sweep);
+                if self.gate_full {
+                    self.gate_ready();
+                }
+            }
+            Bell::Figures => {
+                self.figures("figures");
+                self.yard.wheel.set(now + FIGURES_S, Bell::Figures);
+            }
+            Bell::CloseGate => self.close_gate(),
+        }
+    }
+
+    /// An errand that is still in this phase has taken too long.
+    fn overdue(&mut self, key: usize, errand: Errand, phase: Phase, ending: Ending) {
+        let late = |b: &super::lot::Bay| b.phase == phase && b.errand == Some(errand);
+        if self.yard.bays.get(key).is_some_and(late) {
+            if let Some((node, errand)) = self.yard.free_bay(key, false) {
+                self.yard.came_to(node, errand, ending);
+            }
+        }
+    }
+
+    fn figures(&mut self, event: &str) {
+        let c = self.barrier.counts();
+        let (owed, kiosks, bays) = (self.barrier.owed(), self.yard.kiosks.len(), self.yard.bays.len());
+        let figures: [(&str, &dyn Display); 11] = [
+            ("taken", &c.taken),
+            ("served", &c.served),
+            ("refused", &c.refused),
+            ("failed", &c.failed),
+            ("gone", &c.gone),
+            ("forced", &c.forced),
+            ("passes", &c.passes),
+            ("turned", &c.turned),
+            ("owed", &owed),
+            ("kiosks", &kiosks),
+            ("bays", &bays),
+        ];
+        self.yard.say("info", event, &figures);
+    }
+
+    // ---- Callers ----
+
+    fn gate_ready(&mut self) {
+        self.gate_full = false;
+        for _ in 0..COMERS {
+            let Some(gate) = &self.gate else { return };
+            if self.yard.kiosks.len() >= self.max_kiosks && !self.yard.send_off_idlest() {
+                self.gate_full = true;
+                self.yard.say("warn", "kiosks_full", &[("kiosks", &self.max_kiosks)]);
+                return;
+            }
+            match gate.on_readable() {
+                Comer::In(sock) => match self.yard.let_in(sock) {
+                    // Its request may have come along: the poller tells of it.
+                    Ok(_) => {}
+                    Err(e) => self.yard.say("warn", "caller_lost", &[("problem", &e)]),
+                },
+                Comer::Nobody => return,
+                Comer::NoRoom => {
+                    self.yard.say("warn", "no_descriptor", &[("for", &"kiosk")]);
+                    if !self.yard.send_off_idlest() && !self.yard.close_idlest_bay() {
+                        self.gate_full = true;
+                        return;
+                    }
+                }
+                Comer::Broken(e) => {
+                    self.gate_full = true;
+                    return self.yard.say("error", "gate_broken", &[("problem", &e)]);
+                }
+            }
+        }
+        self.gate_full = true;
+    }
+
+    fn kiosk_ready(&mut self, key: usize) {
+        self.yard.write_out(key);
+        while let Some(kiosk) = self.yard.kiosks.get_mut(key) {
+            match kiosk.on_readable(self.yard.now, &mut self.yard.rack) {
+                Brought::Nothing => return,
+                Brought::Request(head) => {
+                    kiosk.close |= head.close;
+                    self.admit(key, head);
+                }
+                Brought::Bad(fault) => {
+                    kiosk.close = true;
+                    return self.yard.word(key, fault.0, "not a request that can be read\n", &[]);
+                }
+                Brought::Closed => {
+                    let stage = kiosk.stage;
+                    self.yard.send_off(key);
+                    if let Stage::Waiting(id) = stage {
+                        self.yard.unseat(id);
+                        self.barrier.gone(self.yard.now, id, &mut self.yard);
+                    }
+                    return;
+                }
+            }
+        }
+    }
+
+    /// Takes a whole request, or says what is wrong with it.
+    fn admit(&mut self, key: usize, head: Head) {
+        let path = head.target.split('?').next().unwrap_or("");
+        if path == "/ready" {
+            if head.method != "GET" {
+                return self.yard.word(key, 405, "use GET\n", &[("Allow", &"GET")]);
+            }
+            let ready = self.barrier.is_ready() && self.shift == Shift::On;
+            let (status, text) = if ready { (200, "ready\n") } else { (503, "not ready\n") };
+            return self.yard.word(key, status, text, &[]);
+        }
+        let arrival = match self.read_arrival(&head, path) {
+            Ok(arrival) => arrival,
+            Err((405, method)) => return self.yard.word(key, 405, "another method\n", &[("Allow", &method)]),
+            Err((status, problem)) => return self.yard.word(key, status, &format!("{problem}\n"), &[]),
+        };
+        if self.barrier.owed() >= self.house.max_open {
+            let wait = self.barrier.retry_after().unwrap_or(1.0);
+            return self.yard.word(key, 503, "too many at once\n", &[("Retry-After", &wait)]);
+        }
+        let id: RequestId = self.barrier.next_id();
+        self.yard.seat(id, key, head, arrival.budget);
+        self.barrier.arrive(self.yard.now, id, arrival, &mut self.yard);
+    }
+
+    /// Checks the headers of a request; the error is a status and a text (for 405 the right method).
+    fn read_arrival(&self, head: &Head, path: &str) -> Result<Arrival, (u16, &'static str)> {
+        let name = path[1..].split('/').next().unwrap_or("");
+        let classes = &self.house.names.classes;
+        let class = classes.iter().position(|c| c == name).ok_or((404, "no such class"))?;
+        let method = if self.house.settings.classes[class].effect == Effect::Safe { "GET" } else { "POST" };
+        if head.method != method {
+            return Err((405, method));
+        }
+        if head.header("x-call-class") != Some(name) {
+            return Err((400, "X-Call-Class is missing or not the class of the path"));
+        }
+        let plain = |id: &&str| !id.is_empty() && id.len() <= 128 && id.bytes().all(|b| b.is_ascii_graphic());
+        head.header("x-call-id").filter(plain).ok_or((400, "X-Call-Id is missing or bad"))?;
+        let names = &self.house.names;
+        let caller = head.header("x-caller");
+        let tenant = names.tenant(caller).map_err(|_| (400, "X-Caller is not known"))?;
+        if tenant.is_none() && !names.tenants.is_empty() {
+            return Err((400, "X-Caller is missing"));
+        }
+        let budget = head.header("x-budget").and_then(|b| b.parse::<f64>().ok());
+        let budget = budget.filter(|b| b.is_finite() && *b >= 0.0);
+        let budget = budget.ok_or((400, "X-Budget is missing or not a number of seconds"))?;
+        // No caller waits longer than its class's whole time; a day-long budget would never free its state.
+        let budget = budget.min(self.house.give_up[class].max(0.1) * 2.0);
+        let repeat = head.header("x-again") == Some("1");
+        Ok(Arrival { class: crate::api::ClassId(class), tenant, budget, repeat })
+    }
+
+    // ---- Nodes ----
+
+    fn bay_ready(&mut self, key: usize) {
+        let Some(bay) = self.yard.bays.get_mut(key) else { return };
+        match bay.phase {
+            Phase::Dialing => match bay.on_dialed() {
+                None => {}
+                Some(Ok(())) => self.dialed(key),
+                Some(Err(_)) => {
+                    if let Some((node, errand)) = self.yard.free_bay(key, false) {
+                        self.yard.came_to(node, errand, Ending::DialFailed);
+                    }
+                }
+            },
+            Phase::Busy => {
+                if let Some(end) = bay.on_ready() {
+                    self.returned(key, end);
+                }
+            }
+            Phase::Idle => {
+                if !bay.is_quiet() {
+                    self.yard.close_bay(key);
+                }
+            }
+        }
+    }
+
+    /// A connection has come up: its errand goes out, unless it must not any more.
+    fn dialed(&mut self, key: usize) {
+        let Some(errand) = self.yard.bays[key].errand else { return };
+        let now = self.yard.now;
+        let wanted = match errand {
+            Errand::Pass { id, attempt } => self.barrier.may_pass(now, id, attempt).is_some(),
+            Errand::Probe { .. } => true,
+        };
+        if wanted && self.yard.load_bay(key, errand) {
+            if let Some(end) = self.yard.bays[key].on_ready() {
+                self.returned(key, end);
+            }
+        } else if let Some((node, errand)) = self.yard.free_bay(key, true) {
+            self.yard.came_to(node, errand, Ending::Unused);
+        }
+    }
+
+    /// An errand has come back from its node.
+    fn returned(&mut self, key: usize, end: Return) {
+        let now = self.yard.now;
+        let Return { ending, report, load, reusable } = end;
+        let Some((node, errand)) = self.yard.free_bay(key, reusable) else {
+            return load.into_iter().for_each(|l| self.yard.rack.give_back(l.tray));
+        };
+        match errand {
+            Errand::Pass { id, attempt } => {
+                self.yard.load = load;
+                self.barrier.outcome(now, id, attempt, ending, report, &mut self.yard);
+            }
+            Errand::Probe { sent } => {
+                self.yard.load = load;
+                self.barrier.probed(now, node, ending, now - sent, report, &mut self.yard);
+            }
+        }
+        // Not served: the caller had left, or it was no answer to serve.
+        self.yard.load.take().into_iter().for_each(|l| self.yard.rack.give_back(l.tray));
+    }
+
+    // ---- Node list ----
+
+    fn list_ready(&mut self) {
+        match self.yard.list.on_ready(self.yard.now, &mut self.yard.rack) {
+            Word::Nothing => {}
+            Word::News(sheet) => {
+                self.learn(sheet);
+                self.yard.wheel.set(self.yard.now + PAUSE_S, Bell::Ask);
+            }
+            Word::Failed(problem) => self.yard.list_failed(&problem),
+        }
+    }
+
+    /// Takes in a list or its changes.
+    fn learn(&mut self, sheet: Sheet) {
+        let now = self.yard.now;
+        let (mut items, mut open) = (Vec::new(), Vec::new());
+        for line in &sheet.nodes {
+            let node = self.yard.lots.number(&line.host);
+            let started = (line.born_ms > 0.0).then(|| line.born_ms / 1000.0 - self.epoch);
+            let (zone, condition) = (ZoneId(0), line.condition);
+            let entry = Entry { upstream: node, zone, cell: line.block, condition, started };
+            items.push(Item { entry, zone: line.site.clone() });
+            self.yard.learn_node(node, line.dial, condition == Condition::On);
+            if condition == Condition::On {
+                open.push(node);
+            } else {
+                let host: &str = &line.host;
+                self.yard.log.line(now, "info", "node_shut", &[("node", &host)]);
+            }
+        }
+        if sheet.whole {
+            let lots = &self.yard.lots.by_node;
+            let absent: Vec<_> =
+                lots.iter().filter(|(n, l)| l.open && !open.contains(n)).map(|(n, l)| (*n, l.dial)).collect();
+            for (node, dial) in absent {
+                let host = self.yard.lots.host(node).to_owned();
+                self.yard.say("info", "node_gone", &[("node", &host)]);
+                self.yard.learn_node(node, dial, false);
+            }
+        }
+        if sheet.whole || !sheet.nodes.is_empty() {
+            let figures: [(&str, &dyn Display); 3] =
+                [("seq", &sheet.seq), ("whole", &sheet.whole), ("nodes", &sheet.nodes.len())];
+            self.yard.say("info", "list", &figures);
+        }
+        let entries = self.house.names.entries(&items);
+        self.barrier.told(now, sheet.whole, entries, &mut self.yard);
+    }
+
+    // ---- Planned end ----
+
+    fn signalled(&mut self) {
+        for signal in self.signals.pending() {
+            if self.shift == Shift::On {
+                self.shift = Shift::Ending;
+                self.yard.leaving = true;
+                self.yard.wheel.set(self.yard.now + ARRIVALS_END_S, Bell::CloseGate);
+                self.yard.say("info", "ending", &[("signal", &signal), ("owed", &self.barrier.owed())]);
+            }
+        }
+    }
+
+    /// Arrivals have ended: lets in who already stands at the gate, then closes it and the idle kiosks.
+    fn close_gate(&mut self) {
+        loop {
+            self.gate_ready();
+            if !self.gate_full || self.yard.kiosks.len() >= self.max_kiosks {
+                break;
+            }
+        }
+        if let Some(mut gate) = self.gate.take() {
+            let _ = self.poll.registry().deregister(&mut gate.listener);
+        }
+        self.shift = Shift::Closed;
+        let keys: Vec<_> = self.yard.kiosks.iter().map(|(key, _)| key).collect();
+        for key in keys {
+            self.kiosk_ready(key);
+            self.settle();
+            if self.yard.kiosks.get(key).is_some_and(|k| k.stage == Stage::Idle) {
+                self.yard.send_off(key);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/src/net/tray.rs
@@ -0,0 +1,83 @@
+//! Buffers of one size, used again.
+
+use std::io::{self, Read, Write};
+
+/// Room for the head of a message.
+pub const HEAD_ROOM: usize = 16 * 1024;
+/// The longest body.
+pub const BODY_ROOM: usize = 64 * 1024;
+/// The size of every buffer.
+pub const TRAY_SIZE: usize = HEAD_ROOM + BODY_ROOM;
+/// Unused buffers that are kept.
+const SPARE: usize = 128;
+
+/// One buffer: its bytes from 0 to `end` are filled.
+pub struct Tray {
+    buf: Box<[u8]>,
+    end: usize,
+}
+
+impl Tray {
+    /// The filled part.
+    pub fn bytes(&self) -> &[u8] {
+        &self.buf[..self.end]
+    }
+
+    pub fn is_full(&self) -> bool {
+        self.end == self.buf.len()
+    }
+
+    /// Reads once; `Ok(0)` is the end of the stream. Must not be called when full.
+    pub fn fill_from(&mut self, from: &mut impl Read) -> io::Result<usize> {
+        let n = from.read(&mut self.buf[self.end..])?;
+        self.end += n;
+        Ok(n)
+    }
+
+    /// Moves the bytes `from..to` down to `at`.
+    pub fn shift(&mut self, from: usize, to: usize, at: usize) {
+        self.buf.copy_within(from..to, at);
+    }
+
+    /// Cuts the gap `from..to` out.
+    pub fn cut(&mut self, from: usize, to: usize) {
+        self.buf.copy_within(to..self.end, from);
+        self.end -= to - from;
+    }
+
+    pub fn clear(&mut self) {
+        self.end = 0;
+    }
+}
+
+impl Write for Tray {
+    fn write(&mut self, bytes: &[u8]) -> io::Result<usize> {
+        let n = bytes.len().min(self.buf.len() - self.end);
+        self.buf[self.end..self.end + n].copy_from_slice(&bytes[..n]);
+        self.end += n;
+        Ok(n)
+    }
+
+    fn flush(&mut self) -> io::Result<()> {
+        Ok(())
+    }
+}
+
+/// The pool of buffers. How many are out is bounded by the caps on connections: each holds one at most.
+#[derive(Default)]
+pub struct Rack {
+    spare: Vec<Box<[u8]>>,
+}
+
+impl Rack {
+    pub fn take(&mut self) -> Tray {
+        let buf = self.spare.pop().unwrap_or_else(|| vec![0; TRAY_SIZE].into_boxed_slice());
+        Tray { buf, end: 0 }
+    }
+
+    pub fn give_back(&mut self, tray: Tray) {
+        if self.spare.len() < SPARE {
+            self.spare.push(tray.buf);
+        }
+    }
+}
--- /dev/null
+++ b/src/net/yard.rs
@@ -0,0 +1,509 @@
+//! The yard: every connection of the sidecar, and how the barrier's wishes are carried out on them.
+
+use super::http::{answer_head, Head};
+use super::kiosk::{Kiosk, Stage};
+use super::lot::{Bay, Errand, Load, Lot, Lots, Phase, Return};
+use super::node_list::NodeList;
+use super::tray::{Rack, Tray};
+use super::wheel::Wheel;
+use crate::api::{Ending, RequestId, UpstreamId};
+use crate::barrier::{Alarm, Answer, Lane};
+use crate::log::Log;
+use mio::net::TcpStream;
+use mio::{Interest, Registry, Token};
+use slab::Slab;
+use std::collections::{HashMap, VecDeque};
+use std::fmt::Display;
+use std::io::{self, Write};
+use std::net::SocketAddr;
+
+/// A node closes idle connections; ours are closed before, at this part of that time.
+const IDLE_PART: f64 = 0.8;
+/// A probe is given up after this.
+const PROBE_S: f64 = 1.0;
+/// A request has to be in after this, and an answer out.
+const SLOW_KIOSK_S: f64 = 15.0;
+/// A caller has this long to close after the last answer.
+const LEAVE_S: f64 = 1.0;
+
+pub const GATE: Token = Token(0);
+pub const SIGNALS: Token = Token(1);
+pub const NODE_LIST: Token = Token(2);
+const FIRST: usize = 4;
+
+/// Whose token it is.
+pub enum Owner {
+    Kiosk(usize),
+    Bay(usize),
+}
+
+pub fn owner(token: Token) -> Owner {
+    let n = token.0 - FIRST;
+    if n % 2 == 0 {
+        Owner::Kiosk(n / 2)
+    } else {
+        Owner::Bay(n / 2)
+    }
+}
+
+fn kiosk_token(key: usize) -> Token {
+    Token(FIRST + key * 2)
+}
+
+fn bay_token(key: usize) -> Token {
+    Token(FIRST + key * 2 + 1)
+}
+
+/// What the wheel rings.
+#[derive(Clone, Copy)]
+pub enum Bell {
+    Barrier(Alarm),
+    /// A connection to a node should be up by now; the number tells its errand from a later one.
+    Dial(usize, Errand),
+    /// A probe should be back.
+    Probe(usize, Errand),
+    /// The next call to discovery.
+    Ask,
+    /// Discovery should have answered call N.
+    Overdue(u64),
+    /// Idle and slow connections are looked through, and the gate is tried again.
+    Sweep,
+    /// Figures go to the log.
+    Figures,
+    /// After SIGTERM: arrivals have ended.
+    CloseGate,
+}
+
+/// What has happened in the yard and the barrier has not been told yet.
+pub enum News {
+    Pass {
+        id: RequestId,
+        attempt: u32,
+        ending: Ending,
+    },
+    Probe {
+        node: UpstreamId,
+        ending: Ending,
+    },
+    ListFailed,
+    /// The errand of this bay ended while it was set out.
+    Back {
+        bay: usize,
+        end: Return,
+    },
+    /// This kiosk has had its answer and may already hold the next request.
+    Free {
+        kiosk: usize,
+    },
+}
+
+/// What is kept of a request until it is answered.
+struct Ride {
+    kiosk: usize,
+    head: Head,
+    deadline: f64,
+}
+
+/// All connections.
+pub struct Yard {
+    registry: Registry,
+    pub wheel: Wheel<Bell>,
+    pub rack: Rack,
+    pub kiosks: Slab<Kiosk>,
+    pub bays: Slab<Bay>,
+    pub lots: Lots,
+    pub list: NodeList,
+    pub log: Log,
+    pub news: VecDeque<News>,
+    pub now: f64,
+    /// After SIGTERM: answers say that the connection closes.
+    pub leaving: bool,
+    name: String,
+    rides: HashMap<RequestId, Ride>,
+    /// Where each attempt is.
+    out: HashMap<(RequestId, u32), usize>,
+    /// The body of the answer that is about to be given.
+    pub load: Option<Load>,
+    max_bays: usize,
+    connect_timeout: f64,
+    conn_idle: f64,
+}
+
+/// The limits that a yard keeps.
+pub struct Bounds {
+    pub max_bays: usize,
+    pub connect_timeout: f64,
+    pub conn_idle: f64,
+}
+
+impl Yard {
+    pub fn new(registry: Registry, tick: f64, list: NodeList, log: Log, name: &str, bounds: &Bounds) -> Self {
+        Yard {
+            registry,
+            wheel: Wheel::new(tick),
+            rack: Rack::default(),
+            kiosks: Slab::new(),
+            bays: Slab::new(),
+            lots: Lots::default(),
+            list,
+            log,
+            news: VecDeque::new(),
+            now: 0.0,
+            leaving: false,
+            name: name.to_owned(),
+            rides: HashMap::new(),
+            out: HashMap::new(),
+            load: None,
+            max_bays: bounds.max_bays,
+            connect_timeout: bounds.connect_timeout,
+            conn_idle: bounds.conn_idle * IDLE_PART,
+        }
+    }
+
+    pub fn say(&mut self, level: &str, event: &str, values: &[(&str, &dyn Display)]) {
+        self.log.line(self.now, level, event, values);
+    }
+
+    // ---- Kiosks ----
+
+    /// Lets a caller in.
+    pub fn let_in(&mut self, mut sock: TcpStream) -> io::Result<usize> {
+        let _ = sock.set_nodelay(true);
+        let entry = self.kiosks.vacant_entry();
+        let key = entry.key();
+        self.registry.register(&mut sock, kiosk_token(key), Interest::READABLE | Interest::WRITABLE)?;
+        entry.insert(Kiosk::new(sock, self.now));
+        Ok(key)
+    }
+
+    /// Closes a caller's connection.
+    pub fn send_off(&mut self, key: usize) {
+        if let Some(kiosk) = self.kiosks.try_remove(key) {
+            let mut sock = kiosk.clear(&mut self.rack);
+            let _ = self.registry.deregister(&mut sock);
+        }
+    }
+
+    /// Closes the caller's connection that has been idle longest.
+    pub fn send_off_idlest(&mut self) -> bool {
+        let idle = self.kiosks.iter().filter(|(_, k)| matches!(k.stage, Stage::Idle | Stage::Leaving));
+        let oldest = idle.min_by(|a, b| a.1.since.total_cmp(&b.1.since)).map(|(key, _)| key);
+        oldest.is_some_and(|key| {
+            self.send_off(key);
+            true
+        })
+    }
+
+    /// Notes a driver before the barrier takes it.
+    pub fn seat(&mut self, id: RequestId, kiosk: usize, head: Head, budget: f64) {
+        self.kiosks[kiosk].stage = Stage::Waiting(id);
+        self.kiosks[kiosk].close |= head.close;
+        self.rides.insert(id, Ride { kiosk, head, deadline: self.now + budget });
+    }
+
+    /// Forgets a driver whose caller has gone.
+    pub fn unseat(&mut self, id: RequestId) {
+        self.rides.remove(&id);
+    }
+
+    /// Answers a kiosk with a few words of the sidecar's own.
+    pub fn word(&mut self, key: usize, status: u16, text: &str, more: &[(&str, &dyn Display)]) {
+        let Some(kiosk) = self.kiosks.get_mut(key) else { return };
+        kiosk.close |= self.leaving;
+        let mut fields: Vec<(&str, &dyn Display)> = vec![("Content-Type", &"text/plain")];
+        fields.extend_from_slice(more);
+        let mut head = answer_head(status, text.len(), kiosk.close, &fields);
+        head.extend_from_slice(text.as_bytes());
+        kiosk.reply(self.now, head, None);
+        self.write_out(key);
+    }
+
+    /// Writes what a kiosk has to write. A caller that has more in store is looked at by the loop.
+    pub fn write_out(&mut self, key: usize) {
+        let Some(kiosk) = self.kiosks.get_mut(key) else { return };
+        match kiosk.on_writable(self.now, &mut self.rack) {
+            Ok(true) if kiosk.close => kiosk.leave(self.now),
+            // Guards against a request that waits unseen: its edge may have come during the answer.
+            Ok(true) => self.news.push_back(News::Free { kiosk: key }),
+            Ok(false) => {}
+            Err(_) => self.send_off(key),
+        }
+    }
+
+    // ---- Bays ----
+
+    /// The request as it goes to a node; `None` once its driver has left.
+    fn write_request(&mut self, id: RequestId, dial: SocketAddr) -> Option<Tray> {
+        let ride = self.rides.get(&id)?;
+        let body = self.kiosks.get(ride.kiosk)?.request_body();
+        let mut tray = self.rack.take();
+        let head = &ride.head;
+        let left = (ride.deadline - self.now).max(0.001);
+        let mut put = || -> io::Result<()> {
+            write!(tray, "{} {} HTTP/1.1\r\nHost: {dial}\r\n", head.method, head.target)?;
+            for (name, value) in head.onward().filter(|(n, _)| n != "x-budget") {
+                write!(tray, "{name}: {value}\r\n")?;
+            }
+            write!(tray, "x-budget: {left:.3}\r\n")?;
+            if !body.is_empty() || head.method != "GET" {
+                write!(tray, "content-length: {}\r\n", body.len())?;
+            }
+            tray.write_all(b"\r\n")?;
+            tray.write_all(body)
+        };
+        match put() {
+            Ok(()) => Some(tray),
+            Err(_) => {
+                self.rack.give_back(tray);
+                None
+            }
+        }
+    }
+
+    fn write_probe(&mut self, dial: SocketAddr) -> Option<Tray> {
+        let mut tray = self.rack.take();
+        write!(tray, "GET /status/load HTTP/1.1\r\nHost: {dial}\r\n\r\n").ok()?;
+        Some(tray)
+    }
+
+    /// Writes an errand to a connection that is up. False: it must not go out any more.
+    pub fn load_bay(&mut self, key: usize, errand: Errand) -> bool {
+        let Some(dial) = self.bays.get(key).map(|b| b.dial) else { return false };
+        let tray = match errand {
+            Errand::Pass { id, .. } => self.write_request(id, dial),
+            Errand::Probe { .. } => self.write_probe(dial),
+        };
+        let Some(tray) = tray else { return false };
+        self.bays[key].load(self.now, errand, tray);
+        true
+    }
+
+    /// Sends an errand to a node: over the warmest idle connection, or over a new one.
+    fn set_out(&mut self, node: UpstreamId, errand: Errand) {
+        while let Some(key) = self.lots.by_node.get_mut(&node).and_then(|l| l.idle.pop()) {
+            // Guards against a send on a connection that the node has just ended.
+            if !self.bays.get_mut(key).is_some_and(Bay::is_quiet) {
+                self.close_bay(key);
+                continue;
+            }
+            self.note(errand, key);
+            if !self.load_bay(key, errand) {
+                self.put_back(key);
+                return self.came_to(node, errand, Ending::Unused);
+            }
+            if let Some(end) = self.bays[key].on_ready() {
+                self.news.push_back(News::Back { bay: key, end });
+            }
+            return;
+        }
+        let Some(dial) = self.lots.by_node.get(&node).map(|l| l.dial) else {
+            return self.came_to(node, errand, Ending::Unused);
+        };
+        if self.bays.len() >= self.max_bays && !self.close_idlest_bay() {
+            self.say("warn", "bays_full", &[("bays", &self.bays.len())]);
+            return self.came_to(node, errand, Ending::Unused);
+        }
+        let sock = match TcpStream::connect(dial) {
+            Err(e) if matches!(e.raw_os_error(), Some(24 | 23)) => {
+                // Guards against an end for want of descriptors: an idle connection makes room.
+                self.say("warn", "no_descriptor", &[("for", &"bay")]);
+                if self.close_idlest_bay() || self.send_off_idlest() {
+                    TcpStream::connect(dial)
+                } else {
+                    return self.came_to(node, errand, Ending::Unused);
+                }
+            }
+            other => other,
+        };
+        let entry = self.bays.vacant_entry();
+        let key = entry.key();
+        let ready = sock.and_then(|mut sock| {
+            let _ = sock.set_nodelay(true);
+            self.registry.register(&mut sock, bay_token(key), Interest::READABLE | Interest::WRITABLE)?;
+            Ok(sock)
+        });
+        match ready {
+            Ok(sock) => {
+                entry.insert(Bay::new(sock, node, dial, errand, self.now));
+                self.note(errand, key);
+                self.wheel.set(self.now + self.connect_timeout, Bell::Dial(key, errand));
+            }
+            Err(_) => self.came_to(node, errand, Ending::DialFailed),
+        }
+    }
+
+    fn note(&mut self, errand: Errand, key: usize) {
+        if let Errand::Pass { id, attempt } = errand {
+            self.out.insert((id, attempt), key);
+        } else {
+            self.wheel.set(self.now + PROBE_S, Bell::Probe(key, errand));
+        }
+    }
+
+    /// Queues how an errand ended, for the barrier.
+    pub fn came_to(&mut self, node: UpstreamId, errand: Errand, ending: Ending) {
+        match errand {
+            Errand::Pass { id, attempt } => {
+                self.out.remove(&(id, attempt));
+                self.news.push_back(News::Pass { id, attempt, ending });
+            }
+            Errand::Probe { .. } => self.news.push_back(News::Probe { node, ending }),
+        }
+    }
+
+    /// An errand is over; its connection goes back to its lot if it can be used again.
+    pub fn free_bay(&mut self, key: usize, reusable: bool) -> Option<(UpstreamId, Errand)> {
+        let bay = self.bays.get_mut(key)?;
+        let (node, errand) = (bay.node, bay.errand.take()?);
+        if let Errand::Pass { id, attempt } = errand {
+            self.out.remove(&(id, attempt));
+        }
+        if reusable {
+            self.put_back(key);
+        } else {
+            self.close_bay(key);
+        }
+        Some((node, errand))
+    }
+
+    /// Puts a connection among the idle ones of its lot.
+    pub fn put_back(&mut self, key: usize) {
+        let Some(bay) = self.bays.get_mut(key) else { return };
+        (bay.phase, bay.errand, bay.since) = (Phase::Idle, None, self.now);
+        let lot = self.lots.by_node.get_mut(&bay.node).filter(|l| l.open && l.dial == bay.dial);
+        match lot {
+            Some(lot) => lot.idle.push(key),
+            None => self.close_bay(key),
+        }
+    }
+
+    pub fn close_bay(&mut self, key: usize) {
+        let Some(bay) = self.bays.try_remove(key) else { return };
+        if let Some(lot) = self.lots.by_node.get_mut(&bay.node) {
+            lot.idle.retain(|k| *k != key);
+        }
+        let mut sock = bay.clear(&mut self.rack);
+        let _ = self.registry.deregister(&mut sock);
+    }
+
+    pub fn close_idlest_bay(&mut self) -> bool {
+        let idle = self.bays.iter().filter(|(_, b)| b.phase == Phase::Idle);
+        let oldest = idle.min_by(|a, b| a.1.since.total_cmp(&b.1.since)).map(|(key, _)| key);
+        oldest.is_some_and(|key| {
+            self.close_bay(key);
+            true
+        })
+    }
+
+    /// Closes what has been idle or slow for too long.
+    pub fn sweep(&mut self) {
+        let now = self.now;
+        let old = |b: &Bay| b.phase == Phase::Idle && now - b.since >= self.conn_idle;
+        let bays: Vec<_> = self.bays.iter().filter(|(_, b)| old(b)).map(|(k, _)| k).collect();
+        bays.into_iter().for_each(|k| self.close_bay(k));
+        let spent = |stage, since: f64| match stage {
+            Stage::Leaving => now - since >= LEAVE_S,
+            Stage::Writing => now - since >= SLOW_KIOSK_S,
+            _ => false,
+        };
+        let kiosks: Vec<_> =
+            self.kiosks.iter().filter(|(_, k)| spent(k.stage, k.since)).map(|(k, _)| k).collect();
+        kiosks.into_iter().for_each(|k| self.send_off(k));
+        let slow = |k: &Kiosk| k.stage == Stage::Reading && now - k.since >= SLOW_KIOSK_S;
+        let slow: Vec<_> = self.kiosks.iter().filter(|(_, k)| slow(k)).map(|(k, _)| k).collect();
+        for key in slow {
+            self.kiosks[key].close = true;
+            self.word(key, 408, "the request did not come in whole\n", &[]);
+        }
+    }
+
+    // ---- Node list ----
+
+    /// Starts the next call to discovery, if one is wanted and none is out.
+    pub fn ask(&mut self) {
+        if !self.list.wanted || self.list.asking {
+            return;
+        }
+        let asked = self.list.ask(self.now, &self.name).and_then(|(fresh, patience)| {
+            if let Some(sock) = self.list.sock.as_mut().filter(|_| fresh) {
+                let _ = sock.set_nodelay(true);
+                self.registry.register(sock, NODE_LIST, Interest::READABLE | Interest::WRITABLE)?;
+            }
+            Ok(patience)
+        });
+        match asked {
+            Ok(patience) => self.wheel.set(self.now + patience, Bell::Overdue(self.list.call)),
+            Err(e) => self.list_failed(&e.to_string()),
+        }
+    }
+
+    pub fn list_failed(&mut self, problem: &str) {
+        self.say("warn", "list_failed", &[("problem", &problem)]);
+        self.list.fail(&mut self.rack);
+        self.list.wanted = false;
+        self.news.push_back(News::ListFailed);
+    }
+
+    /// Brings the lots in line with one list line.
+    pub fn learn_node(&mut self, node: UpstreamId, dial: SocketAddr, open: bool) {
+        let lot = self.lots.by_node.entry(node).or_insert(Lot { dial, open, idle: Vec::new() });
+        let moved = lot.dial != dial;
+        (lot.dial, lot.open) = (dial, open);
+        if moved || !open {
+            let idle = std::mem::take(&mut lot.idle);
+            idle.into_iter().for_each(|k| self.close_bay(k));
+        }
+    }
+}
+
+impl Lane for Yard {
+    fn pass(&mut self, id: RequestId, attempt: u32, to: UpstreamId) {
+        self.set_out(to, Errand::Pass { id, attempt });
+    }
+
+    fn withdraw(&mut self, id: RequestId, attempt: u32) {
+        if let Some(key) = self.out.remove(&(id, attempt)) {
+            self.close_bay(key);
+        }
+    }
+
+    fn answer(&mut self, id: RequestId, answer: Answer) {
+        let load = self.load.take();
+        let Some(ride) = self.rides.remove(&id) else { return };
+        let key = ride.kiosk;
+        match (answer, load) {
+            (Answer::Served { .. }, Some(Load { tray, body, media })) => {
+                let Some(kiosk) = self.kiosks.get_mut(key) else { return self.rack.give_back(tray) };
+                kiosk.close |= self.leaving;
+                let fields: Vec<(&str, &dyn Display)> =
+                    media.iter().map(|m| ("Content-Type", m as &dyn Display)).collect();
+                let head = answer_head(200, body.len(), kiosk.close, &fields);
+                kiosk.reply(self.now, head, Some((tray, body)));
+                self.write_out(key);
+            }
+            (Answer::Refused { retry_after: Some(wait) }, _) => {
+                self.word(key, 503, "refused, come again later\n", &[("Retry-After", &wait)]);
+            }
+            (Answer::Refused { retry_after: None }, _) => {
+                self.word(key, 503, "refused, come again later\n", &[]);
+            }
+            (Answer::Failed { late: true }, _) => self.word(key, 504, "no answer in time\n", &[]),
+            (Answer::Failed { late: false } | Answer::Served { .. }, _) => {
+                self.word(key, 502, "failed\n", &[]);
+            }
+        }
+    }
+
+    fn probe(&mut self, node: UpstreamId) {
+        self.set_out(node, Errand::Probe { sent: self.now });
+    }
+
+    fn watch(&mut self) {
+        self.list.wanted = true;
+        self.ask();
+    }
+
+    fn alarm(&mut self, at: f64, alarm: Alarm) {
+        self.wheel.set(at, Bell::Barrier(alarm));
+    }
+}
--- /dev/null
+++ b/src/report.rs
@@ -0,0 +1,32 @@
+//! Load reports as text: `name=value` pairs in an answer, `name:value` pairs on the simulator's wire.
+
+use crate::api::Report;
+
+impl Report {
+    /// Reads pairs set apart by commas, name and value by `between`; names not known are skipped.
+    ///
+    /// Both the names of the settings and those that operators use for the same figures are known.
+    ///
+    /// # Errors
+    ///
+    /// Returns the pair that is not a name and a number.
+    pub fn parse(text: &str, between: char) -> Result<Report, String> {
+        let mut report = Report::default();
+        for pair in text.split(',').map(str::trim) {
+            let bad = || format!("a report value should be name{between}number, is '{pair}'");
+            let (name, value) = pair.split_once(between).ok_or_else(bad)?;
+            let value: f64 = value.trim().parse().map_err(|_| bad())?;
+            let field = match name.trim() {
+                "active" | "inflight" => &mut report.active,
+                "waiting" | "queue" => &mut report.waiting,
+                "cpu" | "util" => &mut report.cpu,
+                "avg_ms" | "latency_ms" => &mut report.avg_ms,
+                "rps" | "qps" => &mut report.rps,
+                "err_rps" | "eps" => &mut report.err_rps,
+                _ => continue,
+            };
+            *field = Some(value);
+        }
+        Ok(report)
+    }
+}
--- /dev/null
+++ b/src/sheet.rs
@@ -0,0 +1,73 @@
+//! The node list as discovery writes it, and as `known` in the configuration holds it.
+
+use crate::api::Condition;
+use serde_json::Value;
+use std::net::SocketAddr;
+
+/// One answer of discovery.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Sheet {
+    /// The version of the list.
+    pub seq: u64,
+    /// The whole list; otherwise only the lines that changed.
+    pub whole: bool,
+    /// The lines.
+    pub nodes: Vec<NodeLine>,
+}
+
+/// What discovery says of one node.
+#[derive(Clone, Debug, PartialEq)]
+pub struct NodeLine {
+    /// Its name, the same for every sidecar.
+    pub host: String,
+    /// Where it listens.
+    pub dial: SocketAddr,
+    /// The zone.
+    pub site: String,
+    /// Its cell.
+    pub block: u64,
+    /// Its condition.
+    pub condition: Condition,
+    /// The Unix time in milliseconds of its last start; 0: long ago.
+    pub born_ms: f64,
+}
+
+impl Sheet {
+    /// Reads a sheet, or says which key is wrong. Keys that are not known are skipped.
+    ///
+    /// # Errors
+    ///
+    /// Returns the path of the first bad key and what is wrong with it.
+    pub fn parse(value: &Value) -> Result<Sheet, String> {
+        let seq = value["seq"].as_u64().ok_or("seq should be a whole number")?;
+        let whole = value["whole"].as_bool().ok_or("whole should be true or false")?;
+        let hosts = value["hosts"].as_array().ok_or("hosts should be a list")?;
+        let nodes = hosts.iter().enumerate().map(|(at, line)| NodeLine::parse(line, at));
+        Ok(Sheet { seq, whole, nodes: nodes.collect::<Result<_, _>>()? })
+    }
+}
+
+impl NodeLine {
+    fn parse(line: &Value, at: usize) -> Result<NodeLine, String> {
+        let text = |key: &str| {
+            line[key].as_str().ok_or_else(|| format!("hosts[{at}].{key} should be text, is {}", line[key]))
+        };
+        let condition = match text("health")? {
+            "in_service" => Condition::On,
+            "terminating" => Condition::Fading,
+            "terminated" => Condition::Off,
+            other => return Err(format!("hosts[{at}].health has the value '{other}'")),
+        };
+        let dial = text("dial")?;
+        Ok(NodeLine {
+            host: text("host")?.to_owned(),
+            dial: dial
+                .parse()
+                .map_err(|_| format!("hosts[{at}].dial should be address:port, is '{dial}'"))?,
+            site: line["site"].as_str().unwrap_or("").to_owned(),
+            block: line["block"].as_u64().unwrap_or(0),
+            condition,
+            born_ms: line["born_ms"].as_f64().filter(|b| *b > 0.0).unwrap_or(0.0),
+        })
+    }
+}
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -3,7 +3,7 @@
 mod common;
 
 use common::*;
-use magpiepick::*;
+use passrelay::*;
 
 fn cpu(value: f64) -> Option<Report> {
     Some(Report { cpu: Some(value), ..Report::default() })
