Write the second watch at once, and evict only callers with nothing unread

Checked: discovery's own 503 at the start is another matter (it is asked by all at once, the module asks again). A probe as discovery saw one call only, so the call was lost here. For the crowd, all callers let in by one round of the loop carried the same time, so that ties went by slot and not by age. Lines at fault: Yard::ask wrote only on a writable event, which a connection long up never gives again; Yard::send_off_idlest took the first of equals and never looked whether a request lay unread.

--- a/src/net/kiosk.rs
+++ b/src/net/kiosk.rs
@@ -42,6 +42,8 @@
     pub stage: Stage,
     /// Since when it has been in this stage.
     pub since: f64,
+    /// Counts callers in the order in which they were let in.
+    pub number: u64,
     /// It ends after the answer that goes out now or next.
     pub close: bool,
     tray: Option<Tray>,
@@ -56,11 +58,12 @@
 }
 
 impl Kiosk {
-    pub fn new(sock: TcpStream, now: f64) -> Self {
+    pub fn new(sock: TcpStream, now: f64, number: u64) -> Self {
         Kiosk {
             sock,
             stage: Stage::Idle,
             since: now,
+            number,
             close: false,
             tray: None,
             reading: None,
@@ -73,6 +76,15 @@
         }
     }
 
+    /// Whether closing it now takes nothing from its caller: no request is there, read or unread.
+    pub fn is_quiet(&self) -> bool {
+        match self.stage {
+            Stage::Idle => !matches!(self.sock.peek(&mut [0]), Ok(n) if n > 0),
+            Stage::Leaving => true,
+            Stage::Reading | Stage::Waiting(_) | Stage::Writing => false,
+        }
+    }
+
     /// The body of the request that waits.
     pub fn request_body(&self) -> &[u8] {
         self.tray.as_ref().map_or(&[], |t| &t.bytes()[self.body.clone()])
--- a/src/net/sidecar.rs
+++ b/src/net/sidecar.rs
@@ -165,6 +165,7 @@
                     self.barrier.probed(now, node, ending, 0.0, None, &mut self.yard);
                 }
                 News::ListFailed => self.barrier.untold(now, &mut self.yard),
+                News::Asked => self.list_ready(),
                 News::Back { bay, end } => self.returned(bay, end),
                 News::Free { kiosk } => self.kiosk_ready(kiosk),
             }
@@ -241,7 +242,7 @@
             match gate.on_readable() {
                 Comer::In(sock) => match self.yard.let_in(sock) {
                     // Its request may have come along: the poller tells of it.
-                    Ok(_) => {}
+                    Ok(()) => {}
                     Err(e) => self.yard.say("warn", "caller_lost", &[("problem", &e)]),
                 },
                 Comer::Nobody => return,
--- a/src/net/yard.rs
+++ b/src/net/yard.rs
@@ -86,6 +86,8 @@
         ending: Ending,
     },
     ListFailed,
+    /// A call to discovery goes out on a connection that is up.
+    Asked,
     /// The errand of this bay ended while it was set out.
     Back {
         bay: usize,
@@ -116,6 +118,8 @@
     pub log: Log,
     pub news: VecDeque<News>,
     pub now: f64,
+    /// Callers let in so far.
+    let_in: u64,
     /// After SIGTERM: answers say that the connection closes.
     pub leaving: bool,
     name: String,
@@ -149,6 +153,7 @@
             log,
             news: VecDeque::new(),
             now: 0.0,
+            let_in: 0,
             leaving: false,
             name: name.to_owned(),
             rides: HashMap::new(),
@@ -167,13 +172,14 @@
     // ---- Kiosks ----
 
     /// Lets a caller in.
-    pub fn let_in(&mut self, mut sock: TcpStream) -> io::Result<usize> {
+    pub fn let_in(&mut self, mut sock: TcpStream) -> io::Result<()> {
         let _ = sock.set_nodelay(true);
         let entry = self.kiosks.vacant_entry();
         let key = entry.key();
         self.registry.register(&mut sock, kiosk_token(key), Interest::READABLE | Interest::WRITABLE)?;
-        entry.insert(Kiosk::new(sock, self.now));
-        Ok(key)
+        self.let_in += 1;
+        entry.insert(Kiosk::new(sock, self.now, self.let_in));
+        Ok(())
     }
 
     /// Closes a caller's connection.
@@ -184,10 +190,13 @@
         }
     }
 
-    /// Closes the caller's connection that has been idle longest.
+    /// Closes the caller's connection that has been idle longest. Guards against a caller cut off whose
+    /// request lies unread, and against one just let in who falls to the crowd behind it.
     pub fn send_off_idlest(&mut self) -> bool {
         let idle = self.kiosks.iter().filter(|(_, k)| matches!(k.stage, Stage::Idle | Stage::Leaving));
-        let oldest = idle.min_by(|a, b| a.1.since.total_cmp(&b.1.since)).map(|(key, _)| key);
+        let mut idle: Vec<_> = idle.map(|(key, k)| (k.since, k.number, key)).collect();
+        idle.sort_by(|a, b| a.0.total_cmp(&b.0).then(a.1.cmp(&b.1)));
+        let oldest = idle.into_iter().map(|(_, _, key)| key).find(|key| self.kiosks[*key].is_quiet());
         oldest.is_some_and(|key| {
             self.send_off(key);
             true
@@ -432,7 +441,12 @@
             Ok(patience)
         });
         match asked {
-            Ok(patience) => self.wheel.set(self.now + patience, Bell::Overdue(self.list.call)),
+            Ok(patience) => {
+                self.wheel.set(self.now + patience, Bell::Overdue(self.list.call));
+                // Guards against a call that is never written: a connection that has long been writable
+                // gives no new event.
+                self.news.push_back(News::Asked);
+            }
             Err(e) => self.list_failed(&e.to_string()),
         }
     }
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -1,6 +1,8 @@
 //! A small driver around the public API.
 #![allow(dead_code)]
 
+pub mod plaza;
+
 use passrelay::*;
 
 pub fn entry(id: u64) -> Entry {
--- /dev/null
+++ b/tests/common/plaza.rs
@@ -0,0 +1,338 @@
+//! The real program as a process, with nodes, discovery and callers round it, all on loopback.
+
+use serde_json::{json, Value};
+use std::io::{BufRead, BufReader, ErrorKind, Read, Write};
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::process::{Child, Command, Stdio};
+use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
+use std::sync::{Arc, Mutex};
+use std::thread;
+use std::time::{Duration, Instant};
+
+/// Generous: a test that waits so long has failed.
+const PATIENCE: Duration = Duration::from_secs(20);
+
+/// Waits for a condition.
+pub fn until(what: &str, condition: impl Fn() -> bool) {
+    let began = Instant::now();
+    while !condition() {
+        assert!(began.elapsed() < PATIENCE, "waited in vain until {what}");
+        thread::sleep(Duration::from_millis(5));
+    }
+}
+
+/// A message as it came: its first line, its headers in lower case, its body.
+#[derive(Clone, Debug, Default)]
+pub struct Message {
+    pub line: String,
+    pub headers: Vec<(String, String)>,
+    pub body: Vec<u8>,
+    /// Number of the connection at its server.
+    pub connection: usize,
+}
+
+impl Message {
+    pub fn header(&self, name: &str) -> Option<&str> {
+        self.headers.iter().find(|(n, _)| n == name).map(|(_, v)| v.as_str())
+    }
+
+    pub fn status(&self) -> u16 {
+        self.line.split(' ').nth(1).and_then(|s| s.parse().ok()).unwrap_or(0)
+    }
+
+    /// Reads one message framed by a length; `None` at the end of the connection.
+    pub fn read(from: &mut BufReader<TcpStream>) -> Option<Message> {
+        let mut line = String::new();
+        let mut message = Message::default();
+        loop {
+            line.clear();
+            if from.read_line(&mut line).ok()? == 0 {
+                return None;
+            }
+            match line.trim_end() {
+                "" => break,
+                text if message.line.is_empty() => message.line = text.to_owned(),
+                text => {
+                    let (name, value) = text.split_once(':')?;
+                    message.headers.push((name.to_ascii_lowercase(), value.trim().to_owned()));
+                }
+            }
+        }
+        let length = message.header("content-length").map_or(0, |l| l.parse().unwrap());
+        message.body = vec![0; length];
+        from.read_exact(&mut message.body).ok()?;
+        Some(message)
+    }
+}
+
+/// What a server does with a request.
+pub enum Reply {
+    Bytes(Vec<u8>),
+    /// Writes this, then closes.
+    Last(Vec<u8>),
+    /// Says nothing and keeps the connection.
+    Silence,
+}
+
+/// An answer with a length.
+pub fn answer(status: u16, more: &str, body: &[u8]) -> Reply {
+    let head = format!("HTTP/1.1 {status} X\r\nContent-Length: {}\r\n{more}\r\n", body.len());
+    Reply::Bytes([head.as_bytes(), body].concat())
+}
+
+/// A server whose answers the test decides; used as a node and as discovery.
+pub struct Server {
+    pub address: SocketAddr,
+    seen: Arc<Mutex<Vec<Message>>>,
+    ended: Arc<AtomicUsize>,
+}
+
+impl Server {
+    pub fn start(reply: impl Fn(&Message) -> Reply + Send + Sync + 'static) -> Server {
+        Server::on(TcpListener::bind("127.0.0.1:0").unwrap(), reply)
+    }
+
+    pub fn on(listener: TcpListener, reply: impl Fn(&Message) -> Reply + Send + Sync + 'static) -> Server {
+        let (seen, reply) = (Arc::new(Mutex::new(Vec::new())), Arc::new(reply));
+        let ended = Arc::new(AtomicUsize::new(0));
+        let server =
+            Server { address: listener.local_addr().unwrap(), seen: seen.clone(), ended: ended.clone() };
+        thread::spawn(move || {
+            for (number, sock) in listener.incoming().map_while(Result::ok).enumerate() {
+                let (seen, reply, ended) = (seen.clone(), reply.clone(), ended.clone());
+                thread::spawn(move || {
+                    let mut reader = BufReader::new(sock.try_clone().unwrap());
+                    let mut sock = sock;
+                    while let Some(message) = Message::read(&mut reader) {
+                        seen.lock().unwrap().push(Message { connection: number, ..message.clone() });
+                        match reply(&message) {
+                            Reply::Bytes(bytes) => drop(sock.write_all(&bytes)),
+                            Reply::Last(bytes) => {
+                                let _ = sock.write_all(&bytes);
+                                break;
+                            }
+                            Reply::Silence => {}
+                        }
+                    }
+                    ended.fetch_add(1, Ordering::SeqCst);
+                });
+            }
+        });
+        server
+    }
+
+    /// What has come in so far.
+    pub fn seen(&self) -> Vec<Message> {
+        self.seen.lock().unwrap().clone()
+    }
+
+    /// Connections that have ended.
+    pub fn ended(&self) -> usize {
+        self.ended.load(Ordering::SeqCst)
+    }
+}
+
+/// A line of the node list.
+pub fn node_line(host: &str, address: SocketAddr, health: &str) -> Value {
+    json!({"host": host, "dial": address.to_string(), "site": "a", "class": "m", "block": 0,
+           "health": health, "share": 1.0, "born_ms": 0})
+}
+
+/// Discovery: tells the list it holds, and holds watches until that changes.
+pub struct Discovery {
+    pub server: Server,
+    sheet: Arc<Mutex<Value>>,
+}
+
+impl Discovery {
+    pub fn start(lines: Vec<Value>) -> Discovery {
+        let sheet = Arc::new(Mutex::new(json!({"seq": 1, "whole": true, "hosts": lines})));
+        let held = sheet.clone();
+        let server = Server::start(move |message| {
+            let since = message.line.split("since=").nth(1).and_then(|s| s.split('&').next());
+            let current = || held.lock().unwrap()["seq"].to_string();
+            let began = Instant::now();
+            while since.is_some_and(|s| s == current()) && began.elapsed() < Duration::from_secs(15) {
+                thread::sleep(Duration::from_millis(5));
+            }
+            let body = held.lock().unwrap().to_string();
+            answer(200, "", body.as_bytes())
+        });
+        Discovery { server, sheet }
+    }
+
+    /// Replaces the list.
+    pub fn tell(&self, lines: Vec<Value>) {
+        let mut sheet = self.sheet.lock().unwrap();
+        let seq = sheet["seq"].as_u64().unwrap() + 1;
+        *sheet = json!({"seq": seq, "whole": true, "hosts": lines});
+    }
+}
+
+/// Settings with a safe class `look` and an unsafe class `pay`.
+pub fn settings() -> Value {
+    let class = |name: &str, kind: &str| json!({"Name": name, "Aim": 2.5, "GiveUp": 6.0, "Gain": 1.0, "Idempotency": kind});
+    json!({
+        "Classes": [class("look", "read_like"), class("pay", "non_idempotent")],
+        "Tenants": [{"Name": "acme", "AllowancePerS": 1000.0}],
+        "Dcs": ["a"], "Az": "a", "Balancers": 1, "Rank": 0, "RegistryMode": "ask", "Tick": 0.005,
+        "Layers": ["front"], "Layer": 0,
+        "Report": {"Fields": ["rps", "cpu"], "Source": "piggyback"},
+        "Limits": {"AttemptsCap": 4, "Cancel": true, "ConnIdle": 30.0, "ConnectTimeout": 2.0, "MaxRetryAfter": 2.0,
+                   "MayDuplicate": true, "Probes": true, "RetryAfter": true},
+        "Rules": {"AskEvery": 10.0, "DrainGrace": 2.5}
+    })
+}
+
+/// The configuration of a sidecar that listens on a free port.
+pub fn config(discovery: SocketAddr) -> Value {
+    let listen = TcpListener::bind("127.0.0.1:0").unwrap().local_addr().unwrap();
+    json!({"name": "n1", "listen": listen.to_string(), "discovery": discovery.to_string(), "seed": "8c1f30d27a5be964",
+           "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 1024}, "known": null, "settings": settings()})
+}
+
+/// The program as a process; killed when dropped.
+pub struct Relay {
+    pub address: SocketAddr,
+    child: Child,
+    log: Arc<Mutex<Vec<String>>>,
+    log_ended: Arc<AtomicBool>,
+}
+
+impl Relay {
+    /// Starts the program and waits until it listens.
+    pub fn start(config: &Value) -> Relay {
+        Relay::start_limited(config, 1024)
+    }
+
+    /// The same under a limit of the system on descriptors.
+    pub fn start_limited(config: &Value, descriptors: u32) -> Relay {
+        let path = config_file(config);
+        let mut child = Command::new("/bin/sh")
+            .args(["-c", &format!("ulimit -n {descriptors}; exec {}", env!("CARGO_BIN_EXE_passrelay"))])
+            .env("RELAY_CONFIG", &path)
+            .stderr(Stdio::piped())
+            .spawn()
+            .unwrap();
+        let log = Arc::new(Mutex::new(Vec::new()));
+        let log_ended = Arc::new(AtomicBool::new(false));
+        let (lines, ended) = (log.clone(), log_ended.clone());
+        let stderr = BufReader::new(child.stderr.take().unwrap());
+        thread::spawn(move || {
+            stderr.lines().map_while(Result::ok).for_each(|l| lines.lock().unwrap().push(l));
+            ended.store(true, Ordering::SeqCst);
+        });
+        let address = config["listen"].as_str().unwrap().parse().unwrap();
+        let relay = Relay { address, child, log, log_ended };
+        relay.until_logged("event=started");
+        let _ = std::fs::remove_file(path);
+        relay
+    }
+
+    /// Starts a sidecar with these nodes, all in service, and waits until it is ready.
+    pub fn before(nodes: &[&Server]) -> (Relay, Discovery) {
+        let lines = nodes.iter().enumerate();
+        let lines = lines.map(|(n, s)| node_line(&format!("s-{n}"), s.address, "in_service")).collect();
+        let discovery = Discovery::start(lines);
+        let relay = Relay::start(&config(discovery.server.address));
+        relay.until_ready();
+        (relay, discovery)
+    }
+
+    pub fn until_ready(&self) {
+        until("it is ready", || self.caller().ask("GET /ready HTTP/1.1\r\n\r\n").status() == 200);
+    }
+
+    pub fn logged(&self, text: &str) -> Option<String> {
+        self.log.lock().unwrap().iter().find(|l| l.contains(text)).cloned()
+    }
+
+    pub fn until_logged(&self, text: &str) -> String {
+        until(&format!("'{text}' is logged"), || self.logged(text).is_some());
+        self.logged(text).unwrap()
+    }
+
+    pub fn caller(&self) -> Caller {
+        let sock = TcpStream::connect(self.address).unwrap();
+        sock.set_read_timeout(Some(PATIENCE)).unwrap();
+        Caller { reader: BufReader::new(sock) }
+    }
+
+    /// One request on a connection of its own.
+    pub fn call(&self, class: &str, budget: f64) -> Message {
+        self.caller().ask(&request(class, budget, b""))
+    }
+
+    pub fn terminate(&self) {
+        let kill = Command::new("kill").arg(self.child.id().to_string()).status().unwrap();
+        assert!(kill.success());
+    }
+
+    /// Waits for the end; true if the program ended well.
+    pub fn ended_well(&mut self) -> bool {
+        until("its log ends", || self.log_ended.load(Ordering::SeqCst));
+        self.child.wait().unwrap().success()
+    }
+
+    pub fn is_running(&mut self) -> bool {
+        self.child.try_wait().unwrap().is_none()
+    }
+}
+
+impl Drop for Relay {
+    fn drop(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+}
+
+/// Writes a configuration to a file of its own.
+pub fn config_file(config: &Value) -> std::path::PathBuf {
+    static NUMBER: AtomicUsize = AtomicUsize::new(0);
+    let number = NUMBER.fetch_add(1, Ordering::SeqCst);
+    let path = std::env::temp_dir().join(format!("passrelay-{}-{number}.json", std::process::id()));
+    std::fs::write(&path, config.to_string()).unwrap();
+    path
+}
+
+/// A request of class `look` or `pay` as text.
+pub fn request(class: &str, budget: f64, body: &[u8]) -> String {
+    static NUMBER: AtomicUsize = AtomicUsize::new(0);
+    let number = NUMBER.fetch_add(1, Ordering::SeqCst);
+    let (method, length) = match class {
+        "pay" => ("POST", format!("Content-Length: {}\r\n", body.len())),
+        _ => ("GET", String::new()),
+    };
+    format!(
+        "{method} /{class}/x?k=7&v=a%20b HTTP/1.1\r\nHost: backend.local\r\nX-Call-Id: c{number:08x}\r\n\
+         X-Call-Class: {class}\r\nX-Caller: acme\r\nX-Budget: {budget}\r\n{length}\r\n{}",
+        std::str::from_utf8(body).unwrap()
+    )
+}
+
+/// A caller's connection.
+pub struct Caller {
+    reader: BufReader<TcpStream>,
+}
+
+impl Caller {
+    pub fn send(&mut self, text: &str) {
+        // The other side may have closed already; what matters is then what it answered.
+        let _ = self.reader.get_mut().write_all(text.as_bytes());
+    }
+
+    pub fn hear(&mut self) -> Option<Message> {
+        Message::read(&mut self.reader)
+    }
+
+    pub fn ask(&mut self, text: &str) -> Message {
+        self.send(text);
+        self.hear().expect("an answer")
+    }
+
+    /// Whether the other side ends the connection, after whatever it still sends.
+    pub fn is_ended(&mut self) -> bool {
+        let end = self.reader.read_to_end(&mut Vec::new());
+        end.is_ok() || end.is_err_and(|e| e.kind() == ErrorKind::ConnectionReset)
+    }
+}
--- /dev/null
+++ b/tests/list.rs
@@ -0,0 +1,149 @@
+//! The sidecar as a process: what it does with the node list, with discovery, and with its configuration.
+
+mod common;
+
+use common::plaza::*;
+use serde_json::json;
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::process::Command;
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+#[test]
+fn the_known_list_serves_while_discovery_is_silent() {
+    let node = Server::start(|_| answer(200, "", b"ok"));
+    let discovery = Server::start(|_| Reply::Silence);
+    let mut told = config(discovery.address);
+    told["known"] = json!({"seq": 4, "whole": true, "hosts": [node_line("s-0", node.address, "in_service")]});
+    let relay = Relay::start(&told);
+    relay.until_ready();
+    assert_eq!(relay.call("pay", 4.0).status(), 200);
+    until("it watches from the known version", || !discovery.seen().is_empty());
+    assert!(discovery.seen()[0].line.starts_with("GET /v1/endpoints?since=4&timeout_ms="));
+}
+
+#[test]
+fn it_is_ready_only_with_a_list_and_outlives_bad_answers_of_discovery() {
+    let node = Server::start(|_| answer(200, "", b"ok"));
+    let asked = Arc::new(AtomicUsize::new(0));
+    let (calls, line) = (asked.clone(), node_line("s-0", node.address, "in_service"));
+    let discovery = Server::start(move |_| {
+        let bad = |hosts| json!({"seq": 1, "whole": true, "hosts": hosts}).to_string();
+        match calls.fetch_add(1, Ordering::SeqCst) {
+            0 => answer(503, "", b""),
+            1 => answer(200, "", b"not json"),
+            2 => Reply::Last(b"\x00\x01\r\n\r\n".to_vec()),
+            3 => answer(200, "", bad(json!([{"host": 7}])).as_bytes()),
+            // A first call that is never answered has to time out.
+            4 => Reply::Silence,
+            5 => answer(200, "", bad(json!([line])).as_bytes()),
+            _ => Reply::Silence,
+        }
+    });
+    let mut told = config(discovery.address);
+    told["settings"]["Rules"]["AskEvery"] = 1.0.into();
+    let relay = Relay::start(&told);
+    let mut caller = relay.caller();
+    until("discovery is asked", || asked.load(Ordering::SeqCst) > 0);
+    assert_eq!(caller.ask("GET /ready HTTP/1.1\r\n\r\n").status(), 503);
+    relay.until_logged("problem=\"no answer\"");
+    relay.until_ready();
+    assert_eq!(relay.call("pay", 4.0).status(), 200);
+}
+
+#[test]
+fn a_watch_goes_on_at_once_and_a_hasty_discovery_is_not_stormed() {
+    let node = Server::start(|_| answer(200, "", b"ok"));
+    let discovery = Discovery::start(vec![node_line("s-0", node.address, "in_service")]);
+    let relay = Relay::start(&config(discovery.server.address));
+    relay.until_ready();
+    for seq in 1..4 {
+        until("the next watch is there", || discovery.server.seen().len() == seq + 1);
+        assert!(discovery.server.seen()[seq].line.contains(&format!("since={seq}&")));
+        discovery.tell(vec![node_line("s-0", node.address, "in_service")]);
+    }
+    let hasty = Server::start(|_| answer(200, "", br#"{"seq":1,"whole":true,"hosts":[]}"#));
+    let relay = Relay::start(&config(hasty.address));
+    let began = Instant::now();
+    relay.until_logged("event=list_failed");
+    // 50 ms between two calls at the least, so that a slow machine only makes it fewer.
+    let calls = hasty.seen().len() as u32;
+    assert!(calls >= 4 && began.elapsed() + Duration::from_millis(500) > calls * Duration::from_millis(50));
+}
+
+#[test]
+fn a_drained_node_gets_nothing_new_even_if_its_connection_comes_up_late() {
+    // A listener whose queue is full answers no handshake until somebody is let in.
+    let socket = socket2::Socket::new(socket2::Domain::IPV4, socket2::Type::STREAM, None).unwrap();
+    socket.bind(&"127.0.0.1:0".parse::<SocketAddr>().unwrap().into()).unwrap();
+    socket.listen(0).unwrap();
+    let slow: TcpListener = socket.into();
+    let address = slow.local_addr().unwrap();
+    let fillers: Vec<_> = (0..4)
+        .map(|_| TcpStream::connect_timeout(&address, Duration::from_millis(100)))
+        .map_while(Result::ok)
+        .collect();
+    assert!(fillers.len() < 4, "the queue should be full");
+    let discovery = Discovery::start(vec![node_line("s-0", address, "in_service")]);
+    let mut told = config(discovery.server.address);
+    told["settings"]["Limits"]["ConnectTimeout"] = 10.0.into();
+    told["settings"]["Classes"][1]["Aim"] = 10.0.into();
+    told["settings"]["Classes"][1]["GiveUp"] = 10.0.into();
+    let relay = Relay::start(&told);
+    relay.until_ready();
+    let mut caller = relay.caller();
+    caller.send(&request("pay", 9.0, b""));
+    // Answered only after the request was taken, so the attempt is on its way by then.
+    relay.until_ready();
+    let other = Server::start(|_| answer(200, "", b"ok"));
+    discovery
+        .tell(vec![node_line("s-0", address, "terminating"), node_line("s-1", other.address, "in_service")]);
+    relay.until_logged("event=node_shut");
+    let drained = Server::on(slow, |_| answer(200, "", b"wrong"));
+    let reply = caller.hear().unwrap();
+    assert_eq!((reply.status(), &reply.body[..]), (200, &b"ok"[..]));
+    until("the late connection has come and gone", || drained.ended() > 0);
+    assert!(drained.seen().is_empty() && other.seen().len() == 1);
+}
+
+#[test]
+fn faulty_configuration_is_named_by_its_key() {
+    let good = config("127.0.0.1:9".parse().unwrap());
+    let cases = [
+        ("/listen", json!("nowhere"), "listen: should be address:port"),
+        ("/discovery", json!(null), "discovery: is missing"),
+        ("/seed", json!("xyz"), "seed: should be hex"),
+        ("/limits/sockets", json!(0), "limits.sockets: should be"),
+        ("/limits/sockets", json!(20), "limits: leave no room"),
+        (
+            "/known",
+            json!({"seq": 1, "whole": true, "hosts": [{"host": "a", "health": "odd"}]}),
+            "known: hosts[0].health",
+        ),
+        ("/settings", json!(null), "settings: should be an object"),
+        ("/settings/Tick", json!("soon"), "settings.Tick: has the value 'soon'"),
+        ("/settings/Classes", json!([]), "classes"),
+        ("/settings/Classes/1/Idempotency", json!("maybe"), "settings.Classes.1.Idempotency: unknown"),
+        ("/settings/Limits/ConnIdle", json!(-1), "settings.Limits.ConnIdle: should be finite"),
+        ("/settings/Balancers", json!(0), "balancers"),
+    ];
+    let run = |path: Option<&std::path::Path>| {
+        let mut command = Command::new(env!("CARGO_BIN_EXE_passrelay"));
+        command.env_remove("RELAY_CONFIG");
+        path.into_iter().for_each(|p| _ = command.env("RELAY_CONFIG", p));
+        let out = command.output().unwrap();
+        assert!(!out.status.success());
+        String::from_utf8(out.stderr).unwrap()
+    };
+    for (key, value, wanted) in cases {
+        let mut bad = good.clone();
+        *bad.pointer_mut(key).unwrap() = value;
+        let path = config_file(&bad);
+        let text = run(Some(&path));
+        std::fs::remove_file(path).unwrap();
+        assert!(text.contains(wanted) && text.lines().count() == 1, "{key}: {text}");
+    }
+    assert!(run(None).contains("RELAY_CONFIG: is not set"));
+    assert!(run(Some("/nonexistent".as_ref())).contains("RELAY_CONFIG: cannot read"));
+}
--- /dev/null
+++ b/tests/relay.rs
@@ -0,0 +1,289 @@
+//! The sidecar as a process: requests through it, and what its callers and nodes may do to it.
+
+mod common;
+
+use common::plaza::*;
+use std::net::{SocketAddr, TcpListener};
+use std::time::{Duration, Instant};
+
+fn served(_: &Message) -> Reply {
+    answer(200, "X-Load-Report: rps=3,cpu=0.5\r\n", b"done")
+}
+
+/// An address at which nobody listens.
+fn nobody() -> SocketAddr {
+    TcpListener::bind("127.0.0.1:0").unwrap().local_addr().unwrap()
+}
+
+#[test]
+fn a_request_passes_unchanged_and_connections_are_used_again() {
+    let node = Server::start(served);
+    let (relay, _discovery) = Relay::before(&[&node]);
+    let mut caller = relay.caller();
+    for _ in 0..3 {
+        let reply = caller.ask(&request("pay", 4.0, b"lot=7"));
+        assert_eq!((reply.status(), &reply.body[..]), (200, &b"done"[..]));
+    }
+    let seen = node.seen();
+    assert_eq!(seen.len(), 3);
+    for message in &seen {
+        assert_eq!(message.line, "POST /pay/x?k=7&v=a%20b HTTP/1.1");
+        assert_eq!((&message.body[..], message.connection), (&b"lot=7"[..], 0));
+        assert_eq!((message.header("x-call-class"), message.header("x-caller")), (Some("pay"), Some("acme")));
+        let left: f64 = message.header("x-budget").unwrap().parse().unwrap();
+        assert!(left > 2.0 && left <= 4.0, "{left}");
+    }
+    assert!(seen[0].header("x-call-id").unwrap() != seen[1].header("x-call-id").unwrap());
+}
+
+#[test]
+fn answers_in_every_framing_come_through_whole() {
+    let framed = |bytes: &str| bytes.as_bytes().to_vec();
+    let big = "x".repeat(64 * 1024);
+    let big_body = big.clone();
+    let node = Server::start(move |m| {
+        match m.header("x-framing").unwrap() {
+        "chunks" => Reply::Bytes(framed(
+            "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n4;e=1\r\ndefg\r\n0\r\nT: 1\r\n\r\n",
+        )),
+        "close" => Reply::Last(framed("HTTP/1.1 200 OK\r\n\r\nabcdefg")),
+        "early" => Reply::Bytes(framed(
+            "HTTP/1.1 103 Early\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 7\r\n\r\nabcdefg",
+        )),
+        "big" => Reply::Bytes(framed(&format!(
+            "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n8000\r\n{}\r\n8000\r\n{}\r\n0\r\n\r\n",
+            &big[..0x8000],
+            &big[0x8000..]
+        ))),
+        _ => answer(200, "Content-Type: text/x\r\n", b"abcdefg"),
+    }
+    });
+    let (relay, _discovery) = Relay::before(&[&node]);
+    for framing in ["chunks", "close", "length", "early", "chunks", "big"] {
+        let text =
+            request("look", 4.0, b"").replace("X-Caller", &format!("X-Framing: {framing}\r\nX-Caller"));
+        let reply = relay.caller().ask(&text);
+        let body = if framing == "big" { big_body.as_bytes() } else { b"abcdefg" };
+        assert!(reply.status() == 200 && reply.body == body, "{framing}: {}", reply.line);
+        assert!(framing != "length" || reply.header("content-type") == Some("text/x"));
+    }
+}
+
+#[test]
+fn requests_that_cannot_be_read_are_turned_back_and_harm_nobody() {
+    let node = Server::start(served);
+    let (relay, _discovery) = Relay::before(&[&node]);
+    let good = request("pay", 4.0, b"ab");
+    let look = request("look", 4.0, b"");
+    let cases = [
+        ("\u{1}\u{2} nonsense\r\n\r\n".to_owned(), 400),
+        (good.replace("X-Call-Id", "X-Other"), 400),
+        (good.replace("X-Call-Id: c", "X-Call-Id: c d"), 400),
+        (good.replace("X-Call-Class: pay", "X-Call-Class: look"), 400),
+        (good.replace("acme", "nobody"), 400),
+        (good.replace("X-Caller", "X-Other"), 400),
+        (good.replace("X-Budget", "X-Other"), 400),
+        (good.replace("X-Budget: 4", "X-Budget: soon"), 400),
+        (good.replace("X-Budget: 4", "X-Budget: -1"), 400),
+        (good.replace("X-Budget: 4", "X-Budget: NaN"), 400),
+        (good.replace("Content-Length: 2", "Content-Length: 2\r\nContent-Length: 3"), 400),
+        (good.replace("Content-Length: 2", "Content-Length: 2\r\nTransfer-Encoding: chunked"), 400),
+        (
+            good.replace("Content-Length: 2", "Transfer-Encoding: chunked")
+                .replace("\r\n\r\nab", "\r\n\r\nzz\r\n"),
+            400,
+        ),
+        (good.replace("/pay/", "/other/"), 404),
+        (good.replace("POST /pay", "GET /pay"), 405),
+        (look.replace("GET /look", "POST /look"), 405),
+        (good.replace("Content-Length: 2", "Content-Length: 65537"), 413),
+        (good.replace("Content-Length: 2", "Content-Length: 99999999999999999999999"), 413),
+        (good.replace("X-Caller", &format!("X-Long: {}\r\nX-Caller", "y".repeat(17 * 1024))), 431),
+        (good.replace("X-Caller", &format!("{}X-Caller", "X-Many: 1\r\n".repeat(80))), 431),
+    ];
+    for (text, status) in cases {
+        let reply = relay.caller().ask(&text);
+        assert_eq!(reply.status(), status, "{text:.200}");
+        assert!(status != 405 || reply.header("allow").is_some());
+    }
+    assert!(node.seen().is_empty());
+    // In pieces, in chunks, and two at once: all of this is good HTTP.
+    let mut caller = relay.caller();
+    good.as_bytes().chunks(9).for_each(|piece| caller.send(std::str::from_utf8(piece).unwrap()));
+    assert_eq!(caller.hear().unwrap().status(), 200);
+    let chunked = good.replace("Content-Length: 2", "Transfer-Encoding: chunked");
+    assert_eq!(
+        caller.ask(&chunked.replace("\r\n\r\nab", "\r\n\r\n1\r\na\r\n1\r\nb\r\n0\r\n\r\n")).status(),
+        200
+    );
+    caller.send(&format!("{good}{look}"));
+    assert_eq!((caller.hear().unwrap().status(), caller.hear().unwrap().status()), (200, 200));
+    assert!(node.seen().iter().filter(|m| m.line.starts_with("POST")).all(|m| m.body == b"ab"));
+    let whole = "z".repeat(64 * 1024);
+    assert_eq!(caller.ask(&request("pay", 4.0, whole.as_bytes())).status(), 200);
+    assert_eq!(node.seen().last().unwrap().body, whole.as_bytes());
+}
+
+#[test]
+fn an_unsafe_request_that_may_have_run_is_never_sent_again() {
+    let garbage = |_: &Message| Reply::Bytes(b"\x00\x01 no answer at all\r\n\r\n".to_vec());
+    let cut = |_: &Message| Reply::Last(b"HTTP/1.1 200 OK\r\nContent-Length: 10\r\n\r\nhalf".to_vec());
+    let rude: [Server; 4] = [
+        Server::start(|_| Reply::Last(Vec::new())),
+        Server::start(garbage),
+        Server::start(cut),
+        Server::start(|_| answer(500, "", b"")),
+    ];
+    for node in rude {
+        let other = Server::start(served);
+        let (relay, discovery) = Relay::before(&[&node]);
+        // The second node is there to be sent to, were it allowed.
+        discovery.tell(vec![
+            node_line("s-0", node.address, "in_service"),
+            node_line("s-9", other.address, "in_service"),
+        ]);
+        relay.until_logged("nodes=2");
+        while node.seen().is_empty() {
+            let before = other.seen().len();
+            let reply = relay.call("pay", 4.0);
+            if node.seen().is_empty() {
+                assert_eq!(reply.status(), 200);
+            } else {
+                assert_eq!((reply.status(), other.seen().len()), (502, before));
+            }
+        }
+        assert_eq!(node.seen().len(), 1);
+    }
+}
+
+#[test]
+fn a_request_that_has_not_run_is_sent_to_another_node() {
+    let shed = Server::start(|_| answer(503, "X-Rejected: 1\r\n", b""));
+    let other = Server::start(served);
+    let discovery = Discovery::start(vec![
+        node_line("s-0", shed.address, "in_service"),
+        node_line("s-1", nobody(), "in_service"),
+        node_line("s-2", other.address, "in_service"),
+    ]);
+    let relay = Relay::start(&config(discovery.server.address));
+    relay.until_ready();
+    for _ in 0..8 {
+        assert_eq!(relay.call("pay", 4.0).status(), 200);
+    }
+    assert!(!shed.seen().is_empty() && other.seen().len() == 8);
+}
+
+#[test]
+fn a_connection_that_the_node_ended_is_not_used_again() {
+    // Guards against a send on a stale connection, which would have to count as one that may have run.
+    let node = Server::start(|_| Reply::Last(b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok".to_vec()));
+    let (relay, _discovery) = Relay::before(&[&node]);
+    for n in 1..=5 {
+        assert_eq!(relay.call("pay", 4.0).status(), 200);
+        until("the node has closed", || node.ended() == n);
+    }
+    assert_eq!(node.seen().len(), 5);
+}
+
+#[test]
+fn idle_connections_are_closed_before_the_node_would() {
+    let node = Server::start(served);
+    let discovery = Discovery::start(vec![node_line("s-0", node.address, "in_service")]);
+    let mut told = config(discovery.server.address);
+    told["settings"]["Limits"]["ConnIdle"] = 2.0.into();
+    let relay = Relay::start(&told);
+    relay.until_ready();
+    let began = Instant::now();
+    assert_eq!(relay.call("pay", 4.0).status(), 200);
+    until("the connection is closed", || node.ended() == 1);
+    assert!(began.elapsed() > Duration::from_millis(1500));
+}
+
+#[test]
+fn a_silent_node_costs_the_budget_and_no_more() {
+    let node = Server::start(|_| Reply::Silence);
+    let (relay, _discovery) = Relay::before(&[&node]);
+    let began = Instant::now();
+    assert_eq!(relay.call("pay", 0.6).status(), 504);
+    let took = began.elapsed().as_secs_f64();
+    assert!((0.55..3.0).contains(&took), "{took}");
+    assert_eq!(node.seen().len(), 1);
+    until("the attempt is given up", || node.ended() == 1);
+}
+
+#[test]
+fn a_refusal_says_when_to_come_again() {
+    let node = Server::start(|_| answer(503, "X-Rejected: 1\r\n", b""));
+    let (relay, _discovery) = Relay::before(&[&node]);
+    let began = Instant::now();
+    let reply = relay.call("pay", 0.8);
+    assert_eq!((reply.status(), reply.header("retry-after")), (503, Some("2")));
+    assert!(began.elapsed() < Duration::from_secs(3));
+}
+
+#[test]
+fn a_caller_that_leaves_is_counted_and_its_attempt_still_ends() {
+    let node = Server::start(|m| {
+        if m.line.contains("look") {
+            std::thread::sleep(Duration::from_millis(400));
+        }
+        answer(200, "", b"ok")
+    });
+    let (mut relay, _discovery) = Relay::before(&[&node]);
+    let mut caller = relay.caller();
+    caller.send(&request("look", 4.0, b""));
+    until("the node has it", || node.seen().len() == 1);
+    drop(caller);
+    // The connection comes free once the node has answered, and only then is it used again.
+    until("the connection is used again", || {
+        assert_eq!(relay.call("pay", 4.0).status(), 200);
+        node.seen().iter().filter(|m| m.connection == 0).count() > 1
+    });
+    relay.terminate();
+    assert!(relay.ended_well());
+    let line = relay.until_logged("event=ended");
+    assert!(line.contains(" gone=1 ") && line.contains(" owed=0 "), "{line}");
+}
+
+#[test]
+fn at_a_planned_end_all_that_was_taken_is_answered() {
+    let node = Server::start(|m| {
+        if m.line.contains("look") {
+            std::thread::sleep(Duration::from_millis(1500));
+        }
+        answer(200, "", b"ok")
+    });
+    let (mut relay, _discovery) = Relay::before(&[&node]);
+    let (mut early, mut idle) = (relay.caller(), relay.caller());
+    early.send(&request("look", 5.0, b""));
+    assert_eq!(idle.ask(&request("pay", 5.0, b"")).status(), 200);
+    until("the node has both", || node.seen().len() == 2);
+    relay.terminate();
+    relay.until_logged("event=ending");
+    // For 0.4 s new connections go on arriving.
+    let reply = relay.call("pay", 5.0);
+    assert_eq!((reply.status(), reply.header("connection")), (200, Some("close")));
+    let reply = early.hear().unwrap();
+    assert_eq!((reply.status(), reply.header("connection")), (200, Some("close")));
+    assert!(idle.is_ended());
+    assert!(relay.ended_well());
+}
+
+#[test]
+fn a_crowd_of_idle_callers_does_not_lock_others_out() {
+    let node = Server::start(served);
+    let discovery = Discovery::start(vec![node_line("s-0", node.address, "in_service")]);
+    // Once by the limit in the configuration, once by that of the system (EMFILE).
+    for (sockets, descriptors) in [(44, 1024), (1024, 24)] {
+        let mut told = config(discovery.server.address);
+        told["limits"]["sockets"] = sockets.into();
+        let mut relay = Relay::start_limited(&told, descriptors);
+        relay.until_ready();
+        let crowd: Vec<_> = (0..60).map(|_| relay.caller()).collect();
+        for _ in 0..3 {
+            assert_eq!(relay.call("pay", 4.0).status(), 200);
+        }
+        assert!(relay.is_running());
+        drop(crowd);
+    }
+}
