--- a/src/barrier.rs
+++ b/src/barrier.rs
@@ -157,7 +157,8 @@
 
     /// Drivers that still wait for their answer.
     pub fn owed(&self) -> usize {
-        self.drivers.values().filter(|d| !d.answered).count()
+        let c = &self.counts;
+        (c.taken - c.served - c.refused - c.failed - c.gone) as usize
     }
 
     /// How long a refused caller should stay away, where callers are told.
--- a/src/net/lot.rs
+++ b/src/net/lot.rs
@@ -226,6 +226,13 @@
         id
     }
 
+    /// Guards against growth with every node that ever was: closed lots that nobody needs any more go.
+    pub fn forget(&mut self, unused: impl Fn(UpstreamId) -> bool) {
+        self.by_node.retain(|node, lot| lot.open || !unused(*node));
+        self.taken.retain(|node, _| self.by_node.contains_key(node));
+        self.numbers.retain(|_, node| self.by_node.contains_key(node));
+    }
+
     /// The host behind a number, for the log.
     pub fn host(&self, node: UpstreamId) -> &str {
         self.taken.get(&node).map_or("?", String::as_str)
--- a/src/net/node_list.rs
+++ b/src/net/node_list.rs
@@ -4,7 +4,7 @@
 use super::tray::{Rack, Tray};
 use crate::sheet::Sheet;
 use mio::net::TcpStream;
-use std::io::{self, Write};
+use std::io::{self, Read, Write};
 use std::net::SocketAddr;
 
 /// How long discovery may hold a watch open.
@@ -104,8 +104,11 @@
     /// Callback: writes and reads what can be.
     pub fn on_ready(&mut self, now: f64, rack: &mut Rack) -> Word {
         if !self.asking {
-            // Whatever comes between calls ends the connection; the next call opens a new one.
-            self.sock = None;
+            // Bytes or an end between calls: the next call opens a new connection.
+            let quiet = |s: &mut TcpStream| matches!(s.read(&mut [0]), Err(e) if e.kind() == io::ErrorKind::WouldBlock);
+            if !self.sock.as_mut().is_some_and(quiet) {
+                self.sock = None;
+            }
             return Word::Nothing;
         }
         match self.advance(now, rack) {
--- a/src/net/sidecar.rs
+++ b/src/net/sidecar.rs
@@ -30,6 +30,13 @@
 /// Callers let in at one go, so that a crowd at the gate does not hold up answers.
 const COMERS: usize = 64;
 
+/// Where the module expects news unasked, discovery is asked again so long after a failure.
+const ASK_AGAIN_S: f64 = 2.0;
+/// Rounds of [`COMERS`] let in before the gate closes for good.
+const LAST_ROUNDS: usize = 16;
+/// A request that has come in only in part holds up a planned end for so long.
+const PART_S: f64 = 1.0;
+
 /// How far a planned end has come.
 #[derive(Clone, Copy, PartialEq)]
 enum Shift {
@@ -147,7 +154,12 @@
     }
 
     fn is_done(&self) -> bool {
-        let leaving = |k: &super::kiosk::Kiosk| matches!(k.stage, Stage::Idle | Stage::Leaving);
+        let now = self.yard.now;
+        let leaving = |k: &super::kiosk::Kiosk| match k.stage {
+            Stage::Idle | Stage::Leaving => true,
+            Stage::Reading => now - k.since > PART_S,
+            Stage::Waiting(_) | Stage::Writing => false,
+        };
         self.shift == Shift::Closed
             && self.barrier.owed() == 0
             && self.yard.kiosks.iter().all(|(_, k)| leaving(k))
@@ -164,7 +176,14 @@
                 News::Probe { node, ending } => {
                     self.barrier.probed(now, node, ending, 0.0, None, &mut self.yard);
                 }
-                News::ListFailed => self.barrier.untold(now, &mut self.yard),
+                News::ListFailed => {
+                    if !self.house.settings.ask_for_list {
+                        // Such a module never asks by itself.
+                        self.yard.list.wanted = true;
+                        self.yard.wheel.set(now + ASK_AGAIN_S, Bell::Ask);
+                    }
+                    self.barrier.untold(now, &mut self.yard);
+                }
                 News::Asked => self.list_ready(),
                 News::Back { bay, end } => self.returned(bay, end),
                 News::Free { kiosk } => self.kiosk_ready(kiosk),
@@ -393,6 +412,7 @@
         let Some((node, errand)) = self.yard.free_bay(key, reusable) else {
             return load.into_iter().for_each(|l| self.yard.rack.give_back(l.tray));
         };
+        self.yard.say_lost(node, ending);
         match errand {
             Errand::Pass { id, attempt } => {
                 self.yard.load = load;
@@ -472,7 +492,7 @@
 
     /// Arrivals have ended: lets in who already stands at the gate, then closes it and the idle kiosks.
     fn close_gate(&mut self) {
-        loop {
+        for _ in 0..LAST_ROUNDS {
             self.gate_ready();
             if !self.gate_full || self.yard.kiosks.len() >= self.max_kiosks {
                 break;
--- a/src/net/tray.rs
+++ b/src/net/tray.rs
@@ -6,8 +6,10 @@
 pub const HEAD_ROOM: usize = 16 * 1024;
 /// The longest body.
 pub const BODY_ROOM: usize = 64 * 1024;
+/// Room for what a head grows by on its way to a node.
+const GROWTH: usize = 1024;
 /// The size of every buffer.
-pub const TRAY_SIZE: usize = HEAD_ROOM + BODY_ROOM;
+const TRAY_SIZE: usize = HEAD_ROOM + BODY_ROOM + GROWTH;
 /// Unused buffers that are kept.
 const SPARE: usize = 128;
 
--- a/src/net/yard.rs
+++ b/src/net/yard.rs
@@ -12,7 +12,7 @@
 use mio::net::TcpStream;
 use mio::{Interest, Registry, Token};
 use slab::Slab;
-use std::collections::{HashMap, VecDeque};
+use std::collections::{HashMap, HashSet, VecDeque};
 use std::fmt::Display;
 use std::io::{self, Write};
 use std::net::SocketAddr;
@@ -349,8 +349,20 @@
         }
     }
 
+    /// Logs an errand that the connection itself has ended.
+    pub fn say_lost(&mut self, node: UpstreamId, ending: Ending) {
+        let event = match ending {
+            Ending::DialFailed => "node_unreachable",
+            Ending::Dropped => "node_broke_off",
+            _ => return,
+        };
+        let host = self.lots.host(node).to_owned();
+        self.say("warn", event, &[("node", &host)]);
+    }
+
     /// Queues how an errand ended, for the barrier.
     pub fn came_to(&mut self, node: UpstreamId, errand: Errand, ending: Ending) {
+        self.say_lost(node, ending);
         match errand {
             Errand::Pass { id, attempt } => {
                 self.out.remove(&(id, attempt));
@@ -410,6 +422,8 @@
         let old = |b: &Bay| b.phase == Phase::Idle && now - b.since >= self.conn_idle;
         let bays: Vec<_> = self.bays.iter().filter(|(_, b)| old(b)).map(|(k, _)| k).collect();
         bays.into_iter().for_each(|k| self.close_bay(k));
+        let used: HashSet<_> = self.bays.iter().map(|(_, b)| b.node).collect();
+        self.lots.forget(|node| !used.contains(&node));
         let spent = |stage, since: f64| match stage {
             Stage::Leaving => now - since >= LEAVE_S,
             Stage::Writing => now - since >= SLOW_KIOSK_S,
--- a/tests/list.rs
+++ b/tests/list.rs
@@ -52,6 +52,23 @@
     assert_eq!(relay.call("pay", 4.0).status(), 200);
 }
 
+#[test]
+fn a_failed_call_is_made_again_also_where_the_module_expects_news_unasked() {
+    let node = Server::start(|_| answer(200, "", b"ok"));
+    let asked = AtomicUsize::new(0);
+    let list = json!({"seq": 1, "whole": true, "hosts": [node_line("s-0", node.address, "in_service")]});
+    let discovery = Server::start(move |_| match asked.fetch_add(1, Ordering::SeqCst) {
+        0 => answer(503, "", b""),
+        1 => answer(200, "", list.to_string().as_bytes()),
+        _ => Reply::Silence,
+    });
+    let mut told = config(discovery.address);
+    told["settings"]["RegistryMode"] = "push".into();
+    let relay = Relay::start(&told);
+    relay.until_ready();
+    assert!(relay.logged("problem=\"status 503\"").is_some());
+}
+
 #[test]
 fn a_watch_goes_on_at_once_and_a_hasty_discovery_is_not_stormed() {
     let node = Server::start(|_| answer(200, "", b"ok"));
