Pass the call id on whatever the caller lists as its connection's own

Seen: on rereading, a caller that names X-Call-Id in Connection would have had its request passed on without an id, which a node answers with 404. Checked: the headers named there are left out as they should be; the method, path, query, body and budget do not depend on them. Line at fault: Head::onward in src/net/http.rs. Before: the id went missing; after: it goes on, and the other headers named there still do not (tests/relay.rs).

--- a/src/lib.rs
+++ b/src/lib.rs
@@ -1,4 +1,7 @@
-//! The decisions of a load balancer for services that call services.
+//! A load-balancing sidecar for services that call services.
+//!
+//! [`net::Sidecar`] is the whole sidecar on sockets, [`barrier::Barrier`] its part that knows no protocol,
+//! and [`config`] reads what both need. The decisions are made by a module of their own, described here.
 //!
 //! Each copy of the balancer turns the load reports of its upstreams into load factors and spreads
 //! requests over these by smooth weighted round robin. [`Balancer`] is a state machine without I/O:
--- a/src/net/http.rs
+++ b/src/net/http.rs
@@ -50,7 +50,8 @@
     pub fn onward(&self) -> impl Iterator<Item = &(String, String)> {
         let own = ["connection", "keep-alive", "te", "trailer", "transfer-encoding", "upgrade", "host"];
         let more = ["content-length", "expect", "proxy-connection", "proxy-authorization"];
-        let named = |n: &str| self.lists("connection", n);
+        // The id goes on whatever the caller says: a node has no use for a request without one.
+        let named = |n: &str| n != "x-call-id" && self.lists("connection", n);
         self.headers
             .iter()
             .filter(move |(n, _)| !own.contains(&n.as_str()) && !more.contains(&n.as_str()) && !named(n))
--- a/tests/relay.rs
+++ b/tests/relay.rs
@@ -21,7 +21,8 @@
     let (relay, _discovery) = Relay::before(&[&node]);
     let mut caller = relay.caller();
     for _ in 0..3 {
-        let reply = caller.ask(&request("pay", 4.0, b"lot=7"));
+        let text = request("pay", 4.0, b"lot=7").replace("X-Caller", "X-Hop: 1\r\nX-Caller");
+        let reply = caller.ask(&text.replace("Host:", "Connection: x-hop, x-call-id\r\nHost:"));
         assert_eq!((reply.status(), &reply.body[..]), (200, &b"done"[..]));
     }
     let seen = node.seen();
@@ -30,6 +31,8 @@
         assert_eq!(message.line, "POST /pay/x?k=7&v=a%20b HTTP/1.1");
         assert_eq!((&message.body[..], message.connection), (&b"lot=7"[..], 0));
         assert_eq!((message.header("x-call-class"), message.header("x-caller")), (Some("pay"), Some("acme")));
+        // What is about the connection alone does not go on; the id does, whatever the caller says of it.
+        assert!(message.header("x-hop").is_none() && message.header("connection").is_none());
         let left: f64 = message.header("x-budget").unwrap().parse().unwrap();
         assert!(left > 2.0 && left <= 4.0, "{left}");
     }
