--- a/tests/relay.rs
+++ b/tests/relay.rs
@@ -296,3 +296,17 @@
         drop(crowd);
     }
 }
+
+#[test]
+fn where_reports_tell_of_held_requests_a_node_is_probed_before_it_is_used() {
+    let node = Server::start(|m| answer(200, "X-Load-Report: inflight=0,queue=0\r\n", m.line.as_bytes()));
+    let discovery = Discovery::start(vec![node_line("s-0", node.address, "in_service")]);
+    let mut told = config(discovery.server.address);
+    told["settings"]["Report"]["Fields"] = serde_json::json!(["active", "waiting"]);
+    let relay = Relay::start(&told);
+    relay.until_ready();
+    assert_eq!(relay.call("pay", 4.0).body, b"POST /pay/x?k=7&v=a%20b HTTP/1.1");
+    let lines: Vec<_> = node.seen().into_iter().map(|m| (m.line, m.connection)).collect();
+    assert_eq!(lines[0], ("GET /status/load HTTP/1.1".to_owned(), 0));
+    assert!(lines.iter().all(|(_, connection)| *connection == 0), "probe and request share a connection");
+}
