Read the configuration again at SIGHUP and turn to the discovery it names

Checked: the exit status is 128 + SIGHUP and the log stops without a line, so it was the default action and no panic; Signals::new in sidecar.rs named SIGTERM and SIGINT only. Reading the file through Config::from_env would not have done: RELAY_DISCOVERY, which cannot change in a running process, went before the file's new address. Changed: config.rs reads the file again with the file's discovery first; the node list drops its old connection with the call on it and asks at the new address from the version held; a faulty file changes nothing and its key is logged. Nodes, connections and requests stay. The test sends faulty and good files, a burst of SIGHUP, and SIGTERM beside it, with a request open; before the change the process ends at the first signal.

--- a/src/config.rs
+++ b/src/config.rs
@@ -285,6 +285,8 @@
     pub known: Option<Sheet>,
     /// The settings.
     pub house: House,
+    /// The file that all of this was read from, if any; it is read again at SIGHUP.
+    pub file: Option<String>,
 }
 
 impl Config {
@@ -296,6 +298,27 @@
     pub fn from_env() -> Result<Config, ConfigError> {
         let env = |key: &str| std::env::var(key).ok().filter(|v| !v.is_empty());
         let Some(path) = env("RELAY_CONFIG") else { return wrong("RELAY_CONFIG", "is not set") };
+        let given = |variable| env(variable).map(Value::String);
+        let over = [
+            ("name", given("RELAY_NAME")),
+            ("listen", given("RELAY_LISTEN")),
+            ("discovery", given("RELAY_DISCOVERY")),
+        ];
+        Config::read(path, over)
+    }
+
+    /// Reads the file again that this configuration came from. What it says of discovery goes before the
+    /// environment, which cannot change while the program runs; its name and address stay as they are.
+    ///
+    /// # Errors
+    ///
+    /// Names the first key that is missing or wrong.
+    pub fn reread(file: &str, name: &str, listen: SocketAddr) -> Result<Config, ConfigError> {
+        let text = |value: String| Some(Value::String(value));
+        Config::read(file.to_owned(), [("name", text(name.to_owned())), ("listen", text(listen.to_string()))])
+    }
+
+    fn read<const N: usize>(path: String, over: [(&str, Option<Value>); N]) -> Result<Config, ConfigError> {
         let text = std::fs::read_to_string(&path)
             .or_else(|e| wrong("RELAY_CONFIG", format!("cannot read '{path}': {e}")))?;
         let mut file: Value =
@@ -303,14 +326,12 @@
         if !file.is_object() {
             return wrong("RELAY_CONFIG", "should hold a JSON object");
         }
-        for (variable, key) in
-            [("RELAY_NAME", "name"), ("RELAY_LISTEN", "listen"), ("RELAY_DISCOVERY", "discovery")]
-        {
-            if let Some(value) = env(variable) {
-                file[key] = Value::String(value);
+        for (key, value) in over {
+            if let Some(value) = value {
+                file[key] = value;
             }
         }
-        Config::from_json(&file)
+        Ok(Config { file: Some(path), ..Config::from_json(&file)? })
     }
 
     /// Reads the configuration from JSON.
@@ -363,6 +384,7 @@
             max_bays: connections - connections / 2,
             known,
             house,
+            file: None,
         })
     }
 }
--- a/src/net/node_list.rs
+++ b/src/net/node_list.rs
@@ -94,6 +94,18 @@
         Ok((fresh, patience))
     }
 
+    /// Turns to discovery at another address: the old connection is ended, whatever is out on it, and the
+    /// watch goes on there from the version held.
+    pub fn move_to(&mut self, address: SocketAddr, rack: &mut Rack) {
+        self.fail(rack);
+        (self.address, self.hasty) = (address, 0);
+    }
+
+    /// Where discovery is asked.
+    pub fn address(&self) -> SocketAddr {
+        self.address
+    }
+
     /// Ends a call that has failed. The connection is not used again.
     pub fn fail(&mut self, rack: &mut Rack) {
         self.asking = false;
--- a/src/net/sidecar.rs
+++ b/src/net/sidecar.rs
@@ -12,11 +12,12 @@
 use crate::log::Log;
 use crate::sheet::Sheet;
 use mio::{Events, Interest, Poll};
-use signal_hook::consts::{SIGINT, SIGTERM};
+use signal_hook::consts::{SIGHUP, SIGINT, SIGTERM};
 use signal_hook_mio::v1_0::Signals;
 use std::error::Error;
 use std::fmt::Display;
 use std::io;
+use std::net::SocketAddr;
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
 /// After SIGTERM new connections go on arriving for 0.4 s.
@@ -56,6 +57,10 @@
     barrier: Barrier,
     yard: Yard,
     house: House,
+    /// What is needed to read the configuration again.
+    file: Option<String>,
+    name: String,
+    listen: SocketAddr,
     max_kiosks: usize,
     began: Instant,
     /// Unix time at 0 of the module's clock.
@@ -71,11 +76,11 @@
     ///
     /// Fails where the address cannot be listened on or the system gives no poller.
     pub fn open(config: Config) -> Result<Sidecar, Box<dyn Error>> {
-        let Config { name, listen, discovery, seed, max_kiosks, max_bays, known, house } = config;
+        let Config { name, listen, discovery, seed, max_kiosks, max_bays, known, house, file } = config;
         let poll = Poll::new()?;
         let mut gate = Gate::open(listen).map_err(|e| format!("listen: {listen}: {e}"))?;
         poll.registry().register(&mut gate.listener, GATE, Interest::READABLE)?;
-        let mut signals = Signals::new([SIGTERM, SIGINT])?;
+        let mut signals = Signals::new([SIGTERM, SIGINT, SIGHUP])?;
         poll.registry().register(&mut signals, SIGNALS, Interest::READABLE)?;
         // One reading of both clocks: a start time that moved would look like a restart.
         let (began, epoch) = (Instant::now(), SystemTime::now().duration_since(UNIX_EPOCH)?.as_secs_f64());
@@ -96,6 +101,9 @@
             barrier,
             yard,
             house,
+            file,
+            name,
+            listen,
             max_kiosks,
             began,
             epoch,
@@ -480,8 +488,11 @@
     // ---- Planned end ----
 
     fn signalled(&mut self) {
-        for signal in self.signals.pending() {
-            if self.shift == Shift::On {
+        let signals: Vec<_> = self.signals.pending().collect();
+        for signal in signals {
+            if signal == SIGHUP {
+                self.reload();
+            } else if self.shift == Shift::On {
                 self.shift = Shift::Ending;
                 self.yard.leaving = true;
                 self.yard.wheel.set(self.yard.now + ARRIVALS_END_S, Bell::CloseGate);
@@ -490,6 +501,20 @@
         }
     }
 
+    /// Reads the configuration again. Guards against an end on SIGHUP and against a faulty file: that one
+    /// changes nothing. Of a good one the address of discovery takes effect, at once and without a change
+    /// to the nodes known, the connections to them or the requests taken.
+    fn reload(&mut self) {
+        let file = self.file.as_deref().unwrap_or_default();
+        match Config::reread(file, &self.name, self.listen) {
+            Ok(config) => {
+                self.yard.say("info", "reloaded", &[("discovery", &config.discovery)]);
+                self.yard.find_list_at(config.discovery);
+            }
+            Err(e) => self.yard.say("warn", "reload_failed", &[("key", &e.key), ("problem", &e.problem)]),
+        }
+    }
+
     /// Arrivals have ended: lets in who already stands at the gate, then closes it and the idle kiosks.
     fn close_gate(&mut self) {
         for _ in 0..LAST_ROUNDS {
--- a/src/net/yard.rs
+++ b/src/net/yard.rs
@@ -465,6 +465,16 @@
         }
     }
 
+    /// Leaves discovery where it was and asks it where it is now.
+    pub fn find_list_at(&mut self, address: SocketAddr) {
+        if address != self.list.address() {
+            self.list.move_to(address, &mut self.rack);
+            // Also where a failure has it left alone for now: that was the old address's.
+            self.list.wanted = true;
+            self.ask();
+        }
+    }
+
     pub fn list_failed(&mut self, problem: &str) {
         self.say("warn", "list_failed", &[("problem", &problem)]);
         self.list.fail(&mut self.rack);
--- a/tests/common/plaza.rs
+++ b/tests/common/plaza.rs
@@ -197,6 +197,7 @@
 pub struct Relay {
     pub address: SocketAddr,
     child: Child,
+    file: std::path::PathBuf,
     log: Arc<Mutex<Vec<String>>>,
     log_ended: Arc<AtomicBool>,
 }
@@ -213,6 +214,7 @@
         let mut child = Command::new("/bin/sh")
             .args(["-c", &format!("ulimit -n {descriptors}; exec {}", env!("CARGO_BIN_EXE_passrelay"))])
             .env("RELAY_CONFIG", &path)
+            .env("RELAY_DISCOVERY", config["discovery"].as_str().unwrap())
             .stderr(Stdio::piped())
             .spawn()
             .unwrap();
@@ -225,9 +227,8 @@
             ended.store(true, Ordering::SeqCst);
         });
         let address = config["listen"].as_str().unwrap().parse().unwrap();
-        let relay = Relay { address, child, log, log_ended };
+        let relay = Relay { address, child, file: path, log, log_ended };
         relay.until_logged("event=started");
-        let _ = std::fs::remove_file(path);
         relay
     }
 
@@ -266,10 +267,20 @@
     }
 
     pub fn terminate(&self) {
-        let kill = Command::new("kill").arg(self.child.id().to_string()).status().unwrap();
+        self.signal("TERM");
+    }
+
+    pub fn signal(&self, name: &str) {
+        let kill = Command::new("kill").args(["-s", name, &self.child.id().to_string()]).status().unwrap();
         assert!(kill.success());
     }
 
+    /// Replaces its configuration and says so.
+    pub fn reload(&self, text: &str) {
+        std::fs::write(&self.file, text).unwrap();
+        self.signal("HUP");
+    }
+
     /// Waits for the end; true if the program ended well.
     pub fn ended_well(&mut self) -> bool {
         until("its log ends", || self.log_ended.load(Ordering::SeqCst));
@@ -285,6 +296,7 @@
     fn drop(&mut self) {
         let _ = self.child.kill();
         let _ = self.child.wait();
+        let _ = std::fs::remove_file(&self.file);
     }
 }
 
--- a/tests/list.rs
+++ b/tests/list.rs
@@ -89,6 +89,44 @@
     assert!(calls >= 4 && began.elapsed() + Duration::from_millis(500) > calls * Duration::from_millis(50));
 }
 
+#[test]
+fn a_new_configuration_moves_the_watch_and_a_faulty_one_changes_nothing() {
+    let node = Server::start(|m| {
+        if m.line.contains("look") {
+            std::thread::sleep(Duration::from_millis(1500));
+        }
+        answer(200, "", b"ok")
+    });
+    let (mut relay, old) = Relay::before(&[&node]);
+    until("it watches", || old.server.seen().len() == 2);
+    let mut open = relay.caller();
+    open.send(&request("look", 6.0, b""));
+    until("the node has it", || node.seen().len() == 1);
+    let mut told = config(old.server.address);
+    told["discovery"] = "nowhere".into();
+    for (text, problem) in [(told.to_string(), "key=discovery"), ("{".to_owned(), "key=RELAY_CONFIG")] {
+        relay.reload(&text);
+        assert!(relay.until_logged(problem).contains("event=reload_failed"));
+    }
+    // The environment still names the old address.
+    let new = Discovery::start(Vec::new());
+    told["discovery"] = new.server.address.to_string().into();
+    relay.reload(&told.to_string());
+    until("the new address is asked", || !new.server.seen().is_empty());
+    assert!(new.server.seen()[0].line.contains("since=1&"), "the watch goes on");
+    assert_eq!(old.server.seen().len(), 2);
+    assert_eq!(relay.call("pay", 4.0).status(), 200);
+    new.tell(vec![node_line("s-0", node.address, "terminating")]);
+    relay.until_logged("event=node_shut");
+    (0..20).for_each(|_| relay.signal("HUP"));
+    relay.terminate();
+    relay.signal("HUP");
+    assert_eq!(open.hear().unwrap().status(), 200, "what was open stays open");
+    assert!(relay.ended_well());
+    // One watch and the next: an address that stays the same is not asked anew at each signal.
+    assert!(new.server.seen().len() <= 2);
+}
+
 #[test]
 fn a_drained_node_gets_nothing_new_even_if_its_connection_comes_up_late() {
     // A listener whose queue is full answers no handshake until somebody is let in.
