Take an answer that cannot be read for an error, not for a node that is down

So reading is right and the belief is wrong: Bay::on_ready told such an answer as Dropped, Balancer::outcome takes that for a node that is down, ejects it for 0.6 to 2.4 s and has it take cold care for 1.5 s after its next answer. With 4 front nodes and one spoilt answer a second about half of them stood aside at any time, and the rest were choked. Changed: bytes that are no answer end as AppError (it may have run, as before; only the connection goes). A break before the whole answer stays Dropped. On-call line answer_spoilt.

--- a/src/net/lot.rs
+++ b/src/net/lot.rs
@@ -37,6 +37,8 @@
     pub load: Option<Load>,
     /// The connection can carry another errand.
     pub reusable: bool,
+    /// What came back is no answer.
+    pub spoilt: bool,
 }
 
 /// An answer to serve.
@@ -124,7 +126,7 @@
         loop {
             let Some(tray) = self.tray.as_mut() else { return Some(self.broken()) };
             if tray.is_full() {
-                return Some(self.broken());
+                return Some(self.spoilt());
             }
             let ended = match tray.fill_from(&mut self.sock) {
                 Ok(n) => n == 0,
@@ -135,8 +137,9 @@
             match self.take_in(ended) {
                 Ok(true) => return Some(self.finished(ended)),
                 Ok(false) if !ended => {}
-                // The end before a whole answer, or bytes that are no answer.
-                _ => return Some(self.broken()),
+                // The end before a whole answer.
+                Ok(false) => return Some(self.broken()),
+                Err(()) => return Some(self.spoilt()),
             }
         }
     }
@@ -163,7 +166,13 @@
     /// The connection has broken: the request has not run only if its last byte was never written.
     pub fn broken(&mut self) -> Return {
         let ending = if self.sent { Ending::Dropped } else { Ending::DialFailed };
-        Return { ending, report: None, load: None, reusable: false }
+        Return { ending, report: None, load: None, reusable: false, spoilt: false }
+    }
+
+    /// Bytes that are no answer: it has run, or may have. Guards against taking a node that works, and that
+    /// may answer others well, for one that is down; of no further use is only this connection.
+    fn spoilt(&mut self) -> Return {
+        Return { ending: Ending::AppError, spoilt: true, ..self.broken() }
     }
 
     fn finished(&mut self, ended: bool) -> Return {
@@ -183,7 +192,8 @@
         // Bytes behind the answer belong to no request: the connection is not used again.
         let reusable = !head.close && !ended && body.raw == tray.bytes().len();
         let media = head.header("content-type").map(str::to_owned);
-        Return { ending, report, load: Some(Load { tray, body: body.start..body.end, media }), reusable }
+        let load = Some(Load { tray, body: body.start..body.end, media });
+        Return { ending, report, load, reusable, spoilt: false }
     }
 
     /// Gives the buffer back.
--- a/src/net/sidecar.rs
+++ b/src/net/sidecar.rs
@@ -416,11 +416,11 @@
     /// An errand has come back from its node.
     fn returned(&mut self, key: usize, end: Return) {
         let now = self.yard.now;
-        let Return { ending, report, load, reusable } = end;
+        let Return { ending, report, load, reusable, spoilt } = end;
         let Some((node, errand)) = self.yard.free_bay(key, reusable) else {
             return load.into_iter().for_each(|l| self.yard.rack.give_back(l.tray));
         };
-        self.yard.say_lost(node, ending);
+        self.yard.say_lost(node, ending, spoilt);
         match errand {
             Errand::Pass { id, attempt } => {
                 self.yard.load = load;
--- a/src/net/yard.rs
+++ b/src/net/yard.rs
@@ -350,8 +350,9 @@
     }
 
     /// Logs an errand that the connection itself has ended.
-    pub fn say_lost(&mut self, node: UpstreamId, ending: Ending) {
+    pub fn say_lost(&mut self, node: UpstreamId, ending: Ending, spoilt: bool) {
         let event = match ending {
+            _ if spoilt => "answer_spoilt",
             Ending::DialFailed => "node_unreachable",
             Ending::Dropped => "node_broke_off",
             _ => return,
@@ -362,7 +363,7 @@
 
     /// Queues how an errand ended, for the barrier.
     pub fn came_to(&mut self, node: UpstreamId, errand: Errand, ending: Ending) {
-        self.say_lost(node, ending);
+        self.say_lost(node, ending, false);
         match errand {
             Errand::Pass { id, attempt } => {
                 self.out.remove(&(id, attempt));
--- a/tests/relay.rs
+++ b/tests/relay.rs
@@ -4,6 +4,8 @@
 
 use common::plaza::*;
 use std::net::{SocketAddr, TcpListener};
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::Arc;
 use std::time::{Duration, Instant};
 
 fn served(_: &Message) -> Reply {
@@ -159,6 +161,32 @@
     }
 }
 
+#[test]
+fn an_answer_that_cannot_be_read_costs_its_request_and_its_connection_but_not_the_node() {
+    let spoilt = [
+        "\u{1}\u{2} no answer\r\n\r\n".to_owned(),
+        "HTTP/1.1 2x0 OK\r\nContent-Length: 2\r\n\r\nok".to_owned(),
+        format!("HTTP/1.1 200 OK\r\n{}", "X-Pad: pppp\r\n".repeat(2000)),
+        format!("HTTP/1.1 200 OK\r\nContent-Length: 3000000000\r\n\r\n{}", "y".repeat(9000)),
+        "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nabcde\r\nzz\r\n".to_owned(),
+    ];
+    for bytes in spoilt {
+        let rude = Arc::new(AtomicBool::new(true));
+        let (first, bytes) = (rude.clone(), bytes.into_bytes());
+        let node = Server::start(move |m| match first.swap(false, Ordering::SeqCst) {
+            true => Reply::Bytes(bytes.clone()),
+            false => served(m),
+        });
+        let other = Server::start(served);
+        let (relay, _discovery) = Relay::before(&[&node, &other]);
+        let refused = (0..20).filter(|_| relay.call("pay", 4.0).status() != 200).count();
+        assert!(!rude.load(Ordering::SeqCst) && refused == 1, "{refused}");
+        // It goes on getting its part, over a new connection.
+        let seen = node.seen();
+        assert!(seen.len() >= 4 && seen[0].connection == 0 && seen[1].connection == 1, "{}", seen.len());
+    }
+}
+
 #[test]
 fn a_request_that_has_not_run_is_sent_to_another_node() {
     let shed = Server::start(|_| answer(503, "X-Rejected: 1\r\n", b""));
