Turn bad callers away within 2.5 s and keep their requests from the nodes

SLOW_KIOSK_S was 15 s; silent callers were never ended; those with half a request could not be made to make room; Gate let in 64 callers, then waited up to 0.25 s; Kiosk::throw_away and trailers without end read for as long as bytes came. Changed: 2.5 s for a request and for a caller's first one; half requests make room after 0.5 s; a crowd at the gate is let in round by round; unwanted bytes are read 64 KiB at a time, chunked framing is bounded; the id of one who waits is refused with 409, budgets over twice the class's time or not in plain digits with 400; a node's 4xx is its caller's fault (Barrier::turn_back): one answer, no other node, no blame.

--- a/src/barrier.rs
+++ b/src/barrier.rs
@@ -33,6 +33,8 @@
         /// It failed for want of time.
         late: bool,
     },
+    /// Failed: the request itself is at fault.
+    Faulty,
 }
 
 /// An alarm that the barrier wants to get back through [`Barrier::rung`].
@@ -221,6 +223,14 @@
         self.forget(id);
     }
 
+    /// A node has said that the request itself is at fault. Guards against sending it round, and against
+    /// blaming the nodes for it: its driver fails at once, and to the module it has gone.
+    pub fn turn_back(&mut self, now: f64, id: RequestId, attempt: u32, lane: &mut dyn Lane) {
+        self.finish(id, Answer::Faulty, lane);
+        self.feed(now, Event::Gone(id), lane);
+        self.outcome(now, id, attempt, Ending::Revoked, None, lane);
+    }
+
     /// Strikes an attempt off and gives its event; the first that is delivered is the driver's answer.
     fn close(
         &mut self,
--- a/src/net/http.rs
+++ b/src/net/http.rs
@@ -9,6 +9,10 @@
 /// The longest line that states a chunk's size, extensions included, and the longest trailer line.
 const MAX_LINE: usize = 1024;
 
+/// The most bytes that chunked framing may cost beside the body. Guards against trailers without end, which
+/// would be read for as long as they come.
+const MAX_FRAMING: usize = 512 * 1024;
+
 /// What is wrong with a message, as the status that says so.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Fault(pub u16);
@@ -161,6 +165,8 @@
 pub struct BodyReader {
     framing: Framing,
     step: Step,
+    /// Bytes of chunked framing so far.
+    spent: usize,
     /// Where the body stands in the buffer.
     pub start: usize,
     pub end: usize,
@@ -171,7 +177,7 @@
 impl BodyReader {
     pub fn new(head: &Head) -> Self {
         let start = head.len;
-        BodyReader { framing: head.framing, step: Step::Size, start, end: start, raw: start }
+        BodyReader { framing: head.framing, step: Step::Size, spent: 0, start, end: start, raw: start }
     }
 
     /// Takes in what the buffer holds by now; true when the body is whole.
@@ -202,6 +208,16 @@
         }
     }
 
+    /// Passes over bytes of the framing.
+    fn skip(&mut self, bytes: usize) -> Result<(), Fault> {
+        self.raw += bytes;
+        self.spent += bytes;
+        if self.spent > MAX_FRAMING {
+            return Err(Fault(400));
+        }
+        Ok(())
+    }
+
     fn chunks(&mut self, tray: &mut Tray) -> Result<bool, Fault> {
         loop {
             let filled = tray.bytes().len();
@@ -212,7 +228,7 @@
                         if size > (BODY_ROOM - (self.end - self.start)) as u64 {
                             return Err(Fault(413));
                         }
-                        self.raw += used;
+                        self.skip(used)?;
                         self.step = if size == 0 { Step::Trailer } else { Step::Data(size as usize) };
                     }
                     Ok(httparse::Status::Partial) if rest.len() <= MAX_LINE => return Ok(false),
@@ -235,14 +251,14 @@
                     if &rest[..2] != b"\r\n" {
                         return Err(Fault(400));
                     }
-                    self.raw += 2;
+                    self.skip(2)?;
                     self.step = Step::Size;
                 }
                 Step::Trailer => {
                     let Some(at) = rest.windows(2).position(|w| w == b"\r\n") else {
                         return if rest.len() > MAX_LINE { Err(Fault(400)) } else { Ok(false) };
                     };
-                    self.raw += at + 2;
+                    self.skip(at + 2)?;
                     if at == 0 {
                         return Ok(true);
                     }
@@ -259,6 +275,7 @@
         404 => "Not Found",
         405 => "Method Not Allowed",
         408 => "Request Timeout",
+        409 => "Conflict",
         413 => "Content Too Large",
         431 => "Request Header Fields Too Large",
         502 => "Bad Gateway",
--- a/src/net/kiosk.rs
+++ b/src/net/kiosk.rs
@@ -8,6 +8,9 @@
 use std::net::Shutdown;
 use std::ops::Range;
 
+/// Reads of unwanted bytes at one go.
+const MOUTHFULS: usize = 16;
+
 /// What a kiosk has brought.
 pub enum Brought {
     /// Nothing that is whole yet.
@@ -42,6 +45,8 @@
     pub stage: Stage,
     /// Since when it has been in this stage.
     pub since: f64,
+    /// When its caller was let in, until that has brought a first whole request.
+    pub new_since: Option<f64>,
     /// Counts callers in the order in which they were let in.
     pub number: u64,
     /// It ends after the answer that goes out now or next.
@@ -63,6 +68,7 @@
             sock,
             stage: Stage::Idle,
             since: now,
+            new_since: Some(now),
             number,
             close: false,
             tray: None,
@@ -76,12 +82,12 @@
         }
     }
 
-    /// Whether closing it now takes nothing from its caller: no request is there, read or unread.
+    /// Whether closing it now takes nothing from its caller: no whole request is there, read or unread.
     pub fn is_quiet(&self) -> bool {
         match self.stage {
             Stage::Idle => !matches!(self.sock.peek(&mut [0]), Ok(n) if n > 0),
-            Stage::Leaving => true,
-            Stage::Reading | Stage::Waiting(_) | Stage::Writing => false,
+            Stage::Leaving | Stage::Reading => true,
+            Stage::Waiting(_) | Stage::Writing => false,
         }
     }
 
@@ -99,7 +105,10 @@
         }
         loop {
             match self.take_in() {
-                Ok(Some(head)) => return Brought::Request(head),
+                Ok(Some(head)) => {
+                    self.new_since = None;
+                    return Brought::Request(head);
+                }
                 Ok(None) => {}
                 Err(fault) => return Brought::Bad(fault),
             }
@@ -208,7 +217,9 @@
 
     fn throw_away(&mut self) -> Brought {
         let mut sink = [0; 4096];
-        loop {
+        // Guards against a body without end that would keep the loop to itself. More bytes call again; what
+        // then still lies unread goes with the connection.
+        for _ in 0..MOUTHFULS {
             match self.sock.read(&mut sink) {
                 Ok(n) if n > 0 => {}
                 Err(e) if e.kind() == io::ErrorKind::Interrupted => {}
@@ -216,6 +227,7 @@
                 _ => return Brought::Closed,
             }
         }
+        Brought::Nothing
     }
 
     /// Gives the buffers back.
--- a/src/net/lot.rs
+++ b/src/net/lot.rs
@@ -37,8 +37,18 @@
     pub load: Option<Load>,
     /// The connection can carry another errand.
     pub reusable: bool,
-    /// What came back is no answer.
-    pub spoilt: bool,
+    pub verdict: Verdict,
+}
+
+/// Who is to blame for what came back.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum Verdict {
+    /// Nobody, or the node as its ending says.
+    Plain,
+    /// The node: what came back is no answer.
+    Spoilt,
+    /// The caller: the node finds the request itself at fault.
+    Faulty,
 }
 
 /// An answer to serve.
@@ -166,13 +176,13 @@
     /// The connection has broken: the request has not run only if its last byte was never written.
     pub fn broken(&mut self) -> Return {
         let ending = if self.sent { Ending::Dropped } else { Ending::DialFailed };
-        Return { ending, report: None, load: None, reusable: false, spoilt: false }
+        Return { ending, report: None, load: None, reusable: false, verdict: Verdict::Plain }
     }
 
     /// Bytes that are no answer: it has run, or may have. Guards against taking a node that works, and that
     /// may answer others well, for one that is down; of no further use is only this connection.
     fn spoilt(&mut self) -> Return {
-        Return { ending: Ending::AppError, spoilt: true, ..self.broken() }
+        Return { ending: Ending::AppError, verdict: Verdict::Spoilt, ..self.broken() }
     }
 
     fn finished(&mut self, ended: bool) -> Return {
@@ -193,7 +203,13 @@
         let reusable = !head.close && !ended && body.raw == tray.bytes().len();
         let media = head.header("content-type").map(str::to_owned);
         let load = Some(Load { tray, body: body.start..body.end, media });
-        Return { ending, report, load, reusable, spoilt: false }
+        let verdict = match head.status {
+            // About the node or the moment, not about the request.
+            408 | 421 | 425 | 429 => Verdict::Plain,
+            400..=499 if !probe => Verdict::Faulty,
+            _ => Verdict::Plain,
+        };
+        Return { ending, report, load, reusable, verdict }
     }
 
     /// Gives the buffer back.
--- a/src/net/sidecar.rs
+++ b/src/net/sidecar.rs
@@ -3,7 +3,7 @@
 use super::gate::{Comer, Gate};
 use super::http::Head;
 use super::kiosk::{Brought, Stage};
-use super::lot::{Errand, Phase, Return};
+use super::lot::{Errand, Phase, Return, Verdict};
 use super::node_list::{NodeList, Word, PAUSE_S};
 use super::yard::{owner, Bell, Bounds, News, Owner, Yard, GATE, NODE_LIST, SIGNALS};
 use crate::api::{Condition, Effect, Ending, Entry, RequestId, ZoneId};
@@ -67,6 +67,8 @@
     epoch: f64,
     shift: Shift,
     gate_full: bool,
+    /// More callers may stand at the gate than one round lets in.
+    crowd: bool,
 }
 
 impl Sidecar {
@@ -109,6 +111,7 @@
             epoch,
             shift,
             gate_full: false,
+            crowd: false,
         };
         sidecar.learn(known.unwrap_or(Sheet { whole: true, ..Sheet::default() }));
         if !sidecar.yard.list.wanted {
@@ -129,7 +132,11 @@
         while !self.is_done() {
             let now = self.began.elapsed().as_secs_f64();
             let wait = (self.yard.wheel.next_look() - now).clamp(0.0, MAX_WAIT_S);
-            let wait = if self.gate_full { wait.min(SWEEP_S) } else { wait };
+            let wait = match (self.crowd, self.gate_full) {
+                (true, _) => 0.0,
+                (_, true) => wait.min(SWEEP_S),
+                _ => wait,
+            };
             match self.poll.poll(&mut events, Some(Duration::from_secs_f64(wait))) {
                 Err(e) if e.kind() == io::ErrorKind::Interrupted => continue,
                 other => other?,
@@ -151,6 +158,10 @@
                 self.ring(bell);
                 self.settle();
             }
+            if self.crowd {
+                self.gate_ready();
+                self.settle();
+            }
         }
         self.figures("ended");
         Ok(())
@@ -258,7 +269,7 @@
     // ---- Callers ----
 
     fn gate_ready(&mut self) {
-        self.gate_full = false;
+        (self.gate_full, self.crowd) = (false, false);
         for _ in 0..COMERS {
             let Some(gate) = &self.gate else { return };
             if self.yard.kiosks.len() >= self.max_kiosks && !self.yard.send_off_idlest() {
@@ -286,7 +297,8 @@
                 }
             }
         }
-        self.gate_full = true;
+        // Guards against a crowd whose last ones would wait for the next newcomer to be let in.
+        self.crowd = true;
     }
 
     fn kiosk_ready(&mut self, key: usize) {
@@ -360,11 +372,17 @@
         if tenant.is_none() && !names.tenants.is_empty() {
             return Err((400, "X-Caller is missing"));
         }
-        let budget = head.header("x-budget").and_then(|b| b.parse::<f64>().ok());
-        let budget = budget.filter(|b| b.is_finite() && *b >= 0.0);
+        let digits = |b: &&str| b.bytes().all(|c| c.is_ascii_digit() || c == b'.');
+        let budget = head.header("x-budget").filter(digits).and_then(|b| b.parse::<f64>().ok());
         let budget = budget.ok_or((400, "X-Budget is missing or not a number of seconds"))?;
         // No caller waits longer than its class's whole time; a day-long budget would never free its state.
-        let budget = budget.min(self.house.give_up[class].max(0.1) * 2.0);
+        if budget > self.house.give_up[class].max(0.1) * 2.0 {
+            return Err((400, "X-Budget is far more than this class may take"));
+        }
+        if self.yard.is_seated(head) {
+            // Guards the one who waits: a second request under its id would be taken for a copy of it.
+            return Err((409, "X-Call-Id is that of a request that waits"));
+        }
         let repeat = head.header("x-again") == Some("1");
         Ok(Arrival { class: crate::api::ClassId(class), tenant, budget, repeat })
     }
@@ -416,12 +434,16 @@
     /// An errand has come back from its node.
     fn returned(&mut self, key: usize, end: Return) {
         let now = self.yard.now;
-        let Return { ending, report, load, reusable, spoilt } = end;
+        let Return { ending, report, load, reusable, verdict } = end;
         let Some((node, errand)) = self.yard.free_bay(key, reusable) else {
             return load.into_iter().for_each(|l| self.yard.rack.give_back(l.tray));
         };
-        self.yard.say_lost(node, ending, spoilt);
+        self.yard.say_lost(node, ending, verdict);
         match errand {
+            Errand::Pass { id, attempt } if verdict == Verdict::Faulty => {
+                load.into_iter().for_each(|l| self.yard.rack.give_back(l.tray));
+                self.barrier.turn_back(now, id, attempt, &mut self.yard);
+            }
             Errand::Pass { id, attempt } => {
                 self.yard.load = load;
                 self.barrier.outcome(now, id, attempt, ending, report, &mut self.yard);
@@ -519,7 +541,7 @@
     fn close_gate(&mut self) {
         for _ in 0..LAST_ROUNDS {
             self.gate_ready();
-            if !self.gate_full || self.yard.kiosks.len() >= self.max_kiosks {
+            if !self.crowd {
                 break;
             }
         }
--- a/src/net/yard.rs
+++ b/src/net/yard.rs
@@ -2,7 +2,7 @@
 
 use super::http::{answer_head, Head};
 use super::kiosk::{Kiosk, Stage};
-use super::lot::{Bay, Errand, Load, Lot, Lots, Phase, Return};
+use super::lot::{Bay, Errand, Load, Lot, Lots, Phase, Return, Verdict};
 use super::node_list::NodeList;
 use super::tray::{Rack, Tray};
 use super::wheel::Wheel;
@@ -21,8 +21,14 @@
 const IDLE_PART: f64 = 0.8;
 /// A probe is given up after this.
 const PROBE_S: f64 = 1.0;
-/// A request has to be in after this, and an answer out.
-const SLOW_KIOSK_S: f64 = 15.0;
+/// A request has to be in so long after its first byte, and a caller's first one after it was let in.
+const REQUEST_S: f64 = 2.5;
+/// A caller has this long to take its answer.
+const TAKE_S: f64 = 5.0;
+/// A caller that has had an answer may stand idle for so long.
+const IDLE_S: f64 = 10.0;
+/// Where there is no room, a request that has not come in whole after this makes it.
+const SQUEEZE_S: f64 = 0.5;
 /// A caller has this long to close after the last answer.
 const LEAVE_S: f64 = 1.0;
 
@@ -106,6 +112,11 @@
     deadline: f64,
 }
 
+/// The caller's own id of a request.
+pub fn call_id(head: &Head) -> &str {
+    head.header("x-call-id").unwrap_or("")
+}
+
 /// All connections.
 pub struct Yard {
     registry: Registry,
@@ -124,6 +135,8 @@
     pub leaving: bool,
     name: String,
     rides: HashMap<RequestId, Ride>,
+    /// The callers' ids of these.
+    call_ids: HashSet<String>,
     /// Where each attempt is.
     out: HashMap<(RequestId, u32), usize>,
     /// The body of the answer that is about to be given.
@@ -157,6 +170,7 @@
             leaving: false,
             name: name.to_owned(),
             rides: HashMap::new(),
+            call_ids: HashSet::new(),
             out: HashMap::new(),
             load: None,
             max_bays: bounds.max_bays,
@@ -190,10 +204,20 @@
         }
     }
 
-    /// Closes the caller's connection that has been idle longest. Guards against a caller cut off whose
-    /// request lies unread, and against one just let in who falls to the crowd behind it.
+    /// Closes the caller's connection that has been idle longest, or else the one that has been at its
+    /// request longest. Guards against a caller cut off whose request lies unread, against one just let in
+    /// who falls to the crowd behind it, and against a crowd with half a request each that shuts others out.
     pub fn send_off_idlest(&mut self) -> bool {
-        let idle = self.kiosks.iter().filter(|(_, k)| matches!(k.stage, Stage::Idle | Stage::Leaving));
+        if self.send_off_first(|k| matches!(k.stage, Stage::Idle | Stage::Leaving)) {
+            return true;
+        }
+        let now = self.now;
+        self.send_off_first(|k| k.stage == Stage::Reading && now - k.since >= SQUEEZE_S)
+    }
+
+    /// Of those who may go, closes the one that has been as it is for longest and loses nothing unread.
+    fn send_off_first(&mut self, may_go: impl Fn(&Kiosk) -> bool) -> bool {
+        let idle = self.kiosks.iter().filter(|(_, k)| may_go(k));
         let mut idle: Vec<_> = idle.map(|(key, k)| (k.since, k.number, key)).collect();
         idle.sort_by(|a, b| a.0.total_cmp(&b.0).then(a.1.cmp(&b.1)));
         let oldest = idle.into_iter().map(|(_, _, key)| key).find(|key| self.kiosks[*key].is_quiet());
@@ -207,12 +231,20 @@
     pub fn seat(&mut self, id: RequestId, kiosk: usize, head: Head, budget: f64) {
         self.kiosks[kiosk].stage = Stage::Waiting(id);
         self.kiosks[kiosk].close |= head.close;
+        self.call_ids.insert(call_id(&head).to_owned());
         self.rides.insert(id, Ride { kiosk, head, deadline: self.now + budget });
     }
 
+    /// Whether a request with the caller's id of this one waits for its answer.
+    pub fn is_seated(&self, head: &Head) -> bool {
+        self.call_ids.contains(call_id(head))
+    }
+
     /// Forgets a driver whose caller has gone.
-    pub fn unseat(&mut self, id: RequestId) {
-        self.rides.remove(&id);
+    pub fn unseat(&mut self, id: RequestId) -> Option<usize> {
+        let ride = self.rides.remove(&id)?;
+        self.call_ids.remove(call_id(&ride.head));
+        Some(ride.kiosk)
     }
 
     /// Answers a kiosk with a few words of the sidecar's own.
@@ -350,9 +382,9 @@
     }
 
     /// Logs an errand that the connection itself has ended.
-    pub fn say_lost(&mut self, node: UpstreamId, ending: Ending, spoilt: bool) {
+    pub fn say_lost(&mut self, node: UpstreamId, ending: Ending, verdict: Verdict) {
         let event = match ending {
-            _ if spoilt => "answer_spoilt",
+            _ if verdict == Verdict::Spoilt => "answer_spoilt",
             Ending::DialFailed => "node_unreachable",
             Ending::Dropped => "node_broke_off",
             _ => return,
@@ -363,7 +395,7 @@
 
     /// Queues how an errand ended, for the barrier.
     pub fn came_to(&mut self, node: UpstreamId, errand: Errand, ending: Ending) {
-        self.say_lost(node, ending, false);
+        self.say_lost(node, ending, Verdict::Plain);
         match errand {
             Errand::Pass { id, attempt } => {
                 self.out.remove(&(id, attempt));
@@ -425,15 +457,21 @@
         bays.into_iter().for_each(|k| self.close_bay(k));
         let used: HashSet<_> = self.bays.iter().map(|(_, b)| b.node).collect();
         self.lots.forget(|node| !used.contains(&node));
-        let spent = |stage, since: f64| match stage {
-            Stage::Leaving => now - since >= LEAVE_S,
-            Stage::Writing => now - since >= SLOW_KIOSK_S,
-            _ => false,
+        let late = |k: &Kiosk| match k.stage {
+            Stage::Leaving => now - k.since >= LEAVE_S,
+            Stage::Writing => now - k.since >= TAKE_S,
+            // Guards against those who connect and say nothing; no caller of ours waits before it asks.
+            Stage::Idle => now - k.since >= if k.new_since.is_some() { REQUEST_S } else { IDLE_S },
+            Stage::Reading | Stage::Waiting(_) => false,
         };
-        let kiosks: Vec<_> =
-            self.kiosks.iter().filter(|(_, k)| spent(k.stage, k.since)).map(|(k, _)| k).collect();
-        kiosks.into_iter().for_each(|k| self.send_off(k));
-        let slow = |k: &Kiosk| k.stage == Stage::Reading && now - k.since >= SLOW_KIOSK_S;
+        let late: Vec<_> = self.kiosks.iter().filter(|(_, k)| late(k)).map(|(key, _)| key).collect();
+        for key in late {
+            let quiet = self.kiosks[key].stage != Stage::Idle || self.kiosks[key].is_quiet();
+            if quiet {
+                self.send_off(key);
+            }
+        }
+        let slow = |k: &Kiosk| k.stage == Stage::Reading && now - k.new_since.unwrap_or(k.since) >= REQUEST_S;
         let slow: Vec<_> = self.kiosks.iter().filter(|(_, k)| slow(k)).map(|(k, _)| k).collect();
         for key in slow {
             self.kiosks[key].close = true;
@@ -508,8 +546,7 @@
 
     fn answer(&mut self, id: RequestId, answer: Answer) {
         let load = self.load.take();
-        let Some(ride) = self.rides.remove(&id) else { return };
-        let key = ride.kiosk;
+        let Some(key) = self.unseat(id) else { return };
         match (answer, load) {
             (Answer::Served { .. }, Some(Load { tray, body, media })) => {
                 let Some(kiosk) = self.kiosks.get_mut(key) else { return self.rack.give_back(tray) };
@@ -526,6 +563,7 @@
             (Answer::Refused { retry_after: None }, _) => {
                 self.word(key, 503, "refused, come again later\n", &[]);
             }
+            (Answer::Faulty, _) => self.word(key, 400, "the node finds the request at fault\n", &[]),
             (Answer::Failed { late: true }, _) => self.word(key, 504, "no answer in time\n", &[]),
             (Answer::Failed { late: false } | Answer::Served { .. }, _) => {
                 self.word(key, 502, "failed\n", &[]);
--- a/tests/relay.rs
+++ b/tests/relay.rs
@@ -91,6 +91,8 @@
         (good.replace("X-Budget: 4", "X-Budget: soon"), 400),
         (good.replace("X-Budget: 4", "X-Budget: -1"), 400),
         (good.replace("X-Budget: 4", "X-Budget: NaN"), 400),
+        (good.replace("X-Budget: 4", "X-Budget: 1e0"), 400),
+        (good.replace("X-Budget: 4", "X-Budget: 86400"), 400),
         (good.replace("Content-Length: 2", "Content-Length: 2\r\nContent-Length: 3"), 400),
         (good.replace("Content-Length: 2", "Content-Length: 2\r\nTransfer-Encoding: chunked"), 400),
         (
@@ -98,6 +100,12 @@
                 .replace("\r\n\r\nab", "\r\n\r\nzz\r\n"),
             400,
         ),
+        (
+            good.replace("Content-Length: 2", "Transfer-Encoding: chunked")
+                .replace("\r\n\r\nab", "\r\n\r\n0\r\n")
+                + &"T: trailers without end\r\n".repeat(30_000),
+            400,
+        ),
         (good.replace("/pay/", "/other/"), 404),
         (good.replace("POST /pay", "GET /pay"), 405),
         (look.replace("GET /look", "POST /look"), 405),
@@ -325,6 +333,76 @@
     }
 }
 
+#[test]
+fn who_brings_no_whole_request_is_turned_away_soon_and_locks_nobody_out() {
+    let node = Server::start(served);
+    let discovery = Discovery::start(vec![node_line("s-0", node.address, "in_service")]);
+    let mut told = config(discovery.server.address);
+    told["limits"]["sockets"] = 44.into();
+    let relay = Relay::start(&told);
+    relay.until_ready();
+    let began = Instant::now();
+    let halves = [
+        String::new(),
+        "POST /pay/x HTTP/1.1\r\nHost: b".to_owned(),
+        request("pay", 4.0, b"four").replace("Content-Length: 4", "Content-Length: 400"),
+        request("pay", 4.0, b"").replace("Content-Length: 0", "Transfer-Encoding: chunked") + "5\r\nab",
+    ];
+    let mut crowd: Vec<_> = (0..40).map(|_| relay.caller()).collect();
+    crowd.iter_mut().zip(halves.iter().cycle()).for_each(|(c, half)| c.send(half));
+    assert_eq!(relay.call("pay", 4.0).status(), 200);
+    for mut caller in crowd {
+        assert!(caller.is_ended());
+    }
+    // Turned away after 2.5 s at the most; before that some had to make room.
+    assert!(began.elapsed() < Duration::from_secs(9), "{:?}", began.elapsed());
+    // A body without end does not keep the loop to itself, nor does its sender keep its connection.
+    let sender = std::thread::spawn({
+        let mut caller = relay.caller();
+        let text = request("pay", 4.0, b"").replace("Content-Length: 0", "Content-Length: 600000000");
+        move || {
+            caller.send(&text);
+            let piece = "z".repeat(1 << 20);
+            (0..600).for_each(|_| caller.send(&piece));
+        }
+    });
+    while !sender.is_finished() {
+        assert_eq!(relay.call("pay", 4.0).status(), 200);
+    }
+    assert_eq!(node.seen().iter().filter(|m| m.body.len() > 4).count(), 0);
+}
+
+#[test]
+fn the_id_of_a_request_that_waits_is_refused_to_another() {
+    let node = Server::start(|m| {
+        std::thread::sleep(Duration::from_millis(600));
+        answer(200, "", m.header("x-call-id").unwrap().as_bytes())
+    });
+    let (relay, _discovery) = Relay::before(&[&node]);
+    let (mut caller, text) = (relay.caller(), request("pay", 4.0, b""));
+    caller.send(&text);
+    until("the node has it", || node.seen().len() == 1);
+    assert_eq!(relay.caller().ask(&text).status(), 409);
+    assert_eq!(caller.hear().unwrap().status(), 200);
+    assert_eq!(node.seen().len(), 1);
+}
+
+#[test]
+fn a_request_that_a_node_finds_at_fault_goes_to_no_other_and_is_not_held_against_the_node() {
+    let strict = |m: &Message| match m.header("x-caller") {
+        Some("acme") if m.line.contains("/x?") => served(m),
+        _ => answer(400, "", b""),
+    };
+    let (one, two) = (Server::start(strict), Server::start(strict));
+    let (relay, _discovery) = Relay::before(&[&one, &two]);
+    for n in 1..=8 {
+        let reply = relay.caller().ask(&request("look", 4.0, b"").replace("/x?", "/y?"));
+        assert_eq!(reply.status(), 400);
+        assert_eq!(one.seen().len() + two.seen().len(), n);
+    }
+    assert_eq!(relay.call("look", 4.0).status(), 200);
+}
+
 #[test]
 fn where_reports_tell_of_held_requests_a_node_is_probed_before_it_is_used() {
     let node = Server::start(|m| answer(200, "X-Load-Report: inflight=0,queue=0\r\n", m.line.as_bytes()));
