Let one broken connection cost health, and two without an answer take the node out

Balancer::outcome took each such Dropped for a node that is down: out for 0.6 s and more, then cold care for 1.5 s. Changed: the first break since the last answer lowers health like an error; a second one without an answer since it was sent ejects as before, and so does a failed dial. A node that is down breaks all connections.

--- a/src/rules.rs
+++ b/src/rules.rs
@@ -500,14 +500,19 @@
                         // It may have restarted unheard: cold care for one window.
                         u.suspect_until = self.now + self.set.fall;
                     }
-                    u.fails = 0;
+                    (u.fails, u.breaks) = (0, 0);
                     u.health += (1.0 - u.health) / 4.0;
                 }
                 Ending::Expired if elapsed > STALL * self.median && u.heard < self.now - elapsed => {
                     self.failed(upstream);
                 }
-                Ending::AppError | Ending::Expired => u.health = (u.health * 0.75).max(0.1),
-                Ending::DialFailed | Ending::Dropped => self.failed(upstream),
+                // Danger: a broken connection is not a broken upstream. One that is down breaks all of them.
+                Ending::Dropped if u.breaks > 0 && u.heard < self.now - elapsed => self.failed(upstream),
+                Ending::AppError | Ending::Expired | Ending::Dropped => {
+                    u.breaks += u32::from(ending == Ending::Dropped);
+                    u.health = (u.health * 0.75).max(0.1);
+                }
+                Ending::DialFailed => self.failed(upstream),
                 Ending::Shed | Ending::Revoked | Ending::Unused => {}
             }
         }
--- a/src/state.rs
+++ b/src/state.rs
@@ -17,6 +17,8 @@
     /// When it last answered anything.
     pub heard: f64,
     pub fails: u32,
+    /// Connections that broke under a request since the last answer.
+    pub breaks: u32,
     pub ejected_until: f64,
     pub suspect_until: f64,
     /// While cold, no further call before this.
@@ -62,6 +64,7 @@
             out: Vec::new(),
             heard: f64::NEG_INFINITY,
             fails: 0,
+            breaks: 0,
             ejected_until: f64::NEG_INFINITY,
             suspect_until: f64::NEG_INFINITY,
             cold_until: f64::NEG_INFINITY,
