--- a/src/rules.rs
+++ b/src/rules.rs
@@ -284,8 +284,8 @@
             let probing = self.now - u.probing.unwrap_or(f64::NEG_INFINITY) < self.set.connect_timeout;
             !out && !cold && !probing && self.in_group(r, u)
         };
-        // Danger: reports are old and noisy, and the slow draw as many turns as their spare CPU says. Who holds
-        // more own calls than the least busy by this much stands aside until answers come.
+        // Danger: reports are old and noisy, and a slow one draws as many turns as its spare CPU says. Who
+        // holds more own calls than the least busy by this much stands aside until answers come.
         // Failing ones are no measure: they are least busy because they fail.
         let served = self.served(r.class);
         let sound = |u: &Upstream| self.trust(u, r.class, served) > SOUND;
