Hold back the last byte of what must not run twice on a kept connection for 2 ms

Checked: the reset comes as soon as bytes arrive; closing idle ones earlier would not help. A break before the last byte is written is 'could not connect' by the protocol, and never ran. Changed: on a connection idle for 50 ms or more, an errand that must not run twice goes out but for its last byte, which follows after 2 ms if the connection shows no fault. Nothing is sent again but by the module. Such a break is told as not sent; a second one without an answer in between counts as a failed dial.

--- a/src/net/lot.rs
+++ b/src/net/lot.rs
@@ -71,6 +71,10 @@
     /// Bytes written so far; all of them are out once the buffer is cleared for the answer.
     written: usize,
     sent: bool,
+    /// The last byte is held back until the connection has had time to show that it is dead. Guards an errand
+    /// that must not run twice against a kept connection that the node has dropped unseen: it would count as
+    /// one that may have run.
+    pub held: bool,
     answer: Option<(Head, BodyReader)>,
 }
 
@@ -86,6 +90,7 @@
             tray: None,
             written: 0,
             sent: false,
+            held: false,
             answer: None,
         }
     }
@@ -121,7 +126,11 @@
         }
         while !self.sent {
             let Some(tray) = self.tray.as_mut() else { return Some(self.broken()) };
-            match self.sock.write(&tray.bytes()[self.written..]) {
+            let end = tray.bytes().len() - usize::from(self.held);
+            if self.written == end {
+                return (!self.is_quiet()).then(|| self.broken());
+            }
+            match self.sock.write(&tray.bytes()[self.written..end]) {
                 Ok(0) => return Some(self.broken()),
                 Ok(n) => self.written += n,
                 Err(e) if e.kind() == io::ErrorKind::Interrupted => {}
@@ -226,6 +235,8 @@
     pub open: bool,
     /// Bays without an errand, the warmest last.
     pub idle: Vec<usize>,
+    /// A connection that was up broke before its errand was out, and nothing whole has come back since.
+    pub hung_up: bool,
 }
 
 /// All lots, and names as numbers.
--- a/src/net/sidecar.rs
+++ b/src/net/sidecar.rs
@@ -216,6 +216,17 @@
             Bell::Barrier(alarm) => self.barrier.rung(now, alarm, &mut self.yard),
             Bell::Dial(key, errand) => self.overdue(key, errand, Phase::Dialing, Ending::DialFailed),
             Bell::Probe(key, errand) => self.overdue(key, errand, Phase::Busy, Ending::Expired),
+            Bell::LastByte(key, errand) => {
+                if let Some(bay) = self.yard.bays.get_mut(key).filter(|b| b.held && b.errand == Some(errand))
+                {
+                    // The check comes before the byte; what breaks after it may have run.
+                    let end = bay.on_ready();
+                    bay.held = false;
+                    if let Some(end) = end.or_else(|| bay.on_ready()) {
+                        self.returned(key, end);
+                    }
+                }
+            }
             Bell::Ask => self.yard.ask(),
             Bell::Overdue(call) => {
                 if self.yard.list.asking && self.yard.list.call == call {
@@ -439,6 +450,7 @@
             return load.into_iter().for_each(|l| self.yard.rack.give_back(l.tray));
         };
         self.yard.say_lost(node, ending, verdict);
+        let ending = self.yard.weigh(node, ending);
         match errand {
             Errand::Pass { id, attempt } if verdict == Verdict::Faulty => {
                 load.into_iter().for_each(|l| self.yard.rack.give_back(l.tray));
--- a/src/net/yard.rs
+++ b/src/net/yard.rs
@@ -21,6 +21,10 @@
 const IDLE_PART: f64 = 0.8;
 /// A probe is given up after this.
 const PROBE_S: f64 = 1.0;
+/// A kept connection idle for this long is tried with all but the last byte of what must not run twice ...
+const TRY_IDLE_S: f64 = 0.05;
+/// ... for this long: a round trip inside the data centre takes well under a millisecond.
+const TRY_S: f64 = 0.002;
 /// A request has to be in so long after its first byte, and a caller's first one after it was let in.
 const REQUEST_S: f64 = 2.5;
 /// A caller has this long to take its answer.
@@ -68,6 +72,8 @@
     Dial(usize, Errand),
     /// A probe should be back.
     Probe(usize, Errand),
+    /// A kept connection has shown no fault: the last byte of its errand may go out.
+    LastByte(usize, Errand),
     /// The next call to discovery.
     Ask,
     /// Discovery should have answered call N.
@@ -327,11 +333,16 @@
                 self.close_bay(key);
                 continue;
             }
+            let idle = self.now - self.bays[key].since;
             self.note(errand, key);
             if !self.load_bay(key, errand) {
                 self.put_back(key);
                 return self.came_to(node, errand, Ending::Unused);
             }
+            self.bays[key].held = idle >= TRY_IDLE_S && self.runs_once(errand);
+            if self.bays[key].held {
+                self.wheel.set(self.now + TRY_S, Bell::LastByte(key, errand));
+            }
             if let Some(end) = self.bays[key].on_ready() {
                 self.news.push_back(News::Back { bay: key, end });
             }
@@ -373,6 +384,12 @@
         }
     }
 
+    /// Whether an errand must not run twice.
+    fn runs_once(&self, errand: Errand) -> bool {
+        let Errand::Pass { id, .. } = errand else { return false };
+        self.rides.get(&id).is_some_and(|r| r.head.method != "GET")
+    }
+
     fn note(&mut self, errand: Errand, key: usize) {
         if let Errand::Pass { id, attempt } = errand {
             self.out.insert((id, attempt), key);
@@ -381,6 +398,20 @@
         }
     }
 
+    /// How the barrier is told of an end on a connection that was up. Guards against taking a node that drops
+    /// one connection for a node that is down: its errand was not sent. The second time it is.
+    pub fn weigh(&mut self, node: UpstreamId, ending: Ending) -> Ending {
+        let Some(lot) = self.lots.by_node.get_mut(&node) else { return ending };
+        match ending {
+            Ending::DialFailed if !std::mem::replace(&mut lot.hung_up, true) => Ending::Unused,
+            Ending::Delivered | Ending::AppError | Ending::Shed => {
+                lot.hung_up = false;
+                ending
+            }
+            _ => ending,
+        }
+    }
+
     /// Logs an errand that the connection itself has ended.
     pub fn say_lost(&mut self, node: UpstreamId, ending: Ending, verdict: Verdict) {
         let event = match ending {
@@ -523,7 +554,8 @@
 
     /// Brings the lots in line with one list line.
     pub fn learn_node(&mut self, node: UpstreamId, dial: SocketAddr, open: bool) {
-        let lot = self.lots.by_node.entry(node).or_insert(Lot { dial, open, idle: Vec::new() });
+        let lot =
+            self.lots.by_node.entry(node).or_insert(Lot { dial, open, idle: Vec::new(), hung_up: false });
         let moved = lot.dial != dial;
         (lot.dial, lot.open) = (dial, open);
         if moved || !open {
