Scale the room with the nodes that can be sent to, and pass over reports that cannot be true

Lines: Balancer::learn_time let the limit grow with every answer, used or not, and dispatch never lowered it with the number of nodes. Report::parse takes nan, negatives and 1e9, and the formula makes factor 0 of them. Changed: the limit scales with the nodes that are in service and not shunned; beyond its start value for all nodes it grows only while half of it is used. Figures that cannot be true make the report unread. Ruled out: growth only while used from the start on (later tiers then have no room for a burst; test).

--- a/src/net/lot.rs
+++ b/src/net/lot.rs
@@ -207,7 +207,7 @@
         };
         let text = std::str::from_utf8(&tray.bytes()[body.start..body.end]).ok();
         let text = head.header("x-load-report").or(text.filter(|_| probe));
-        let report = text.and_then(|t| Report::parse(t.trim(), '=').ok());
+        let report = text.and_then(|t| Report::parse(t.trim(), '=').ok()).filter(Report::is_sound);
         // Bytes behind the answer belong to no request: the connection is not used again.
         let reusable = !head.close && !ended && body.raw == tray.bytes().len();
         let media = head.header("content-type").map(str::to_owned);
--- a/src/report.rs
+++ b/src/report.rs
@@ -2,7 +2,19 @@
 
 use crate::api::Report;
 
+/// More than any figure of a report can be: requests, milliseconds, or requests a second.
+const MOST: f64 = 1e6;
+/// More than any noise makes of a share of the CPU.
+const MOST_CPU: f64 = 4.0;
+
 impl Report {
+    /// Whether all figures can be true. Guards against a node that is starved or flooded by nonsense.
+    pub fn is_sound(&self) -> bool {
+        let figures = [self.active, self.waiting, self.avg_ms, self.rps, self.err_rps];
+        figures.iter().flatten().all(|v| (0.0..=MOST).contains(v))
+            && self.cpu.is_none_or(|v| (0.0..=MOST_CPU).contains(&v))
+    }
+
     /// Reads pairs set apart by commas, name and value by `between`; names not known are skipped.
     ///
     /// Both the names of the settings and those that operators use for the same figures are known.
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -49,6 +49,7 @@
 #[derive(Default)]
 struct Survey {
     on: usize,
+    able: usize,
     probes: usize,
     in_flight: usize,
 }
@@ -192,7 +193,7 @@
             u.home = keeps && (i as f64 - start).rem_euclid(all) < part.ceil();
         }
         if self.limit <= 0.0 {
-            self.limit = START_EACH * self.per_copy();
+            (self.limit, self.able) = (START_EACH * self.per_copy(), self.upstreams.len() as f64);
         }
     }
 
@@ -246,6 +247,7 @@
         let cut = |(bad, good)| bad >= ZONE_BAD && bad > good && all.0 - bad < all.1 - good;
         for (u, bad) in upstreams.values_mut().zip(bad_ones) {
             u.shunned = !panic && (bad || u.fails == 0 && cut(zones[&u.entry.zone]));
+            seen.able += usize::from(u.entry.condition == Condition::On && !u.shunned);
             seen.in_flight += if u.shunned { 0 } else { u.out.len() };
         }
         self.upstreams = upstreams;
@@ -421,7 +423,12 @@
         if held.is_empty() && !(self.set.cancel && self.requests.values().any(safe)) {
             return;
         }
-        let Survey { on, mut probes, in_flight } = self.survey();
+        let Survey { on, able, mut probes, in_flight } = self.survey();
+        if able > 0 && self.able > 0.0 {
+            // Danger: half of the upstreams are gone, and the others get what all of them could carry.
+            self.limit *= able as f64 / self.able;
+            self.able = able as f64;
+        }
         let mut in_flight = in_flight as f64;
         self.rescue(actions);
         if held.is_empty() {
@@ -613,7 +620,8 @@
                 self.limit = (self.limit.min(in_flight + 1.0) * 0.9).max(floor);
                 self.last_cut = self.now;
             }
-        } else {
+        } else if 2.0 * in_flight > self.limit || self.limit < START_EACH * self.able {
+            // Room that is not used says nothing about whether more of it would do.
             self.limit += 0.1;
         }
     }
--- a/src/state.rs
+++ b/src/state.rs
@@ -111,6 +111,8 @@
     pub(crate) warm_sends: f64,
     /// Requests in flight that this copy may have where workers are unknown.
     pub(crate) limit: f64,
+    /// Upstreams that could be sent to when the limit was last set or scaled.
+    pub(crate) able: f64,
     pub(crate) last_cut: f64,
     /// Mean of own calls in flight, and when it was reckoned.
     pub(crate) load: f64,
@@ -144,6 +146,7 @@
             sends: VecDeque::new(),
             warm_sends: 0.0,
             limit: 0.0,
+            able: 0.0,
             last_cut: now,
             load: 0.0,
             load_at: now,
--- a/tests/relay.rs
+++ b/tests/relay.rs
@@ -3,6 +3,7 @@
 mod common;
 
 use common::plaza::*;
+use std::io::{Read, Write};
 use std::net::{SocketAddr, TcpListener};
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::Arc;
@@ -195,6 +196,17 @@
     }
 }
 
+#[test]
+fn a_report_that_cannot_be_true_changes_nothing_and_costs_no_answer() {
+    for report in ["rps=1,cpu=99", "rps=1,cpu=NaN", "rps=-1,cpu=1", "cpu", "rps=1e9,cpu=0.99"] {
+        let node = Server::start(move |_| answer(200, &format!("X-Load-Report: {report}\r\n"), b"ok"));
+        let other = Server::start(|_| answer(200, "", b"ok"));
+        let (relay, _discovery) = Relay::before(&[&node, &other]);
+        assert!((0..20).all(|_| relay.call("pay", 4.0).status() == 200));
+        assert!((8..=12).contains(&node.seen().len()), "{report}: {}", node.seen().len());
+    }
+}
+
 #[test]
 fn a_request_that_has_not_run_is_sent_to_another_node() {
     let shed = Server::start(|_| answer(503, "X-Rejected: 1\r\n", b""));
@@ -224,6 +236,34 @@
     assert_eq!(node.seen().len(), 5);
 }
 
+#[test]
+fn a_kept_connection_that_is_dead_unseen_costs_no_request_that_must_not_run_twice() {
+    // Drops a kept connection at the first byte of the next request on it, which then cannot have run.
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let address = listener.local_addr().unwrap();
+    std::thread::spawn(move || {
+        for sock in listener.incoming().map_while(Result::ok) {
+            std::thread::spawn(move || {
+                let mut reader = std::io::BufReader::new(sock);
+                if Message::read(&mut reader).is_some() {
+                    let _ = reader.get_mut().write_all(b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok");
+                    let _ = reader.get_mut().read(&mut [0]);
+                }
+            });
+        }
+    });
+    let discovery = Discovery::start(vec![node_line("s-0", address, "in_service")]);
+    let relay = Relay::start(&config(discovery.server.address));
+    relay.until_ready();
+    for _ in 0..3 {
+        assert_eq!(relay.call("pay", 4.0).status(), 200);
+        // Long enough idle to be tried first.
+        std::thread::sleep(Duration::from_millis(80));
+        // Not sent, and there is no other node: refused, not failed.
+        assert_eq!(relay.call("pay", 0.5).status(), 503);
+    }
+}
+
 #[test]
 fn idle_connections_are_closed_before_the_node_would() {
     let node = Server::start(served);
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -784,3 +784,12 @@
     let actions = rig.at(began + 0.6, Event::Wake(9));
     assert!(cancelled(&actions));
 }
+
+#[test]
+fn half_of_the_upstreams_are_not_sent_what_all_could_carry() {
+    let mut rig = Rig::new(settings(Effect::Unsafe), (1..=4).map(entry).collect());
+    rig.at(0.1, Event::FullList((1..=2).map(entry).collect()));
+    let sends = (0..60).filter(|_| sent(&rig.submit(0.2).1).is_some()).count();
+    // Twelve for each at the start.
+    assert!((20..=26).contains(&sends), "{sends}");
+}
