Count calls that a node turns away against its record

Line at fault: Balancer::outcome passed over Shed altogether, so a node that turns all away reports idle CPU, holds no calls and draws the most turns. Changed: Shed counts in the record by class like an error (it still never ran and is sent elsewhere).

--- a/src/rules.rs
+++ b/src/rules.rs
@@ -570,7 +570,7 @@
             }
         }
         if let (Some(u), Some(class)) = (self.upstreams.get_mut(&upstream), class) {
-            let failed = matches!(ending, Ending::AppError | Ending::Dropped);
+            let failed = matches!(ending, Ending::AppError | Ending::Dropped | Ending::Shed);
             if failed || ending == Ending::Delivered {
                 u.record.resize(self.set.classes.len(), (0.0, 0.0, self.now));
                 let (served, all, at) = u.record[class.0];
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -793,3 +793,12 @@
     // Twelve for each at the start.
     assert!((20..=26).contains(&sends), "{sends}");
 }
+
+#[test]
+fn an_upstream_that_turns_all_away_draws_few_calls() {
+    // It drains before the list says so, or is full; either way it is idle and looks free.
+    let mut rig = Rig::new(settings(Effect::Unsafe), vec![entry(1), entry(2)]);
+    let ending = |to| if to == UpstreamId(1) { Ending::Shed } else { Ending::Delivered };
+    let turned = (0..60).filter(|_| one(&mut rig, 0, ending) == UpstreamId(1)).count();
+    assert!((1..=10).contains(&turned), "{turned}");
+}
