Turn the package into a workspace: core, settings, sidecar, standin and the programs

Need: the laboratory, the agent and further fronts have to stand beside the sidecar, and core must know no file format or socket. Change: moves only, a crate by concern; Barrier::new takes the module's Settings and not the whole House of the configuration; reading reports became functions of settings, since Report belongs to core. The stand-ins of the process tests are the crate standin, told the program to start.

--- a/src/barrier.rs
+++ b/crates/core/src/barrier.rs
@@ -5,10 +5,9 @@
 //! of a wire format, so that a second protocol goes through the same decisions and keeps the same rules.
 
 use crate::api::{
-    Action, ClassId, Condition, Ending, Entry, Event, Outcome, Report, RequestId, SettingsError, TenantId,
-    UpstreamId,
+    Action, ClassId, Condition, Ending, Entry, Event, Outcome, Report, RequestId, Settings, SettingsError,
+    TenantId, UpstreamId,
 };
-use crate::config::House;
 use crate::state::Balancer;
 use std::collections::{BTreeSet, HashMap, VecDeque};
 
@@ -134,8 +133,8 @@
     /// # Errors
     ///
     /// Returns [`SettingsError`] when the settings make no sense.
-    pub fn new(house: &House, seed: u64) -> Result<Self, SettingsError> {
-        let s = &house.settings;
+    pub fn new(settings: &Settings, seed: u64) -> Result<Self, SettingsError> {
+        let s = settings;
         Ok(Barrier {
             balancer: Balancer::new(s.clone(), seed, 0.0)?,
             drivers: HashMap::new(),
--- a/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -1,15 +1,12 @@
-//! A load-balancing sidecar for services that call services.
-//!
-//! [`net::Sidecar`] is the whole sidecar on sockets, [`barrier::Barrier`] its part that knows no protocol,
-//! and [`config`] reads what both need. The decisions are made by a module of their own, described here.
+//! The decision module of passrelay and the barrier between it and a protocol: no sockets, no files, no clock.
 //!
 //! Each copy of the balancer turns the load reports of its upstreams into load factors and spreads
 //! requests over these by smooth weighted round robin. [`Balancer`] is a state machine without I/O:
 //! the caller hands it events with its own clock and carries out the actions it gets back.
 //!
 //! ```
-//! use passrelay::{Action, Balancer, ClassId, Condition, Entry, Event};
-//! use passrelay::{RequestId, Settings, UpstreamId, ZoneId};
+//! use passrelay_core::{Action, Balancer, ClassId, Condition, Entry, Event};
+//! use passrelay_core::{RequestId, Settings, UpstreamId, ZoneId};
 //!
 //! let mut balancer = Balancer::new(Settings::default(), 7, 0.0)?;
 //! let mut actions = Vec::new();
@@ -31,20 +28,11 @@
 //! };
 //! balancer.handle(0.1, request, &mut actions);
 //! assert!(matches!(actions[..], [Action::Send { upstream: UpstreamId(1), .. }]));
-//! # Ok::<(), passrelay::SettingsError>(())
+//! # Ok::<(), passrelay_core::SettingsError>(())
 //! ```
-#![forbid(unsafe_code)]
-#![warn(missing_docs)]
-
 mod api;
 pub mod barrier;
-pub mod cli;
-pub mod config;
-pub mod log;
-pub mod net;
-mod report;
 mod rules;
-pub mod sheet;
 mod state;
 
 pub use api::{
--- a/tests/common/mod.rs
+++ b/crates/core/tests/common/mod.rs
@@ -1,9 +1,7 @@
 //! A small driver around the public API.
 #![allow(dead_code)]
 
-pub mod plaza;
-
-use passrelay::*;
+use passrelay_core::*;
 
 pub fn entry(id: u64) -> Entry {
     Entry { upstream: UpstreamId(id), zone: ZoneId(0), cell: 0, condition: Condition::On, started: None }
--- a/tests/rules.rs
+++ b/crates/core/tests/rules.rs
@@ -3,7 +3,7 @@
 mod common;
 
 use common::*;
-use passrelay::*;
+use passrelay_core::*;
 
 fn cpu(value: f64) -> Option<Report> {
     Some(Report { cpu: Some(value), ..Report::default() })
--- a/src/cli.rs
+++ b/crates/passrelay/src/cli.rs
@@ -1,7 +1,7 @@
 //! The command line: a word for what to do, `run` if there is none.
 
-use crate::config::Config;
-use crate::net::Sidecar;
+use passrelay_settings::Config;
+use passrelay_sidecar::Sidecar;
 use std::error::Error;
 use std::process::ExitCode;
 
--- a/tests/list.rs
+++ b/crates/passrelay/tests/list.rs
@@ -1,8 +1,6 @@
 //! The sidecar as a process: what it does with the node list, with discovery, and with its configuration.
 
-mod common;
-
-use common::plaza::*;
+use passrelay_standin::*;
 use serde_json::json;
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::process::Command;
@@ -10,13 +8,15 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
+const PROGRAM: &str = env!("CARGO_BIN_EXE_passrelay");
+
 #[test]
 fn the_known_list_serves_while_discovery_is_silent() {
     let node = Server::start(|_| answer(200, "", b"ok"));
     let discovery = Server::start(|_| Reply::Silence);
     let mut told = config(discovery.address);
     told["known"] = json!({"seq": 4, "whole": true, "hosts": [node_line("s-0", node.address, "in_service")]});
-    let relay = Relay::start(&told);
+    let relay = Relay::start(PROGRAM, &told);
     relay.until_ready();
     assert_eq!(relay.call("pay", 4.0).status(), 200);
     until("it watches from the known version", || !discovery.seen().is_empty());
@@ -43,7 +43,7 @@
     });
     let mut told = config(discovery.address);
     told["settings"]["Rules"]["AskEvery"] = 1.0.into();
-    let relay = Relay::start(&told);
+    let relay = Relay::start(PROGRAM, &told);
     let mut caller = relay.caller();
     until("discovery is asked", || asked.load(Ordering::SeqCst) > 0);
     assert_eq!(caller.ask("GET /ready HTTP/1.1\r\n\r\n").status(), 503);
@@ -64,7 +64,7 @@
     });
     let mut told = config(discovery.address);
     told["settings"]["RegistryMode"] = "push".into();
-    let relay = Relay::start(&told);
+    let relay = Relay::start(PROGRAM, &told);
     relay.until_ready();
     assert!(relay.logged("problem=\"status 503\"").is_some());
 }
@@ -73,7 +73,7 @@
 fn a_watch_goes_on_at_once_and_a_hasty_discovery_is_not_stormed() {
     let node = Server::start(|_| answer(200, "", b"ok"));
     let discovery = Discovery::start(vec![node_line("s-0", node.address, "in_service")]);
-    let relay = Relay::start(&config(discovery.server.address));
+    let relay = Relay::start(PROGRAM, &config(discovery.server.address));
     relay.until_ready();
     for seq in 1..4 {
         until("the next watch is there", || discovery.server.seen().len() == seq + 1);
@@ -81,7 +81,7 @@
         discovery.tell(vec![node_line("s-0", node.address, "in_service")]);
     }
     let hasty = Server::start(|_| answer(200, "", br#"{"seq":1,"whole":true,"hosts":[]}"#));
-    let relay = Relay::start(&config(hasty.address));
+    let relay = Relay::start(PROGRAM, &config(hasty.address));
     let began = Instant::now();
     relay.until_logged("event=list_failed");
     // 50 ms between two calls at the least, so that a slow machine only makes it fewer.
@@ -97,7 +97,7 @@
         }
         answer(200, "", b"ok")
     });
-    let (mut relay, old) = Relay::before(&[&node]);
+    let (mut relay, old) = Relay::before(PROGRAM, &[&node]);
     until("it watches", || old.server.seen().len() == 2);
     let mut open = relay.caller();
     open.send(&request("look", 6.0, b""));
@@ -145,7 +145,7 @@
     told["settings"]["Limits"]["ConnectTimeout"] = 10.0.into();
     told["settings"]["Classes"][1]["Aim"] = 10.0.into();
     told["settings"]["Classes"][1]["GiveUp"] = 10.0.into();
-    let relay = Relay::start(&told);
+    let relay = Relay::start(PROGRAM, &told);
     relay.until_ready();
     let mut caller = relay.caller();
     caller.send(&request("pay", 9.0, b""));
@@ -184,7 +184,7 @@
         ("/settings/Balancers", json!(0), "balancers"),
     ];
     let run = |path: Option<&std::path::Path>| {
-        let mut command = Command::new(env!("CARGO_BIN_EXE_passrelay"));
+        let mut command = Command::new(PROGRAM);
         command.env_remove("RELAY_CONFIG");
         path.into_iter().for_each(|p| _ = command.env("RELAY_CONFIG", p));
         let out = command.output().unwrap();
--- a/tests/relay.rs
+++ b/crates/passrelay/tests/relay.rs
@@ -1,14 +1,14 @@
 //! The sidecar as a process: requests through it, and what its callers and nodes may do to it.
 
-mod common;
-
-use common::plaza::*;
+use passrelay_standin::*;
 use std::io::{Read, Write};
 use std::net::{SocketAddr, TcpListener};
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
+const PROGRAM: &str = env!("CARGO_BIN_EXE_passrelay");
+
 fn served(_: &Message) -> Reply {
     answer(200, "X-Load-Report: rps=3,cpu=0.5\r\n", b"done")
 }
@@ -21,7 +21,7 @@
 #[test]
 fn a_request_passes_unchanged_and_connections_are_used_again() {
     let node = Server::start(served);
-    let (relay, _discovery) = Relay::before(&[&node]);
+    let (relay, _discovery) = Relay::before(PROGRAM, &[&node]);
     let mut caller = relay.caller();
     for _ in 0..3 {
         let text = request("pay", 4.0, b"lot=7").replace("X-Caller", "X-Hop: 1\r\nX-Caller");
@@ -64,7 +64,7 @@
         _ => answer(200, "Content-Type: text/x\r\n", b"abcdefg"),
     }
     });
-    let (relay, _discovery) = Relay::before(&[&node]);
+    let (relay, _discovery) = Relay::before(PROGRAM, &[&node]);
     for framing in ["chunks", "close", "length", "early", "chunks", "big"] {
         let text =
             request("look", 4.0, b"").replace("X-Caller", &format!("X-Framing: {framing}\r\nX-Caller"));
@@ -78,7 +78,7 @@
 #[test]
 fn requests_that_cannot_be_read_are_turned_back_and_harm_nobody() {
     let node = Server::start(served);
-    let (relay, _discovery) = Relay::before(&[&node]);
+    let (relay, _discovery) = Relay::before(PROGRAM, &[&node]);
     let good = request("pay", 4.0, b"ab");
     let look = request("look", 4.0, b"");
     let cases = [
@@ -150,7 +150,7 @@
     ];
     for node in rude {
         let other = Server::start(served);
-        let (relay, discovery) = Relay::before(&[&node]);
+        let (relay, discovery) = Relay::before(PROGRAM, &[&node]);
         // The second node is there to be sent to, were it allowed.
         discovery.tell(vec![
             node_line("s-0", node.address, "in_service"),
@@ -187,7 +187,7 @@
             false => served(m),
         });
         let other = Server::start(served);
-        let (relay, _discovery) = Relay::before(&[&node, &other]);
+        let (relay, _discovery) = Relay::before(PROGRAM, &[&node, &other]);
         let refused = (0..60).filter(|_| relay.call("pay", 4.0).status() != 200).count();
         assert!(!rude.load(Ordering::SeqCst) && refused == 1, "{refused}");
         // It goes on getting its part, over a new connection.
@@ -201,7 +201,7 @@
     for report in ["rps=1,cpu=99", "rps=1,cpu=NaN", "rps=-1,cpu=1", "cpu", "rps=1e9,cpu=0.99"] {
         let node = Server::start(move |_| answer(200, &format!("X-Load-Report: {report}\r\n"), b"ok"));
         let other = Server::start(|_| answer(200, "", b"ok"));
-        let (relay, _discovery) = Relay::before(&[&node, &other]);
+        let (relay, _discovery) = Relay::before(PROGRAM, &[&node, &other]);
         assert!((0..20).all(|_| relay.call("pay", 4.0).status() == 200));
         assert!((8..=12).contains(&node.seen().len()), "{report}: {}", node.seen().len());
     }
@@ -216,7 +216,7 @@
         node_line("s-1", nobody(), "in_service"),
         node_line("s-2", other.address, "in_service"),
     ]);
-    let relay = Relay::start(&config(discovery.server.address));
+    let relay = Relay::start(PROGRAM, &config(discovery.server.address));
     relay.until_ready();
     for _ in 0..8 {
         assert_eq!(relay.call("pay", 4.0).status(), 200);
@@ -228,7 +228,7 @@
 fn a_connection_that_the_node_ended_is_not_used_again() {
     // Guards against a send on a stale connection, which would have to count as one that may have run.
     let node = Server::start(|_| Reply::Last(b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok".to_vec()));
-    let (relay, _discovery) = Relay::before(&[&node]);
+    let (relay, _discovery) = Relay::before(PROGRAM, &[&node]);
     for n in 1..=5 {
         assert_eq!(relay.call("pay", 4.0).status(), 200);
         until("the node has closed", || node.ended() == n);
@@ -253,7 +253,7 @@
         }
     });
     let discovery = Discovery::start(vec![node_line("s-0", address, "in_service")]);
-    let relay = Relay::start(&config(discovery.server.address));
+    let relay = Relay::start(PROGRAM, &config(discovery.server.address));
     relay.until_ready();
     for _ in 0..3 {
         assert_eq!(relay.call("pay", 4.0).status(), 200);
@@ -270,7 +270,7 @@
     let discovery = Discovery::start(vec![node_line("s-0", node.address, "in_service")]);
     let mut told = config(discovery.server.address);
     told["settings"]["Limits"]["ConnIdle"] = 2.0.into();
-    let relay = Relay::start(&told);
+    let relay = Relay::start(PROGRAM, &told);
     relay.until_ready();
     let began = Instant::now();
     assert_eq!(relay.call("pay", 4.0).status(), 200);
@@ -281,7 +281,7 @@
 #[test]
 fn a_silent_node_costs_the_budget_and_no_more() {
     let node = Server::start(|_| Reply::Silence);
-    let (relay, _discovery) = Relay::before(&[&node]);
+    let (relay, _discovery) = Relay::before(PROGRAM, &[&node]);
     let began = Instant::now();
     assert_eq!(relay.call("pay", 0.6).status(), 504);
     let took = began.elapsed().as_secs_f64();
@@ -293,7 +293,7 @@
 #[test]
 fn a_refusal_says_when_to_come_again() {
     let node = Server::start(|_| answer(503, "X-Rejected: 1\r\n", b""));
-    let (mut relay, _discovery) = Relay::before(&[&node]);
+    let (mut relay, _discovery) = Relay::before(PROGRAM, &[&node]);
     let began = Instant::now();
     let reply = relay.call("pay", 0.8);
     assert_eq!((reply.status(), reply.header("retry-after")), (503, Some("2")));
@@ -315,7 +315,7 @@
     let discovery = Discovery::start(vec![node_line("s-0", node.address, "in_service")]);
     let mut told = config(discovery.server.address);
     told["settings"]["Limits"]["ConnIdle"] = 1.0.into();
-    let mut relay = Relay::start(&told);
+    let mut relay = Relay::start(PROGRAM, &told);
     relay.until_ready();
     let (mut caller, began) = (relay.caller(), Instant::now());
     caller.send(&request("look", 12.0, b""));
@@ -338,7 +338,7 @@
         }
         answer(200, "", b"ok")
     });
-    let (mut relay, _discovery) = Relay::before(&[&node]);
+    let (mut relay, _discovery) = Relay::before(PROGRAM, &[&node]);
     let (mut early, mut idle) = (relay.caller(), relay.caller());
     early.send(&request("look", 5.0, b""));
     assert_eq!(idle.ask(&request("pay", 5.0, b"")).status(), 200);
@@ -364,7 +364,7 @@
     for (sockets, descriptors) in [(44, 1024), (1024, 24)] {
         let mut told = config(discovery.server.address);
         told["limits"]["sockets"] = sockets.into();
-        let mut relay = Relay::start_limited(&told, descriptors);
+        let mut relay = Relay::start_limited(PROGRAM, &told, descriptors);
         relay.until_ready();
         let crowd: Vec<_> = (0..60).map(|_| relay.caller()).collect();
         for _ in 0..3 {
@@ -381,7 +381,7 @@
     let discovery = Discovery::start(vec![node_line("s-0", node.address, "in_service")]);
     let mut told = config(discovery.server.address);
     told["limits"]["sockets"] = 44.into();
-    let relay = Relay::start(&told);
+    let relay = Relay::start(PROGRAM, &told);
     relay.until_ready();
     let began = Instant::now();
     let halves = [
@@ -420,7 +420,7 @@
         std::thread::sleep(Duration::from_millis(600));
         answer(200, "", m.header("x-call-id").unwrap().as_bytes())
     });
-    let (relay, _discovery) = Relay::before(&[&node]);
+    let (relay, _discovery) = Relay::before(PROGRAM, &[&node]);
     let (mut caller, text) = (relay.caller(), request("pay", 4.0, b""));
     caller.send(&text);
     until("the node has it", || node.seen().len() == 1);
@@ -436,7 +436,7 @@
         _ => answer(400, "", b""),
     };
     let (one, two) = (Server::start(strict), Server::start(strict));
-    let (relay, _discovery) = Relay::before(&[&one, &two]);
+    let (relay, _discovery) = Relay::before(PROGRAM, &[&one, &two]);
     for n in 1..=8 {
         let reply = relay.caller().ask(&request("look", 4.0, b"").replace("/x?", "/y?"));
         assert_eq!(reply.status(), 400);
@@ -451,7 +451,7 @@
     let discovery = Discovery::start(vec![node_line("s-0", node.address, "in_service")]);
     let mut told = config(discovery.server.address);
     told["settings"]["Report"]["Fields"] = serde_json::json!(["active", "waiting"]);
-    let relay = Relay::start(&told);
+    let relay = Relay::start(PROGRAM, &told);
     relay.until_ready();
     assert_eq!(relay.call("pay", 4.0).body, b"POST /pay/x?k=7&v=a%20b HTTP/1.1");
     let lines: Vec<_> = node.seen().into_iter().map(|m| (m.line, m.connection)).collect();
--- a/src/config.rs
+++ b/crates/settings/src/config.rs
@@ -3,8 +3,8 @@
 //! A sidecar is told its settings as nested JSON, the simulator's host as `path=value` pairs. Both are
 //! brought into the form of pairs and go through the same checks.
 
-use crate::api::{Class, DedupScope, Effect, Entry, Settings, Tenant, TenantId, ZoneId};
 use crate::sheet::Sheet;
+use passrelay_core::{Class, DedupScope, Effect, Entry, Settings, Tenant, TenantId, ZoneId};
 use serde_json::Value;
 use std::collections::BTreeMap;
 use std::fmt;
--- /dev/null
+++ b/crates/settings/src/lib.rs
@@ -0,0 +1,9 @@
+//! What a sidecar is told, as it is written: its configuration, node lists and load reports.
+
+mod config;
+mod report;
+mod sheet;
+
+pub use config::{Config, ConfigError, House, Item, Names};
+pub use report::{is_sound, parse_report};
+pub use sheet::{NodeLine, Sheet};
--- a/src/sheet.rs
+++ b/crates/settings/src/sheet.rs
@@ -1,6 +1,6 @@
 //! The node list as discovery writes it, and as `known` in the configuration holds it.
 
-use crate::api::Condition;
+use passrelay_core::Condition;
 use serde_json::Value;
 use std::net::SocketAddr;
 
--- a/src/net/http.rs
+++ b/crates/sidecar/src/http.rs
@@ -1,6 +1,6 @@
 //! HTTP/1.1 framing: heads by httparse, bodies by length, in chunks or up to the end of the connection.
 
-use super::tray::{Tray, BODY_ROOM, HEAD_ROOM};
+use crate::tray::{Tray, BODY_ROOM, HEAD_ROOM};
 use std::fmt::Display;
 use std::io::Write;
 
--- a/src/net/kiosk.rs
+++ b/crates/sidecar/src/kiosk.rs
@@ -1,9 +1,9 @@
 //! A kiosk: the connection of one caller. It brings one driver at a time and takes its answer back.
 
-use super::http::{BodyReader, Fault, Head};
-use super::tray::{Rack, Tray};
-use crate::api::RequestId;
+use crate::http::{BodyReader, Fault, Head};
+use crate::tray::{Rack, Tray};
 use mio::net::TcpStream;
+use passrelay_core::RequestId;
 use std::io::{self, IoSlice, Read, Write};
 use std::net::Shutdown;
 use std::ops::Range;
--- a/src/net/mod.rs
+++ b/crates/sidecar/src/lib.rs
@@ -3,6 +3,7 @@
 mod gate;
 mod http;
 mod kiosk;
+mod log;
 mod lot;
 mod node_list;
 mod sidecar;
--- a/src/net/lot.rs
+++ b/crates/sidecar/src/lot.rs
@@ -1,9 +1,10 @@
 //! Lots: the connections to each node. A bay is one connection and carries one errand at a time.
 
-use super::http::{BodyReader, Head};
-use super::tray::{Rack, Tray};
-use crate::api::{Ending, Report, RequestId, UpstreamId};
+use crate::http::{BodyReader, Head};
+use crate::tray::{Rack, Tray};
 use mio::net::TcpStream;
+use passrelay_core::{Ending, Report, RequestId, UpstreamId};
+use passrelay_settings::{is_sound, parse_report};
 use std::collections::HashMap;
 use std::io::{self, Read, Write};
 use std::net::SocketAddr;
@@ -207,7 +208,7 @@
         };
         let text = std::str::from_utf8(&tray.bytes()[body.start..body.end]).ok();
         let text = head.header("x-load-report").or(text.filter(|_| probe));
-        let report = text.and_then(|t| Report::parse(t.trim(), '=').ok()).filter(Report::is_sound);
+        let report = text.and_then(|t| parse_report(t.trim(), '=').ok()).filter(is_sound);
         // Bytes behind the answer belong to no request: the connection is not used again.
         let reusable = !head.close && !ended && body.raw == tray.bytes().len();
         let media = head.header("content-type").map(str::to_owned);
--- a/src/net/node_list.rs
+++ b/crates/sidecar/src/node_list.rs
@@ -1,9 +1,9 @@
 //! The node list: one connection to discovery, one call at a time.
 
-use super::http::{BodyReader, Head};
-use super::tray::{Rack, Tray};
-use crate::sheet::Sheet;
+use crate::http::{BodyReader, Head};
+use crate::tray::{Rack, Tray};
 use mio::net::TcpStream;
+use passrelay_settings::Sheet;
 use std::io::{self, Read, Write};
 use std::net::SocketAddr;
 
--- a/src/net/sidecar.rs
+++ b/crates/sidecar/src/sidecar.rs
@@ -1,17 +1,16 @@
 //! The loop: what the poller, the wheel and the yard report goes to the barrier.
 
-use super::gate::{Comer, Gate};
-use super::http::Head;
-use super::kiosk::{Brought, Stage};
-use super::lot::{Errand, Phase, Return, Verdict};
-use super::node_list::{NodeList, Word, PAUSE_S};
-use super::yard::{owner, Bell, Bounds, News, Owner, Yard, GATE, NODE_LIST, SIGNALS};
-use crate::api::{Condition, Effect, Ending, Entry, RequestId, ZoneId};
-use crate::barrier::{Arrival, Barrier};
-use crate::config::{Config, House, Item};
+use crate::gate::{Comer, Gate};
+use crate::http::Head;
+use crate::kiosk::{Brought, Stage};
 use crate::log::Log;
-use crate::sheet::Sheet;
+use crate::lot::{Errand, Phase, Return, Verdict};
+use crate::node_list::{NodeList, Word, PAUSE_S};
+use crate::yard::{owner, Bell, Bounds, News, Owner, Yard, GATE, NODE_LIST, SIGNALS};
 use mio::{Events, Interest, Poll};
+use passrelay_core::barrier::{Arrival, Barrier};
+use passrelay_core::{Condition, Effect, Ending, Entry, RequestId, ZoneId};
+use passrelay_settings::{Config, House, Item, Sheet};
 use signal_hook::consts::{SIGHUP, SIGINT, SIGTERM};
 use signal_hook_mio::v1_0::Signals;
 use std::error::Error;
@@ -97,7 +96,7 @@
         let list = NodeList::new(discovery, known.as_ref().map(|k| k.seq));
         let registry = poll.registry().try_clone()?;
         let mut yard = Yard::new(registry, s.tick, list, Log::new(&name), &name, &bounds);
-        let barrier = Barrier::new(&house, seed)?;
+        let barrier = Barrier::new(&house.settings, seed)?;
         yard.wheel.set(SWEEP_S, Bell::Sweep);
         yard.wheel.set(FIGURES_S, Bell::Figures);
         yard.say("info", "started", &[("tier", &house.tier), ("listen", &listen), ("rank", &s.rank)]);
@@ -123,7 +122,7 @@
         sidecar.learn(known.unwrap_or(Sheet { whole: true, ..Sheet::default() }));
         if !sidecar.yard.list.wanted {
             // The list is asked for also where changes come unasked in the simulator: here they never do.
-            crate::barrier::Lane::watch(&mut sidecar.yard);
+            passrelay_core::barrier::Lane::watch(&mut sidecar.yard);
         }
         sidecar.settle();
         Ok(sidecar)
@@ -181,7 +180,7 @@
 
     fn is_done(&self) -> bool {
         let now = self.yard.now;
-        let leaving = |k: &super::kiosk::Kiosk| match k.stage {
+        let leaving = |k: &crate::kiosk::Kiosk| match k.stage {
             Stage::Idle | Stage::Leaving => true,
             Stage::Reading => now - k.since > PART_S,
             Stage::Waiting(_) | Stage::Writing => false,
@@ -258,7 +257,7 @@
 
     /// An errand that is still in this phase has taken too long.
     fn overdue(&mut self, key: usize, errand: Errand, phase: Phase, ending: Ending) {
-        let late = |b: &super::lot::Bay| b.phase == phase && b.errand == Some(errand);
+        let late = |b: &crate::lot::Bay| b.phase == phase && b.errand == Some(errand);
         if self.yard.bays.get(key).is_some_and(late) {
             if let Some((node, errand)) = self.yard.free_bay(key, false) {
                 self.yard.came_to(node, errand, ending);
@@ -406,7 +405,7 @@
             return Err((409, "X-Call-Id is that of a request that waits"));
         }
         let repeat = head.header("x-again") == Some("1");
-        Ok(Arrival { class: crate::api::ClassId(class), tenant, budget, repeat })
+        Ok(Arrival { class: passrelay_core::ClassId(class), tenant, budget, repeat })
     }
 
     // ---- Nodes ----
--- a/src/net/yard.rs
+++ b/crates/sidecar/src/yard.rs
@@ -1,16 +1,16 @@
 //! The yard: every connection of the sidecar, and how the barrier's wishes are carried out on them.
 
-use super::http::{answer_head, Head};
-use super::kiosk::{Kiosk, Stage};
-use super::lot::{Bay, Errand, Load, Lot, Lots, Phase, Return, Verdict};
-use super::node_list::NodeList;
-use super::tray::{Rack, Tray};
-use super::wheel::Wheel;
-use crate::api::{Ending, RequestId, UpstreamId};
-use crate::barrier::{Alarm, Answer, Lane};
+use crate::http::{answer_head, Head};
+use crate::kiosk::{Kiosk, Stage};
 use crate::log::Log;
+use crate::lot::{Bay, Errand, Load, Lot, Lots, Phase, Return, Verdict};
+use crate::node_list::NodeList;
+use crate::tray::{Rack, Tray};
+use crate::wheel::Wheel;
 use mio::net::TcpStream;
 use mio::{Interest, Registry, Token};
+use passrelay_core::barrier::{Alarm, Answer, Lane};
+use passrelay_core::{Ending, RequestId, UpstreamId};
 use slab::Slab;
 use std::collections::{HashMap, HashSet, VecDeque};
 use std::fmt::Display;
--- a/src/bin/passrelay-simhost/main.rs
+++ b/crates/simhost/src/main.rs
@@ -1,10 +1,9 @@
 //! Speaks the simulator's wire on standard input and output and hosts the instances of the module.
-#![forbid(unsafe_code)]
 
 mod wire;
 
-use passrelay::config::{House, Item, Names};
-use passrelay::{Action, Balancer, Event};
+use passrelay_core::{Action, Balancer, Event};
+use passrelay_settings::{House, Item, Names};
 use std::collections::BTreeMap;
 use std::io::{self, BufRead, Write};
 use std::panic::{catch_unwind, AssertUnwindSafe};
--- a/src/bin/passrelay-simhost/wire.rs
+++ b/crates/simhost/src/wire.rs
@@ -1,9 +1,9 @@
 //! Parsing and printing of the wire's lines. No decisions are made here.
 
-use passrelay::config::{Item, Names};
-use passrelay::{
+use passrelay_core::{
     Action, ClassId, Condition, Ending, Entry, Event, Outcome, Report, RequestId, UpstreamId, ZoneId,
 };
+use passrelay_settings::{parse_report, Item, Names};
 use std::fmt::Write as _;
 use std::str::FromStr;
 
@@ -108,7 +108,7 @@
 }
 
 fn report(text: Option<&str>) -> Result<Option<Report>, Expected> {
-    text.map(|t| Report::parse(t, ':')).transpose()
+    text.map(|t| parse_report(t, ':')).transpose()
 }
 
 /// Parses an event of one instance other than those about lists, starts and stops. `None`: not for the module.
--- a/tests/common/plaza.rs
+++ b/crates/standin/src/lib.rs
@@ -24,18 +24,23 @@
 /// A message as it came: its first line, its headers in lower case, its body.
 #[derive(Clone, Debug, Default)]
 pub struct Message {
+    /// The first line.
     pub line: String,
+    /// Names in lower case, with their values.
     pub headers: Vec<(String, String)>,
+    /// The body.
     pub body: Vec<u8>,
     /// Number of the connection at its server.
     pub connection: usize,
 }
 
 impl Message {
+    /// The first value of a header, named in lower case.
     pub fn header(&self, name: &str) -> Option<&str> {
         self.headers.iter().find(|(n, _)| n == name).map(|(_, v)| v.as_str())
     }
 
+    /// The status of an answer; 0 if it has none.
     pub fn status(&self) -> u16 {
         self.line.split(' ').nth(1).and_then(|s| s.parse().ok()).unwrap_or(0)
     }
@@ -67,6 +72,7 @@
 
 /// What a server does with a request.
 pub enum Reply {
+    /// Writes this and keeps the connection.
     Bytes(Vec<u8>),
     /// Writes this, then closes.
     Last(Vec<u8>),
@@ -82,16 +88,19 @@
 
 /// A server whose answers the test decides; used as a node and as discovery.
 pub struct Server {
+    /// Where it listens.
     pub address: SocketAddr,
     seen: Arc<Mutex<Vec<Message>>>,
     ended: Arc<AtomicUsize>,
 }
 
 impl Server {
+    /// A server on a free port of loopback.
     pub fn start(reply: impl Fn(&Message) -> Reply + Send + Sync + 'static) -> Server {
         Server::on(TcpListener::bind("127.0.0.1:0").unwrap(), reply)
     }
 
+    /// A server on this listener.
     pub fn on(listener: TcpListener, reply: impl Fn(&Message) -> Reply + Send + Sync + 'static) -> Server {
         let (seen, reply) = (Arc::new(Mutex::new(Vec::new())), Arc::new(reply));
         let ended = Arc::new(AtomicUsize::new(0));
@@ -142,11 +151,13 @@
 
 /// Discovery: tells the list it holds, and holds watches until that changes.
 pub struct Discovery {
+    /// The server behind it.
     pub server: Server,
     sheet: Arc<Mutex<Value>>,
 }
 
 impl Discovery {
+    /// Discovery that tells these lines.
     pub fn start(lines: Vec<Value>) -> Discovery {
         let sheet = Arc::new(Mutex::new(json!({"seq": 1, "whole": true, "hosts": lines})));
         let held = sheet.clone();
@@ -195,6 +206,7 @@
 
 /// The program as a process; killed when dropped.
 pub struct Relay {
+    /// Where it listens.
     pub address: SocketAddr,
     child: Child,
     file: std::path::PathBuf,
@@ -204,15 +216,15 @@
 
 impl Relay {
     /// Starts the program and waits until it listens.
-    pub fn start(config: &Value) -> Relay {
-        Relay::start_limited(config, 1024)
+    pub fn start(program: &str, config: &Value) -> Relay {
+        Relay::start_limited(program, config, 1024)
     }
 
     /// The same under a limit of the system on descriptors.
-    pub fn start_limited(config: &Value, descriptors: u32) -> Relay {
+    pub fn start_limited(program: &str, config: &Value, descriptors: u32) -> Relay {
         let path = config_file(config);
         let mut child = Command::new("/bin/sh")
-            .args(["-c", &format!("ulimit -n {descriptors}; exec {}", env!("CARGO_BIN_EXE_passrelay"))])
+            .args(["-c", &format!("ulimit -n {descriptors}; exec {program}")])
             .env("RELAY_CONFIG", &path)
             .env("RELAY_DISCOVERY", config["discovery"].as_str().unwrap())
             .stderr(Stdio::piped())
@@ -233,28 +245,32 @@
     }
 
     /// Starts a sidecar with these nodes, all in service, and waits until it is ready.
-    pub fn before(nodes: &[&Server]) -> (Relay, Discovery) {
+    pub fn before(program: &str, nodes: &[&Server]) -> (Relay, Discovery) {
         let lines = nodes.iter().enumerate();
         let lines = lines.map(|(n, s)| node_line(&format!("s-{n}"), s.address, "in_service")).collect();
         let discovery = Discovery::start(lines);
-        let relay = Relay::start(&config(discovery.server.address));
+        let relay = Relay::start(program, &config(discovery.server.address));
         relay.until_ready();
         (relay, discovery)
     }
 
+    /// Waits until it says that it is ready.
     pub fn until_ready(&self) {
         until("it is ready", || self.caller().ask("GET /ready HTTP/1.1\r\n\r\n").status() == 200);
     }
 
+    /// The first log line that holds this text.
     pub fn logged(&self, text: &str) -> Option<String> {
         self.log.lock().unwrap().iter().find(|l| l.contains(text)).cloned()
     }
 
+    /// Waits for a log line that holds this text.
     pub fn until_logged(&self, text: &str) -> String {
         until(&format!("'{text}' is logged"), || self.logged(text).is_some());
         self.logged(text).unwrap()
     }
 
+    /// A new connection to it.
     pub fn caller(&self) -> Caller {
         let sock = TcpStream::connect(self.address).unwrap();
         sock.set_read_timeout(Some(PATIENCE)).unwrap();
@@ -266,10 +282,12 @@
         self.caller().ask(&request(class, budget, b""))
     }
 
+    /// Sends SIGTERM.
     pub fn terminate(&self) {
         self.signal("TERM");
     }
 
+    /// Sends a signal by its name without SIG.
     pub fn signal(&self, name: &str) {
         let kill = Command::new("kill").args(["-s", name, &self.child.id().to_string()]).status().unwrap();
         assert!(kill.success());
@@ -287,6 +305,7 @@
         self.child.wait().unwrap().success()
     }
 
+    /// Whether the process is there.
     pub fn is_running(&mut self) -> bool {
         self.child.try_wait().unwrap().is_none()
     }
@@ -330,15 +349,18 @@
 }
 
 impl Caller {
+    /// Writes this text.
     pub fn send(&mut self, text: &str) {
         // The other side may have closed already; what matters is then what it answered.
         let _ = self.reader.get_mut().write_all(text.as_bytes());
     }
 
+    /// Reads one answer; `None` at the end of the connection.
     pub fn hear(&mut self) -> Option<Message> {
         Message::read(&mut self.reader)
     }
 
+    /// Writes this text and reads the answer.
     pub fn ask(&mut self, text: &str) -> Message {
         self.send(text);
         self.hear().expect("an answer")
