--- a/crates/core/src/barrier.rs
+++ b/crates/core/src/barrier.rs
@@ -63,6 +63,25 @@
     fn alarm(&mut self, at: f64, alarm: Alarm);
 }
 
+/// What decides behind the barrier: takes what happened and says what is to be done. The sidecar's is
+/// [`Balancer`]; others may take its place, for comparison, and are held to the same answers.
+pub trait Decider {
+    /// Takes one event at time `now` and adds what is to be done to `actions`.
+    fn handle(&mut self, now: f64, event: Event, actions: &mut Vec<Action>);
+}
+
+impl Decider for Balancer {
+    fn handle(&mut self, now: f64, event: Event, actions: &mut Vec<Action>) {
+        Balancer::handle(self, now, event, actions);
+    }
+}
+
+impl<D: Decider + ?Sized> Decider for Box<D> {
+    fn handle(&mut self, now: f64, event: Event, actions: &mut Vec<Action>) {
+        (**self).handle(now, event, actions);
+    }
+}
+
 /// A request as its caller put it.
 #[derive(Clone, Copy, Debug)]
 pub struct Arrival {
@@ -112,9 +131,9 @@
     pub forced: u64,
 }
 
-/// The module with all that it is owed and owes.
-pub struct Barrier {
-    balancer: Balancer,
+/// The module, or another decider, with all that it is owed and owes.
+pub struct Barrier<D = Balancer> {
+    decider: D,
     drivers: HashMap<RequestId, Driver>,
     /// Nodes that may get something new.
     open: BTreeSet<UpstreamId>,
@@ -134,19 +153,25 @@
     ///
     /// Returns [`SettingsError`] when the settings make no sense.
     pub fn new(settings: &Settings, seed: u64) -> Result<Self, SettingsError> {
-        let s = settings;
-        Ok(Barrier {
-            balancer: Balancer::new(s.clone(), seed, 0.0)?,
+        Ok(Barrier::round(Balancer::new(settings.clone(), seed, 0.0)?, settings))
+    }
+}
+
+impl<D: Decider> Barrier<D> {
+    /// A barrier round this decider.
+    pub fn round(decider: D, settings: &Settings) -> Self {
+        Barrier {
+            decider,
             drivers: HashMap::new(),
             open: BTreeSet::new(),
             next_id: 0,
-            tick: s.tick,
-            max_attempts: s.max_attempts as usize,
-            retry_after: s.retry_after.then_some(s.max_retry_after),
+            tick: settings.tick,
+            max_attempts: settings.max_attempts as usize,
+            retry_after: settings.retry_after.then_some(settings.max_retry_after),
             actions: Vec::new(),
             backlog: VecDeque::new(),
             counts: Counts::default(),
-        })
+        }
     }
 
     /// Whether there is a node that may get something new.
@@ -347,7 +372,7 @@
         self.backlog.push_back(event);
         while let Some(event) = self.backlog.pop_front() {
             let mut actions = std::mem::take(&mut self.actions);
-            self.balancer.handle(now, event, &mut actions);
+            self.decider.handle(now, event, &mut actions);
             for action in actions.drain(..) {
                 self.carry_out(now, action, lane);
             }
--- a/crates/core/src/rules.rs
+++ b/crates/core/src/rules.rs
@@ -220,7 +220,9 @@
     /// One pass over the upstreams before anything is picked: marks who stands aside (silent or ejected
     /// ones, and zones in which most are) and counts what the choices below need.
     fn survey(&mut self) -> Survey {
-        self.sends.retain(|t| *t >= self.now - self.set.fall);
+        while self.served_at.front().is_some_and(|t| *t < self.now - self.set.fall) {
+            self.served_at.pop_front();
+        }
         let mut zones: BTreeMap<ZoneId, (usize, usize)> = BTreeMap::new();
         let mut bad_ones = Vec::with_capacity(self.upstreams.len());
         let (mut all, mut warm) = ((0, 0), 0);
@@ -239,7 +241,7 @@
             seen.probes += usize::from(u.probing.is_some());
             warm += usize::from(u.entry.condition == Condition::On && self.warmth(u) >= 1.0);
         }
-        self.warm_sends = self.sends.len() as f64 / warm.max(1) as f64;
+        self.warm_serves = self.served_at.len() as f64 / warm.max(1) as f64;
         let all_bad = bad_ones.iter().filter(|b| **b).count();
         // Panic: when nearly all look bad, it is not the upstreams, and nobody stands aside.
         let panic = all_bad as f64 > PANIC_PART * bad_ones.len() as f64;
@@ -314,10 +316,11 @@
     }
 
     /// Danger: a cold server falls over, even by one call from each of many copies. Calls are spaced to half
-    /// of this copy's share, by what warm ones get or what one worker does in a typical time.
+    /// of this copy's share, by what warm ones serve or what one worker does in a typical time. Danger: what
+    /// they are sent is no measure: calls that they turn away come again and would swell it.
     fn cold_gap(&self, u: &Upstream) -> f64 {
         let one_worker = self.set.fall / self.median.max(self.set.tick) / self.set.balancers as f64;
-        let warm = if self.median > 0.0 { self.warm_sends.max(one_worker) } else { 1.0 };
+        let warm = if self.median > 0.0 { self.warm_serves.max(one_worker) } else { 1.0 };
         let budget = 0.5 * self.set.overload_factor * self.warmth(u) * warm;
         let gap = (self.set.fall / budget).min(self.set.warm_within);
         gap * f64::from(u8::from(self.warmth(u) < 1.0))
@@ -527,7 +530,6 @@
         let (entry, sent) = (u.entry, self.now);
         r.attempts.push(Attempt { entry, sent, out: true, may_have_run: true, withdrawn: false });
         u.out.push((id, attempt, self.now));
-        self.sends.push_back(self.now);
         u.calls += 1;
         (self.load, self.load_at) = (self.load() + 1.0 / SMOOTH, self.now);
         let mut sent = self.upstreams.remove(&to).expect("looked up above");
@@ -542,6 +544,10 @@
         let class = self.requests.get(&id).map(|r| r.class);
         // Before the attempt is struck off: a report is older than the answer and still counts it.
         self.learn_report(upstream, report);
+        let warm = self.upstreams.get(&upstream).is_some_and(|u| self.warmth(u) >= 1.0);
+        if ending == Ending::Delivered && warm {
+            self.served_at.push_back(self.now);
+        }
         if let Some(u) = self.upstreams.get_mut(&upstream) {
             u.out.retain(|(r, n, _)| (*r, *n) != (id, attempt));
             let heard = matches!(ending, Ending::Delivered | Ending::AppError | Ending::Shed);
--- a/crates/core/src/state.rs
+++ b/crates/core/src/state.rs
@@ -106,9 +106,9 @@
     /// Median time of a served answer, by class, and over all.
     pub(crate) typical: Vec<f64>,
     pub(crate) median: f64,
-    /// Own sends within the last window of `Settings::fall`, and how many of them went to a warm upstream.
-    pub(crate) sends: VecDeque<f64>,
-    pub(crate) warm_sends: f64,
+    /// When warm upstreams served a call within the last window of `Settings::fall`, and how many each did.
+    pub(crate) served_at: VecDeque<f64>,
+    pub(crate) warm_serves: f64,
     /// Requests in flight that this copy may have where workers are unknown.
     pub(crate) limit: f64,
     /// Upstreams that could be sent to when the limit was last set or scaled.
@@ -143,8 +143,8 @@
             requests: BTreeMap::new(),
             workers: None,
             median: 0.0,
-            sends: VecDeque::new(),
-            warm_sends: 0.0,
+            served_at: VecDeque::new(),
+            warm_serves: 0.0,
             limit: 0.0,
             able: 0.0,
             last_cut: now,
--- /dev/null
+++ b/crates/lab/src/cli.rs
@@ -0,0 +1,455 @@
+//! The laboratory's command line.
+
+use crate::experiment::{Experiment, ExperimentError};
+use crate::plot;
+use crate::results::{self, series, Job, Keep, Row};
+use crate::rivals::Policy;
+use crate::world::{play, Mutant, RunError, Wanted};
+use crate::{tables, theory};
+use clap::{Args, Parser, Subcommand, ValueEnum};
+use std::io::Write;
+use std::path::{Path, PathBuf};
+use std::process::ExitCode;
+use std::time::Instant;
+
+/// Emulates fleets behind passrelay and compares ways to balance them.
+///
+/// Exit codes: 0 done; 1 a file cannot be read or written; 2 the command line or an experiment is faulty; 3 a rule
+/// was broken.
+#[derive(Parser)]
+#[command(name = "passrelay-lab", version, max_term_width = 110)]
+struct Cli {
+    #[command(subcommand)]
+    command: Command,
+}
+
+#[derive(Subcommand)]
+enum Command {
+    /// Plays one experiment once and prints what it came to.
+    Run(Run),
+    /// Plays an experiment over many settings, policies and seeds, on all cores.
+    Sweep(Sweep),
+    /// Compares policies over experiments and seeds, paired by seed, with confidence intervals.
+    Compare(Compare),
+    /// Says why a run lost its worth: by cause, class, tenant, time and node.
+    Explain(Run),
+    /// Plots a run, a sweep or a comparison, as SVG or PNG by the file's ending.
+    #[command(subcommand)]
+    Plot(Plot),
+    /// Lists the experiments of a folder and the policies.
+    List {
+        /// The folder.
+        #[arg(default_value = "experiments")]
+        folder: PathBuf,
+    },
+    /// Checks experiments; names each fault with its line and column.
+    Check {
+        /// The files.
+        #[arg(required = true)]
+        files: Vec<PathBuf>,
+    },
+    /// Holds the emulator against closed forms of queueing theory.
+    Theory {
+        /// Calls of each run.
+        #[arg(long, default_value_t = 2e6)]
+        calls: f64,
+        /// Seeds of each point; their mean is compared.
+        #[arg(long, default_value_t = 4)]
+        seeds: u64,
+        /// Only systems whose name holds this text.
+        #[arg(long, default_value = "")]
+        system: String,
+        /// Machine-readable output.
+        #[arg(long)]
+        json: bool,
+    },
+}
+
+#[derive(Args)]
+struct Run {
+    /// The experiment's file.
+    file: PathBuf,
+    /// What decides.
+    #[arg(long, value_enum, default_value_t = Policy::Passrelay)]
+    policy: Policy,
+    /// The seed, in place of the experiment's own.
+    #[arg(long)]
+    seed: Option<u64>,
+    /// Sets a key of the experiment, such as load.rate=80 or tier.front.kind.std.count=6.
+    #[arg(long = "set", value_name = "KEY=VALUE")]
+    set: Vec<String>,
+    /// Prints the outcome as JSON; the same experiment, policy and seed give the same bytes.
+    #[arg(long)]
+    json: bool,
+    /// Also the load of each node, second by second.
+    #[arg(long)]
+    nodes: bool,
+    /// Goes on when a rule is broken, and counts.
+    #[arg(long)]
+    lenient: bool,
+    /// Nothing on standard error but faults.
+    #[arg(long)]
+    quiet: bool,
+}
+
+#[derive(Args)]
+struct Sweep {
+    /// The experiment's file.
+    file: PathBuf,
+    /// A key and its values, such as load.rate=20,40,80; several make a grid.
+    #[arg(long = "vary", value_name = "KEY=V1,V2,...", required = true)]
+    vary: Vec<String>,
+    /// What decides.
+    #[arg(long, value_enum, value_delimiter = ',', default_value = "passrelay")]
+    policy: Vec<Policy>,
+    /// How many seeds, from the experiment's own on.
+    #[arg(long, default_value_t = 5)]
+    seeds: u64,
+    /// Sets a key for all runs.
+    #[arg(long = "set", value_name = "KEY=VALUE")]
+    set: Vec<String>,
+    /// Keeps each run in this file, a JSON object a line; runs that it holds are not played again.
+    #[arg(long)]
+    out: Option<PathBuf>,
+    /// Prints the rows as JSON lines.
+    #[arg(long)]
+    json: bool,
+    /// No progress on standard error.
+    #[arg(long)]
+    quiet: bool,
+}
+
+#[derive(Args)]
+struct Compare {
+    /// The experiments' files.
+    #[arg(required = true)]
+    files: Vec<PathBuf>,
+    /// The policies; all if none is named.
+    #[arg(long, value_enum, value_delimiter = ',')]
+    policy: Vec<Policy>,
+    /// The policy that the others are compared with.
+    #[arg(long, value_enum, default_value_t = Policy::Passrelay)]
+    baseline: Policy,
+    /// How many seeds, from each experiment's own on.
+    #[arg(long, default_value_t = 20)]
+    seeds: u64,
+    /// Sets a key for all runs.
+    #[arg(long = "set", value_name = "KEY=VALUE")]
+    set: Vec<String>,
+    /// Keeps each run in this file; runs that it holds are not played again.
+    #[arg(long)]
+    out: Option<PathBuf>,
+    /// Prints the comparison as JSON.
+    #[arg(long)]
+    json: bool,
+    /// No progress on standard error.
+    #[arg(long)]
+    quiet: bool,
+}
+
+#[derive(Subcommand)]
+enum Plot {
+    /// Median and 99th percentile of latency over time, for one run.
+    Latency {
+        /// The run.
+        #[command(flatten)]
+        run: Run,
+        /// The file to write.
+        #[arg(long, short)]
+        out: PathBuf,
+    },
+    /// How busy each node was, as a heat map, for one run.
+    Nodes {
+        /// The run.
+        #[command(flatten)]
+        run: Run,
+        /// The file to write.
+        #[arg(long, short)]
+        out: PathBuf,
+    },
+    /// The goal by policy over a key that a sweep has varied.
+    Goal {
+        /// The sweep's file.
+        results: PathBuf,
+        /// The key.
+        #[arg(long)]
+        over: String,
+        /// The file to write.
+        #[arg(long, short)]
+        out: PathBuf,
+    },
+    /// The goals of a comparison as bars.
+    Compare {
+        /// The comparison's file.
+        results: PathBuf,
+        /// The file to write.
+        #[arg(long, short)]
+        out: PathBuf,
+    },
+}
+
+impl ValueEnum for Policy {
+    fn value_variants<'a>() -> &'a [Self] {
+        &Policy::ALL
+    }
+
+    fn to_possible_value(&self) -> Option<clap::builder::PossibleValue> {
+        Some(clap::builder::PossibleValue::new(self.name()).help(self.source()))
+    }
+}
+
+/// What ended a command early, and its exit code.
+struct Failure(u8, String);
+
+impl From<ExperimentError> for Failure {
+    fn from(e: ExperimentError) -> Self {
+        Failure(2, e.to_string())
+    }
+}
+
+impl From<RunError> for Failure {
+    fn from(e: RunError) -> Self {
+        let code = if matches!(e, RunError::Broken(_)) { 3 } else { 2 };
+        Failure(code, e.to_string())
+    }
+}
+
+impl From<results::SeriesError> for Failure {
+    fn from(e: results::SeriesError) -> Self {
+        match e {
+            results::SeriesError::Run(..) => Failure(2, e.to_string()),
+            _ => Failure(1, e.to_string()),
+        }
+    }
+}
+
+impl From<plot::PlotError> for Failure {
+    fn from(e: plot::PlotError) -> Self {
+        Failure(1, e.to_string())
+    }
+}
+
+/// Does what the arguments say.
+pub fn main() -> ExitCode {
+    let done = match Cli::parse().command {
+        Command::Run(run) => one_run(&run),
+        Command::Sweep(sweep) => do_sweep(&sweep),
+        Command::Compare(compare) => do_compare(&compare),
+        Command::Explain(run) => explain(&run),
+        Command::Plot(plot) => do_plot(plot),
+        Command::List { folder } => list(&folder),
+        Command::Check { files } => check(&files),
+        Command::Theory { calls, seeds, system, json } => do_theory(calls, seeds, &system, json),
+    };
+    match done {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(Failure(code, text)) => {
+            eprintln!("passrelay-lab: {text}");
+            ExitCode::from(code)
+        }
+    }
+}
+
+/// Writes to standard output; that nobody reads any more ends the command quietly.
+fn print(text: &str) -> Result<(), Failure> {
+    match std::io::stdout().lock().write_all(text.as_bytes()) {
+        Err(e) if e.kind() != std::io::ErrorKind::BrokenPipe => {
+            Err(Failure(1, format!("standard output: {e}")))
+        }
+        _ => Ok(()),
+    }
+}
+
+fn json(value: &impl serde::Serialize) -> Result<String, Failure> {
+    let text = serde_json::to_string_pretty(value);
+    text.map(|t| t + "\n").map_err(|e| Failure(1, format!("cannot be written as JSON: {e}")))
+}
+
+fn pairs(set: &[String]) -> Result<Vec<(String, String)>, Failure> {
+    let pair = |s: &String| {
+        let pair = s.split_once('=').map(|(k, v)| (k.trim().to_owned(), v.trim().to_owned()));
+        pair.filter(|(k, _)| !k.is_empty()).ok_or_else(|| Failure(2, format!("'{s}' should be KEY=VALUE")))
+    };
+    set.iter().map(pair).collect()
+}
+
+fn outcome(run: &Run, nodes: bool) -> Result<crate::meter::Outcome, Failure> {
+    let experiment = Experiment::read(&run.file, &pairs(&run.set)?)?;
+    let seed = run.seed.unwrap_or(experiment.seed);
+    let began = Instant::now();
+    // Rivals do not know the rules; only the module is held to them by ending the run.
+    let strict = !run.lenient && run.policy == Policy::Passrelay;
+    let outcome = play(&experiment, run.policy, seed, Wanted { nodes, strict, mutant: Mutant::None })?;
+    if !run.quiet {
+        let took = began.elapsed().as_secs_f64();
+        let memory = peak_memory_mb().map_or(String::new(), |mb| format!(", {mb:.0} MB at most"));
+        eprintln!(
+            "{:.2} s for {} events ({:.0} a second){memory}",
+            took,
+            outcome.events,
+            outcome.events as f64 / took.max(1e-9)
+        );
+    }
+    Ok(outcome)
+}
+
+/// The most memory that this process has held, where the system tells.
+fn peak_memory_mb() -> Option<f64> {
+    let status = std::fs::read_to_string("/proc/self/status").ok()?;
+    let line = status.lines().find(|l| l.starts_with("VmHWM:"))?;
+    let kib: f64 = line.split_whitespace().nth(1)?.parse().ok()?;
+    Some(kib / 1024.0)
+}
+
+fn one_run(run: &Run) -> Result<(), Failure> {
+    let outcome = outcome(run, run.nodes)?;
+    print(&if run.json { json(&outcome)? } else { tables::outcome(&outcome) })
+}
+
+fn explain(run: &Run) -> Result<(), Failure> {
+    let outcome = outcome(run, true)?;
+    print(&if run.json { json(&outcome)? } else { tables::explain(&outcome) })
+}
+
+/// All combinations of the values that are to be varied.
+fn grid(vary: &[String]) -> Result<Vec<Vec<(String, String)>>, Failure> {
+    let mut grid = vec![Vec::new()];
+    for (key, values) in pairs(vary)? {
+        let values: Vec<&str> = values.split(',').map(str::trim).filter(|v| !v.is_empty()).collect();
+        if values.is_empty() {
+            return Err(Failure(2, format!("--vary {key}: there are no values")));
+        }
+        grid = grid
+            .into_iter()
+            .flat_map(|set: Vec<(String, String)>| {
+                let with = |v: &&str| {
+                    let mut set = set.clone();
+                    set.push((key.clone(), (*v).to_owned()));
+                    set
+                };
+                values.iter().map(with).collect::<Vec<_>>()
+            })
+            .collect();
+    }
+    Ok(grid)
+}
+
+fn jobs(
+    file: &Path,
+    set: &[(String, String)],
+    vary: &[(String, String)],
+    policies: &[Policy],
+    seeds: u64,
+) -> Result<Vec<Job>, Failure> {
+    let over: Vec<_> = set.iter().chain(vary).cloned().collect();
+    let experiment = Experiment::read(file, &over)?;
+    let first = experiment.seed;
+    let job = |policy: &Policy, seed| Job {
+        experiment: experiment.clone(),
+        set: vary.to_vec(),
+        policy: *policy,
+        seed,
+    };
+    Ok((first..first + seeds)
+        .flat_map(|seed| policies.iter().map(move |p| (p, seed)))
+        .map(|(p, s)| job(p, s))
+        .collect())
+}
+
+fn do_sweep(sweep: &Sweep) -> Result<(), Failure> {
+    let set = pairs(&sweep.set)?;
+    let mut all = Vec::new();
+    for vary in grid(&sweep.vary)? {
+        all.extend(jobs(&sweep.file, &set, &vary, &sweep.policy, sweep.seeds)?);
+    }
+    let rows = series(&all, sweep.out.as_deref(), Keep { seconds: false, quiet: sweep.quiet })?;
+    if !sweep.json {
+        return print(&tables::sweep(&rows));
+    }
+    let mut text = String::new();
+    for row in &rows {
+        text.push_str(&serde_json::to_string(row).map_err(|e| Failure(1, e.to_string()))?);
+        text.push('\n');
+    }
+    print(&text)
+}
+
+fn do_compare(compare: &Compare) -> Result<(), Failure> {
+    let set = pairs(&compare.set)?;
+    let mut policies = if compare.policy.is_empty() { Policy::ALL.to_vec() } else { compare.policy.clone() };
+    if !policies.contains(&compare.baseline) {
+        policies.insert(0, compare.baseline);
+    }
+    let mut all = Vec::new();
+    for file in &compare.files {
+        all.extend(jobs(file, &set, &[], &policies, compare.seeds)?);
+    }
+    let rows = series(&all, compare.out.as_deref(), Keep { seconds: false, quiet: compare.quiet })?;
+    let compared = tables::compared(&rows, compare.baseline.name());
+    print(&if compare.json {
+        json(&compared)?
+    } else {
+        tables::comparison(&compared, compare.baseline.name())
+    })
+}
+
+fn rows(path: &Path) -> Result<Vec<Row>, Failure> {
+    Ok(results::read(path)?.0)
+}
+
+fn do_plot(plot: Plot) -> Result<(), Failure> {
+    match plot {
+        Plot::Latency { run, out } => plot::latency(&outcome(&run, false)?, &out)?,
+        Plot::Nodes { run, out } => plot::nodes(&outcome(&run, true)?, &out)?,
+        Plot::Goal { results, over, out } => plot::goal_over(&rows(&results)?, &over, &out)?,
+        Plot::Compare { results, out } => {
+            plot::comparison(&tables::compared(&rows(&results)?, Policy::Passrelay.name()), &out)?;
+        }
+    }
+    Ok(())
+}
+
+fn list(folder: &Path) -> Result<(), Failure> {
+    let entries = std::fs::read_dir(folder).map_err(|e| Failure(1, format!("{}: {e}", folder.display())))?;
+    let mut files: Vec<PathBuf> = entries
+        .filter_map(|e| Some(e.ok()?.path()))
+        .filter(|p| p.extension().is_some_and(|e| e == "toml"))
+        .collect();
+    files.sort();
+    let mut text = String::from("experiments\n");
+    for file in files {
+        let about = match Experiment::read(&file, &[]) {
+            Ok(e) => e.about,
+            Err(e) => format!("FAULTY: {e}"),
+        };
+        text.push_str(&format!("  {:36} {about}\n", file.display().to_string()));
+    }
+    text.push_str("\npolicies\n");
+    for policy in Policy::ALL {
+        text.push_str(&format!("  {:36} {}\n", policy.name(), policy.source()));
+    }
+    print(&text)
+}
+
+fn check(files: &[PathBuf]) -> Result<(), Failure> {
+    let faults: Vec<String> =
+        files.iter().filter_map(|f| Experiment::read(f, &[]).err()).map(|e| e.to_string()).collect();
+    if faults.is_empty() {
+        return print(&format!("{} experiments are in order\n", files.len()));
+    }
+    Err(Failure(2, faults.join("\npassrelay-lab: ")))
+}
+
+fn do_theory(calls: f64, seeds: u64, only: &str, as_json: bool) -> Result<(), Failure> {
+    if !(1e3..=1e9).contains(&calls) || !(1..=1000).contains(&seeds) {
+        return Err(Failure(2, "--calls should be 1e3 to 1e9 and --seeds 1 to 1000".to_owned()));
+    }
+    // Seeds of their own for each point: with the same ones a stroke of luck would show in the whole table.
+    let wanted = theory::table().into_iter().enumerate().filter(|(_, (s, _))| s.name().contains(only));
+    let points = wanted.map(|(n, (system, load))| {
+        let first = n as u64 * seeds;
+        theory::measure(system, load, calls, first..first + seeds)
+    });
+    let points = points.collect::<Result<Vec<_>, _>>()?;
+    print(&if as_json { json(&points)? } else { tables::theory(&points) })
+}
--- /dev/null
+++ b/crates/lab/src/main.rs
@@ -0,0 +1,7 @@
+//! The laboratory's program.
+
+use std::process::ExitCode;
+
+fn main() -> ExitCode {
+    passrelay_lab::cli::main()
+}
--- /dev/null
+++ b/crates/lab/src/stats.rs
@@ -0,0 +1,82 @@
+//! Means and paired differences with confidence intervals.
+
+use serde::{Deserialize, Serialize};
+use statrs::distribution::{ContinuousCDF, StudentsT};
+
+/// A mean with the half-width of its 95% confidence interval (Student's t).
+#[derive(Clone, Copy, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct Mean {
+    /// The mean.
+    pub mean: f64,
+    /// Half the width of the interval; infinite for a single value.
+    pub half: f64,
+    /// Values.
+    pub n: usize,
+}
+
+impl Mean {
+    /// Of these values.
+    pub fn of(values: &[f64]) -> Mean {
+        let n = values.len();
+        if n == 0 {
+            return Mean { mean: f64::NAN, half: f64::INFINITY, n };
+        }
+        let mean = values.iter().sum::<f64>() / n as f64;
+        if n == 1 {
+            return Mean { mean, half: f64::INFINITY, n };
+        }
+        let variance = values.iter().map(|v| (v - mean).powi(2)).sum::<f64>() / (n - 1) as f64;
+        let t = StudentsT::new(0.0, 1.0, (n - 1) as f64).map_or(1.96, |d| d.inverse_cdf(0.975));
+        Mean { mean, half: t * (variance / n as f64).sqrt(), n }
+    }
+}
+
+/// What a paired comparison says.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Verdict {
+    /// The first is better.
+    Better,
+    /// The first is worse.
+    Worse,
+    /// The interval holds 0.
+    NoDifference,
+}
+
+impl Verdict {
+    /// Of paired differences, first less second, where more is better.
+    pub fn of(difference: Mean) -> Verdict {
+        if difference.mean - difference.half > 0.0 {
+            Verdict::Better
+        } else if difference.mean + difference.half < 0.0 {
+            Verdict::Worse
+        } else {
+            Verdict::NoDifference
+        }
+    }
+
+    /// In words.
+    pub fn words(self) -> &'static str {
+        match self {
+            Verdict::Better => "better",
+            Verdict::Worse => "worse",
+            Verdict::NoDifference => "no difference",
+        }
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn intervals_follow_students_t() {
+        // For four values the quantile is 3.182; the standard error of 1, 2, 3, 4 is 0.6455.
+        let m = Mean::of(&[1.0, 2.0, 3.0, 4.0]);
+        assert!((m.mean - 2.5).abs() < 1e-12 && (m.half - 3.182 * 0.6455).abs() < 1e-3, "{m:?}");
+        assert_eq!(Verdict::of(Mean::of(&[0.1])), Verdict::NoDifference);
+        assert_eq!(Verdict::of(Mean::of(&[0.1, 0.11, 0.09])), Verdict::Better);
+        assert_eq!(Verdict::of(Mean::of(&[-0.1, -0.11, -0.09])), Verdict::Worse);
+        assert_eq!(Verdict::of(Mean::of(&[0.1, -0.11, 0.02])), Verdict::NoDifference);
+    }
+}
--- /dev/null
+++ b/crates/lab/tests/worlds.rs
@@ -0,0 +1,242 @@
+//! Small random worlds: the rules hold in all of them, and the same seed gives the same bytes. And worlds with a
+//! check taken out: the observer has to notice.
+
+use passrelay_lab::experiment::{
+    Callers, ClassSpec, Discovery, Experiment, Jam, Kind, Limits, Load, Network, Shape, Tier, Trouble,
+    TroubleKind, Wait,
+};
+use passrelay_lab::observer::Rule;
+use passrelay_lab::random::Form;
+use passrelay_lab::results::{series, Job, Keep};
+use passrelay_lab::rivals::Policy;
+use passrelay_lab::world::{play, Mutant, RunError, Wanted};
+use proptest::prelude::*;
+
+const STRICT: Wanted = Wanted { nodes: false, strict: true, mutant: Mutant::None };
+
+fn class(name: &str, safe: bool, work_ms: f64) -> ClassSpec {
+    let (work, cv) = (Form::Lognormal, 1.5);
+    ClassSpec { name: name.to_owned(), work_ms, work, cv, attempt_noise: 0.2, safe, ..ClassSpec::default() }
+}
+
+fn kind(count: usize, speed: f64, slots: usize) -> Kind {
+    Kind {
+        count,
+        speed,
+        speed_spread: 0.2,
+        slots,
+        jam: Some(Jam::default()),
+        cold_from: 0.4,
+        cold_s: 5.0,
+        handshake_ms: 1.0,
+        error_rate: 0.002,
+        ..Kind::default()
+    }
+}
+
+fn tier(name: &str, kinds: Vec<Kind>, sidecars: usize, calls: [f64; 2]) -> Tier {
+    Tier { name: name.to_owned(), sidecars, work: 0.5, calls, kind: kinds, ..Tier::default() }
+}
+
+fn trouble(kind: TroubleKind, from_s: f64, for_s: f64, part: f64) -> Trouble {
+    let (tier, size, class) = (None, None, None);
+    Trouble { kind, from_s, for_s, tier, part, size, class, zone: 0, new_ids: false }
+}
+
+fn world(nodes: usize, rate: f64, troubles: Vec<Trouble>) -> Experiment {
+    Experiment {
+        name: "world".to_owned(),
+        length_s: 12.0,
+        scale: 1.0,
+        load: Load { rate, shape: Shape::Bursts, swing: 0.5, period_s: 4.0, captured: None },
+        callers: Callers { retries: 2, wait: Wait::None, patience: [0.4, 1.0], ..Callers::default() },
+        network: Network { one_way_ms: 1.0, ..Network::default() },
+        discovery: Discovery {
+            notice_s: [0.5, 3.0],
+            call_ms: 20.0,
+            watch_s: 3.0,
+            history: 2,
+            ..Discovery::default()
+        },
+        tier: vec![
+            tier("front", vec![kind(nodes, 1.0, 10)], 2, [1.0, 1.0]),
+            tier("back", vec![kind(nodes + 1, 0.8, 4)], 1, [1.0, 2.0]),
+        ],
+        class: vec![class("look", true, 90.0), class("pay", false, 150.0)],
+        trouble: troubles,
+        ..Experiment::default()
+    }
+}
+
+fn any_trouble() -> impl Strategy<Value = Trouble> {
+    let kinds = prop_oneof![
+        Just(TroubleKind::Slow),
+        Just(TroubleKind::FailFast),
+        Just(TroubleKind::Gray),
+        Just(TroubleKind::Jam),
+        Just(TroubleKind::Crash),
+        Just(TroubleKind::Cut),
+        Just(TroubleKind::ZoneCut),
+        Just(TroubleKind::StaleReports),
+        Just(TroubleKind::FalseReports),
+        Just(TroubleKind::RollingRelease),
+        Just(TroubleKind::SidecarRestart),
+        Just(TroubleKind::DiscoveryDown),
+        Just(TroubleKind::HeavyTail),
+        Just(TroubleKind::Storm),
+    ];
+    (kinds, 0.5..9.0, 1.0..8.0, 0.1..1.0, any::<bool>(), any::<bool>()).prop_map(
+        |(kind, from, long, part, back, new_ids)| {
+            let tier = back.then(|| "back".to_owned());
+            Trouble { tier, new_ids, ..trouble(kind, from, long, part) }
+        },
+    )
+}
+
+fn any_world() -> impl Strategy<Value = Experiment> {
+    let troubles = prop::collection::vec(any_trouble(), 0..4);
+    (1usize..6, 2.0..40.0, troubles, 1usize..3, any::<bool>(), any::<bool>()).prop_map(
+        |(nodes, rate, troubles, zones, probes, pass_budget)| {
+            let mut e = world(nodes, rate, troubles);
+            e.network.zones = zones;
+            e.limits.probes = probes;
+            e.callers.pass_budget = pass_budget;
+            e
+        },
+    )
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig {
+        cases: std::env::var("LAB_CASES").ok().and_then(|c| c.parse().ok()).unwrap_or(32),
+        failure_persistence: None,
+        rng_algorithm: prop::test_runner::RngAlgorithm::ChaCha,
+        rng_seed: prop::test_runner::RngSeed::Fixed(std::env::var("LAB_SEED").ok().and_then(|c| c.parse().ok()).unwrap_or(7)),
+        ..ProptestConfig::default()
+    })]
+
+    /// Guards against a rule that holds only on the days that somebody thought of.
+    #[test]
+    fn the_rules_hold_in_every_world_and_runs_repeat(e in any_world(), seed in 0u64..1000) {
+        let first = play(&e, Policy::Passrelay, seed, STRICT);
+        let first = first.map_err(|broken| TestCaseError::fail(format!("{broken}\n{}", toml::to_string(&e).unwrap())))?;
+        let again = play(&e, Policy::Passrelay, seed, STRICT).expect("it was played before");
+        prop_assert_eq!(serde_json::to_string(&first).unwrap(), serde_json::to_string(&again).unwrap());
+    }
+
+    /// Rivals know nothing of cold nodes; the barrier keeps the other rules for them.
+    #[test]
+    fn rivals_keep_all_rules_but_the_cold_one(e in any_world(), seed in 0u64..1000, which in 1usize..9) {
+        let outcome = play(&e, Policy::ALL[which], seed, Wanted::default()).expect("it can be played");
+        let others: Vec<_> = outcome.broken.keys().filter(|rule| *rule != "Cold").collect();
+        prop_assert!(others.is_empty(), "{} broke {others:?}", outcome.policy);
+    }
+}
+
+fn broken(e: &Experiment, mutant: Mutant) -> Option<(Rule, String)> {
+    (0..6).find_map(|seed| match play(e, Policy::Passrelay, seed, Wanted { mutant, ..STRICT }) {
+        Err(RunError::Broken(b)) => Some((b.rule, b.to_string())),
+        Err(other) => panic!("{other}"),
+        Ok(_) => None,
+    })
+}
+
+/// Guards against an observer that sees nothing: a rule whose check is taken out must show as broken.
+#[test]
+fn a_check_taken_out_is_noticed() {
+    let mut release = world(4, 20.0, vec![trouble(TroubleKind::RollingRelease, 1.0, 40.0, 1.0)]);
+    release.length_s = 30.0;
+    let failing = world(4, 20.0, vec![trouble(TroubleKind::FailFast, 1.0, 8.0, 1.0)]);
+    let crowded = world(1, 40.0, Vec::new());
+    let cases = [
+        (&release, Mutant::Drain, Rule::Drain),
+        (&failing, Mutant::Retry, Rule::RunOnce),
+        (&crowded, Mutant::Late, Rule::OneAnswer),
+    ];
+    for (e, mutant, rule) in cases {
+        assert_eq!(broken(e, Mutant::None), None, "nothing is broken with {mutant:?} in place");
+        let (seen, text) = broken(e, mutant).unwrap_or_else(|| panic!("{mutant:?} went unnoticed"));
+        assert_eq!(seen, rule, "{text}");
+        assert!(text.contains("seed") && text.contains(" s "), "it names seed and time: {text}");
+        assert!(
+            rule != Rule::RunOnce || text.contains("Begun"),
+            "it tells the request's last events: {text}"
+        );
+    }
+}
+
+/// Guards against a result that depends on which thread ended first.
+#[test]
+fn one_thread_or_many_give_the_same_bytes() {
+    let e = world(3, 20.0, vec![trouble(TroubleKind::Crash, 2.0, 4.0, 0.5)]);
+    let jobs: Vec<Job> = [Policy::Passrelay, Policy::Prequal, Policy::PeakEwma]
+        .into_iter()
+        .flat_map(|policy| (0..4).map(move |seed| (policy, seed)))
+        .map(|(policy, seed)| Job { experiment: e.clone(), set: Vec::new(), policy, seed })
+        .collect();
+    let on = |threads: usize| {
+        let pool = rayon::ThreadPoolBuilder::new().num_threads(threads).build().unwrap();
+        let rows = pool.install(|| series(&jobs, None, Keep { seconds: true, quiet: true })).unwrap();
+        serde_json::to_string(&rows).unwrap()
+    };
+    assert_eq!(on(1), on(4));
+}
+
+/// Guards against paired comparisons of different loads: what comes in must not depend on who decides.
+#[test]
+fn all_policies_are_asked_for_the_same() {
+    let e = world(3, 20.0, Vec::new());
+    let asked = |policy| {
+        let o = play(&e, policy, 3, Wanted::default()).unwrap();
+        o.classes.values().map(|(w, _)| (w.calls, w.asked)).collect::<Vec<_>>()
+    };
+    let first = asked(Policy::Passrelay);
+    assert!(Policy::ALL.into_iter().all(|p| asked(p) == first));
+}
+
+/// A sidecar comes back with the list of the start, while every node stands at its old address under a new id.
+#[test]
+fn a_sidecar_with_its_old_list_finds_the_nodes_that_took_the_old_addresses() {
+    let release = Trouble { new_ids: true, ..trouble(TroubleKind::RollingRelease, 1.0, 8.0, 1.0) };
+    let restart = trouble(TroubleKind::SidecarRestart, 14.0, 2.0, 1.0);
+    let mut e = world(4, 10.0, vec![release, restart]);
+    e.length_s = 30.0;
+    e.discovery.notice_s = [0.2, 0.5];
+    let o = play(&e, Policy::Passrelay, 1, STRICT).unwrap();
+    let late: Vec<_> = o.seconds[22..].iter().map(|s| s.worth).collect();
+    let share = late.iter().map(|w| w.earned).sum::<f64>() / late.iter().map(|w| w.asked).sum::<f64>();
+    assert!(share > 0.9, "served {share} after it came back");
+    assert!(o.seconds[14..16].iter().all(|s| s.worth.earned < s.worth.asked), "it was away for a while");
+}
+
+/// Guards against a queue that fills with what will never matter: it is bounded by rate times deadline.
+#[test]
+fn a_rate_of_100_000_a_second_keeps_the_queue_bounded() {
+    let mut e = world(1, 100_000.0, Vec::new());
+    e.tier = vec![tier(
+        "front",
+        vec![Kind { slots: 100_000, connections: 100_000, ..kind(50, 400.0, 1) }],
+        4,
+        [1.0, 1.0],
+    )];
+    e.class = vec![ClassSpec { aim_s: 0.2, deadline_s: 0.5, work_ms: 20.0, ..class("look", true, 20.0) }];
+    e.load.shape = Shape::Steady;
+    let longest = |length_s: f64| {
+        let e = Experiment { length_s, ..e.clone() };
+        play(&e, Policy::TwoChoices, 1, Wanted::default()).unwrap().longest_queue
+    };
+    let (short, long) = (longest(1.0), longest(3.0));
+    assert!(short > 50_000, "{short}: the deadlines of half a second are in it");
+    assert!(long < short * 5 / 4, "it grew from {short} to {long} with the length of the run");
+}
+
+#[test]
+fn limits_of_the_world_bind() {
+    // More connections than the node accepts: the others are refused before they are up, and the sidecar says so.
+    let mut e = world(1, 30.0, Vec::new());
+    e.tier.truncate(1);
+    e.tier[0].kind[0].connections = 1;
+    e.limits = Limits { attempts: 1, ..Limits::default() };
+    let o = play(&e, Policy::Random, 1, Wanted::default()).unwrap();
+    assert!(o.requests.refused > 0 && o.requests.sent < o.requests.taken, "{:?}", o.requests);
+}
