Find held requests and stalled calls without a look at all requests for each event

Need: a request's cost grew with the requests at hand: each event walked all requests for those held, sorted them, walked all for calls to withdraw, and the trust in a node was worked out twice for each pick. Change: held requests stand apart in their order (state.rs); calls to withdraw are looked for at the nodes that stand aside only; trust is worked out once for each node, class and moment; the earliest call at a node is its first.

--- a/crates/core/src/rules.rs
+++ b/crates/core/src/rules.rs
@@ -4,8 +4,8 @@
 //! where all exceptions act), turns (smooth weighted round robin) and the life of a request.
 
 use crate::api::*;
-use crate::state::{Attempt, Balancer, Request, Upstream};
-use std::collections::BTreeMap;
+use crate::state::{Attempt, Balancer, Held, Request, Upstream};
+use std::collections::{BTreeMap, BTreeSet};
 
 /// Factor before a first report, and what an old one fades to: half of the scale says "nothing known".
 const CONFIGURED: f64 = 50.0;
@@ -54,6 +54,9 @@
     in_flight: usize,
 }
 
+/// For one class and moment: the part served over all upstreams, and the trust in each as far as asked for.
+type Trusts = Option<(f64, Vec<f64>)>;
+
 /// Requests an upstream holds: the last report, corrected by own calls sent and answered since.
 fn held(u: &Upstream) -> Option<f64> {
     let (report, _, out_then) = u.report?;
@@ -85,9 +88,7 @@
             Event::Request { id, class, tenant, ttl, work_hint, .. } => {
                 self.take(id, class, tenant, ttl, work_hint);
             }
-            Event::StreamBegan { id, .. } => {
-                self.requests.entry(id).and_modify(|r| r.done = true);
-            }
+            Event::StreamBegan { id, .. } => self.requests.settle(id),
             Event::Outcome(o) => self.outcome(&o, actions),
             Event::Gone(id) => self.finish(id),
             Event::Wake(token) => {
@@ -212,7 +213,7 @@
 
     /// Danger: a paused server keeps its factor. It is silent too long for the number of calls it has.
     fn silent(&self, u: &Upstream) -> bool {
-        let first = u.out.iter().map(|(_, _, sent)| *sent).fold(f64::INFINITY, f64::min);
+        let first = u.out.first().map_or(f64::INFINITY, |(_, _, sent)| *sent);
         let patience = (1.0 + 4.0 / u.out.len().max(1) as f64).min(STALL) * self.median;
         self.median > 0.0 && self.now - first.max(u.heard) > patience
     }
@@ -259,8 +260,15 @@
     /// Danger: a safe call waits on an upstream that stands aside. It is withdrawn and sent elsewhere.
     fn rescue(&mut self, actions: &mut Vec<Action>) {
         let mut left = if self.set.cancel { self.retry_tokens } else { 0.0 };
-        for (id, r) in &mut self.requests {
-            let safe = self.set.classes[r.class.0].effect == Effect::Safe && !r.done && !r.held;
+        let aims = self.set.classes.iter().map(|c| RESCUE_PART * c.aim);
+        let before = self.now - aims.fold(f64::INFINITY, f64::min);
+        let shunned = self.upstreams.values().filter(|u| u.shunned && left >= 1.0);
+        let waiting = shunned.flat_map(|u| u.out.iter().take_while(|(.., sent)| *sent < before));
+        let waiting: BTreeSet<_> = waiting.map(|(id, ..)| *id).collect();
+        for id in waiting {
+            let Some(r) = self.requests.get_mut(&id).filter(|r| r.safe && !r.done && !r.held) else {
+                continue;
+            };
             let again =
                 (r.attempts.len() as u32) < self.set.max_attempts && self.now + self.median < r.deadline;
             let attempt = r.attempts.len().saturating_sub(1);
@@ -268,16 +276,16 @@
             let aim = RESCUE_PART * self.set.classes[r.class.0].aim;
             let lost =
                 self.upstreams.get(&a.entry.upstream).is_some_and(|u| u.shunned) && self.now - a.sent > aim;
-            if left >= 1.0 && safe && again && lost {
+            if left >= 1.0 && again && lost {
                 left -= 1.0;
                 a.withdrawn = true;
-                actions.push(Action::Cancel { id: *id, attempt: attempt as u32 });
+                actions.push(Action::Cancel { id, attempt: attempt as u32 });
             }
         }
     }
 
     /// Who may be picked now for this request. Every exception to plain turns stands here.
-    fn ready_set(&self, r: &Request) -> Vec<UpstreamId> {
+    fn ready_set(&self, r: &Request, trusts: &mut Trusts) -> Vec<(UpstreamId, f64)> {
         let may = |id: &UpstreamId, u: &Upstream| {
             let tried = r.attempts.iter().any(|a| a.entry.upstream == *id);
             let on_trial = u.fails > 0 && !u.out.is_empty();
@@ -291,16 +299,23 @@
         // Danger: reports are old and noisy, and a slow one draws as many turns as its spare CPU says. Who
         // holds more own calls than the least busy by this much stands aside until answers come.
         // Failing ones are no measure: they are least busy because they fail.
-        let served = self.served(r.class);
-        let sound = |u: &Upstream| self.trust(u, r.class, served) > SOUND;
-        let sound = self.upstreams.iter().filter(|(id, u)| may(id, u) && sound(u));
-        let least = sound.map(|(_, u)| u.out.len()).min().unwrap_or(usize::MAX - AHEAD);
-        let may = |id: &UpstreamId, u: &Upstream| may(id, u) && u.out.len() < least + AHEAD;
-        let may_be = self.upstreams.iter().filter(|(id, u)| may(id, u));
+        let (served, trusts) =
+            trusts.get_or_insert_with(|| (self.served(r.class), vec![f64::NAN; self.upstreams.len()]));
+        let may_be = self.upstreams.iter().zip(trusts).filter(|((id, u), _)| may(id, u));
+        let trust = |u: &Upstream, known: &mut f64| {
+            if known.is_nan() {
+                *known = self.trust(u, r.class, *served);
+            }
+            *known
+        };
+        let may_be: Vec<_> = may_be.map(|((id, u), known)| (*id, u, trust(u, known))).collect();
+        let sound = may_be.iter().filter(|(.., trust)| *trust > SOUND);
+        let least = sound.map(|(_, u, _)| u.out.len()).min().unwrap_or(usize::MAX - AHEAD);
+        let near = may_be.into_iter().filter(|(_, u, _)| u.out.len() < least + AHEAD);
         let order = |u: &Upstream| (u.home && (u.out.is_empty() || self.workers.is_some()), self.verified(u));
-        let ready: Vec<(UpstreamId, (bool, bool))> = may_be.map(|(id, u)| (*id, order(u))).collect();
-        let best = ready.iter().map(|(_, rank)| *rank).max();
-        ready.into_iter().filter(|(_, rank)| Some(*rank) == best).map(|(id, _)| id).collect()
+        let ready: Vec<_> = near.map(|(id, u, trust)| (id, trust, order(u))).collect();
+        let best = ready.iter().map(|(.., rank)| *rank).max();
+        ready.into_iter().filter(|(.., rank)| Some(*rank) == best).map(|(id, trust, _)| (id, trust)).collect()
     }
 
     /// Danger: many copies, old reports. Where probes are cheap, one checks a pick before it is used.
@@ -342,6 +357,9 @@
     /// What has become of an upstream's calls of a class: served, and all that came back, fading with time.
     fn record(&self, u: &Upstream, class: ClassId) -> (f64, f64) {
         let (served, all, at) = u.record.get(class.0).copied().unwrap_or_default();
+        if all == 0.0 {
+            return (0.0, 0.0);
+        }
         let fresh = (-(self.now - at) / FORGET_S).exp();
         (served * fresh, all * fresh)
     }
@@ -364,13 +382,11 @@
     }
 
     /// Smooth weighted round robin over the ready set: highest tally wins and pays the sum of factors.
-    fn turn(&mut self, ready: &[UpstreamId], class: ClassId) -> Option<UpstreamId> {
-        let all_zero = ready.iter().all(|id| self.upstreams[id].factor <= 0.0);
-        let served = self.served(class);
-        let trust = ready.iter().map(|id| self.trust(&self.upstreams[id], class, served)).collect::<Vec<_>>();
+    fn turn(&mut self, ready: &[(UpstreamId, f64)], class: ClassId) -> Option<UpstreamId> {
+        let all_zero = ready.iter().all(|(id, _)| self.upstreams[id].factor <= 0.0);
         let mut sum = 0.0;
         let mut best: Option<(UpstreamId, f64)> = None;
-        for (id, trust) in ready.iter().zip(trust) {
+        for (id, trust) in ready {
             let u = self.upstreams.get_mut(id)?;
             let factor = trust * if all_zero { 1.0 } else { u.factor };
             sum += factor;
@@ -404,7 +420,9 @@
         let aim_at = (self.now + c.aim + c.aim_stretch * work).min(deadline);
         let aim_at = if c.late_value > 0.0 { deadline } else { aim_at };
         let (arrived, attempts) = (self.now, Vec::new());
-        let request = Request { class, arrived, aim_at, deadline, worth, attempts, held: true, done: false };
+        let safe = c.effect == Effect::Safe;
+        let (held, done) = (true, false);
+        let request = Request { class, arrived, aim_at, deadline, worth, safe, attempts, held, done };
         self.retry_tokens = (self.retry_tokens + RETRY_PART).min(20.0);
         let asks = PROBE_WORTH / self.set.price_probe.max(PROBE_WORTH / 100.0);
         self.probe_tokens = (self.probe_tokens.max(0.0) + asks).min(2.0 * asks);
@@ -412,7 +430,7 @@
     }
 
     /// The latest time at which a first send can still be answered within the aim.
-    fn give_up_at(&self, r: &Request) -> f64 {
+    fn give_up_at(&self, r: &Held) -> f64 {
         // Danger: where all is slow the typical time passes the aim; even the dearest would go at once.
         let end = r.aim_at.min(r.deadline - self.set.tick);
         (end - self.typical[r.class.0].min(0.5 * (end - r.arrived))).max(r.arrived)
@@ -420,10 +438,7 @@
 
     /// Sends what is held, most worth first, and ends what can no longer be answered in time.
     fn dispatch(&mut self, actions: &mut Vec<Action>) {
-        let unsent = self.requests.iter().filter(|(_, r)| r.held && !r.done);
-        let mut held: Vec<_> = unsent.map(|(id, r)| (*id, r.worth, r.arrived)).collect();
-        let safe = |r: &Request| self.set.classes[r.class.0].effect == Effect::Safe && !r.done;
-        if held.is_empty() && !(self.set.cancel && self.requests.values().any(safe)) {
+        if self.requests.held().is_empty() && !(self.set.cancel && self.requests.open_safe > 0) {
             return;
         }
         let Survey { on, able, mut probes, in_flight } = self.survey();
@@ -434,11 +449,11 @@
         }
         let mut in_flight = in_flight as f64;
         self.rescue(actions);
+        // Among equals the newest first: under overload the oldest would all be answered too late.
+        let held: Vec<Held> = self.requests.held().iter().copied().collect();
         if held.is_empty() {
             return;
         }
-        // Among equals the newest first: under overload the oldest would all be answered too late.
-        held.sort_by(|a, b| b.1.total_cmp(&a.1).then(b.2.total_cmp(&a.2)).then(a.0.cmp(&b.0)));
         // Danger: copies that each fill all workers queue at the servers together. Each takes its share.
         let share = |w: f64| (SHARE_ROOM * on as f64 * w.round() / self.set.balancers as f64).ceil();
         let known = self.workers.map_or(f64::INFINITY, share);
@@ -446,26 +461,28 @@
         let top = self.set.classes.iter().map(|c| c.gain).fold(0.0, f64::max).max(f64::MIN_POSITIVE);
         let small = f64::from(u8::from(room < 1.0));
         let (mut waiting, mut closed) = (0, false);
-        for (id, worth, _) in held {
+        let mut trusts: Vec<Trusts> = vec![None; self.set.classes.len()];
+        for r in held {
+            let (id, worth, class) = (r.id, r.worth, r.class);
             // Danger: cheap calls fill a small room just before a dear one comes. The chance swing
             // of a full room (its root, half of it at most) is kept free, the more the less is at stake.
             let room = room - (room / 2.0).min(room.sqrt()) * (1.0 - worth / top);
             let full = in_flight >= room.max(1.0) + small || self.load() * small >= room;
             if !full && !closed {
-                let class = self.requests[&id].class;
-                let ready = self.ready_set(&self.requests[&id]);
+                let ready = self.ready_set(&self.requests[&id], &mut trusts[class.0]);
                 // Nobody for a request that may go anywhere: nobody for those behind it.
                 closed = ready.is_empty() && self.requests[&id].attempts.is_empty();
                 // Danger: in overload all are busy and each held request would ask on and on. Past its part
                 // it asks at the pace of answers; where workers are unknown too it goes unasked.
                 let paid = self.probe_tokens >= 1.0;
                 let unsure = self.verifies() && (paid || self.workers.is_some());
-                if unsure && !ready.first().is_some_and(|u| self.verified(&self.upstreams[u])) {
+                if unsure && !ready.first().is_some_and(|(u, _)| self.verified(&self.upstreams[u])) {
                     waiting += 1;
                     if probes < waiting && (paid || self.now - self.last_probe > self.median / 4.0) {
                         // Busy ones are asked again only once their state may have turned.
                         let fresh = self.now - self.median / 4.0;
-                        let old = |id: &UpstreamId| self.upstreams[id].report.is_none_or(|r| r.1 < fresh);
+                        let old =
+                            |u: &(UpstreamId, f64)| self.upstreams[&u.0].report.is_none_or(|r| r.1 < fresh);
                         let due: Vec<_> = ready.into_iter().filter(old).collect();
                         if let Some(u) = self.turn(&due, class) {
                             probes += 1;
@@ -481,7 +498,7 @@
                     }
                 }
             }
-            if self.now >= self.give_up_at(&self.requests[&id]) {
+            if self.now >= self.give_up_at(&r) {
                 self.end(id, actions);
             }
         }
@@ -490,8 +507,8 @@
 
     /// One wake-up at the next moment at which a held request needs a look.
     fn plan_wake(&mut self, actions: &mut Vec<Action>) {
-        let held = self.requests.values().filter(|r| r.held && !r.done);
-        let Some(next) = held.map(|r| self.give_up_at(r)).min_by(f64::total_cmp) else { return };
+        let held = self.requests.held().iter().map(|r| self.give_up_at(r));
+        let Some(next) = held.min_by(f64::total_cmp) else { return };
         let look = self.now + (self.median / 8.0).max(self.set.tick);
         let next = next.max(self.now + self.set.tick).min(look);
         if next < self.next_wake {
@@ -523,10 +540,10 @@
             return false;
         }
         let gap = self.upstreams.get(&to).map_or(0.0, |u| self.cold_gap(u));
+        self.requests.hold(id, false);
         let r = self.requests.get_mut(&id).expect("looked up above");
         let u = self.upstreams.get_mut(&to).expect("looked up above");
         u.cold_until = self.now + gap;
-        r.held = false;
         let (entry, sent) = (u.entry, self.now);
         r.attempts.push(Attempt { entry, sent, out: true, may_have_run: true, withdrawn: false });
         u.out.push((id, attempt, self.now));
@@ -605,7 +622,7 @@
             (r.attempts.len() as u32) < self.set.max_attempts && self.now + self.set.tick < r.deadline;
         if again && (!ran || (effect != Effect::Unsafe && self.retry_tokens >= 1.0)) {
             self.retry_tokens -= if ran { 1.0 } else { 0.0 };
-            r.held = true;
+            self.requests.hold(id, true);
         } else {
             self.end(id, actions);
         }
@@ -650,8 +667,9 @@
 
     /// Nothing more is owed; the state goes once no attempt is out.
     fn finish(&mut self, id: RequestId) {
-        let Some(r) = self.requests.get_mut(&id) else { return };
-        (r.done, r.held) = (true, false);
+        self.requests.settle(id);
+        self.requests.hold(id, false);
+        let Some(r) = self.requests.get(&id) else { return };
         if r.attempts.iter().all(|a| !a.out) {
             self.requests.remove(&id);
         }
--- a/crates/core/src/state.rs
+++ b/crates/core/src/state.rs
@@ -1,7 +1,8 @@
 //! What the policy keeps: plain state, no decisions.
 
 use crate::api::{ClassId, Entry, Report, RequestId, Settings, SettingsError, UpstreamId};
-use std::collections::{BTreeMap, VecDeque};
+use std::cmp::Ordering;
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
 /// One server as this copy sees it.
 pub struct Upstream {
@@ -13,7 +14,7 @@
     pub calls: u32,
     /// The latest report, when it came, and how many own attempts were out then.
     pub report: Option<(Report, f64, usize)>,
-    /// When each own attempt now out was sent.
+    /// When each own attempt now out was sent, the earliest first.
     pub out: Vec<(RequestId, u32, f64)>,
     /// When it last answered anything.
     pub heard: f64,
@@ -49,6 +50,8 @@
     pub aim_at: f64,
     pub deadline: f64,
     pub worth: f64,
+    /// Its class may run again.
+    pub safe: bool,
     pub attempts: Vec<Attempt>,
     pub held: bool,
     pub done: bool,
@@ -80,6 +83,111 @@
     }
 }
 
+/// What is to be known of a request that waits to be sent. Most worth first, among equals the newest.
+#[derive(Clone, Copy)]
+pub struct Held {
+    pub id: RequestId,
+    pub class: ClassId,
+    pub arrived: f64,
+    pub aim_at: f64,
+    pub deadline: f64,
+    pub worth: f64,
+}
+
+impl Ord for Held {
+    fn cmp(&self, other: &Self) -> Ordering {
+        let worth = other.worth.total_cmp(&self.worth);
+        worth.then(other.arrived.total_cmp(&self.arrived)).then(self.id.cmp(&other.id))
+    }
+}
+
+impl PartialOrd for Held {
+    fn partial_cmp(&self, other: &Self) -> Option<Ordering> {
+        Some(self.cmp(other))
+    }
+}
+
+impl PartialEq for Held {
+    fn eq(&self, other: &Self) -> bool {
+        self.cmp(other) == Ordering::Equal
+    }
+}
+
+impl Eq for Held {}
+
+impl Request {
+    fn as_held(&self, id: RequestId) -> Held {
+        let Request { class, arrived, aim_at, deadline, worth, .. } = *self;
+        Held { id, class, arrived, aim_at, deadline, worth }
+    }
+}
+
+/// Requests by id. Those that wait to be sent stand apart in their order, so that nothing has to be looked through
+/// or sorted for each event.
+#[derive(Default)]
+pub struct Requests {
+    all: BTreeMap<RequestId, Request>,
+    held: BTreeSet<Held>,
+    /// Requests that are owed an answer and may run again.
+    pub open_safe: usize,
+}
+
+impl Requests {
+    /// A new request, which waits to be sent.
+    pub fn insert(&mut self, id: RequestId, request: Request) {
+        self.open_safe += usize::from(request.safe);
+        self.held.insert(request.as_held(id));
+        self.all.insert(id, request);
+    }
+
+    pub fn get(&self, id: &RequestId) -> Option<&Request> {
+        self.all.get(id)
+    }
+
+    pub fn get_mut(&mut self, id: &RequestId) -> Option<&mut Request> {
+        self.all.get_mut(id)
+    }
+
+    /// Those that wait to be sent, in their order.
+    pub fn held(&self) -> &BTreeSet<Held> {
+        &self.held
+    }
+
+    /// It waits to be sent, or no longer does.
+    pub fn hold(&mut self, id: RequestId, held: bool) {
+        let Some(r) = self.all.get_mut(&id) else { return };
+        r.held = held;
+        if held && !r.done {
+            self.held.insert(r.as_held(id));
+        } else {
+            self.held.remove(&r.as_held(id));
+        }
+    }
+
+    /// Nothing more is owed.
+    pub fn settle(&mut self, id: RequestId) {
+        let Some(r) = self.all.get_mut(&id) else { return };
+        self.open_safe -= usize::from(r.safe && !r.done);
+        r.done = true;
+        if r.held {
+            self.held.remove(&r.as_held(id));
+        }
+    }
+
+    pub fn remove(&mut self, id: &RequestId) {
+        self.settle(*id);
+        self.all.remove(id);
+    }
+}
+
+impl std::ops::Index<&RequestId> for Requests {
+    type Output = Request;
+
+    fn index(&self, id: &RequestId) -> &Request {
+        &self.all[id]
+    }
+}
+
 /// A small seeded generator (SplitMix64).
 pub struct Rng(pub u64);
 
@@ -100,7 +208,7 @@
     pub(crate) rng: Rng,
     pub(crate) now: f64,
     pub(crate) upstreams: BTreeMap<UpstreamId, Upstream>,
-    pub(crate) requests: BTreeMap<RequestId, Request>,
+    pub(crate) requests: Requests,
     /// Workers an upstream has, learned from reports of those with a queue.
     pub(crate) workers: Option<f64>,
     /// Median time of a served answer, by class, and over all.
@@ -140,7 +248,7 @@
             rng: Rng(seed),
             now,
             upstreams: BTreeMap::new(),
-            requests: BTreeMap::new(),
+            requests: Requests::default(),
             workers: None,
             median: 0.0,
             served_at: VecDeque::new(),
