Play experiments on sockets: fleet, load, calibrate, and a bare relay to measure against

Need: an emulator is believed once it agrees with sockets, and what a request costs needs something to be compared with. Change: stand-in nodes are the emulator's own models on the wall clock; open-loop load from the same streams, counted from when a call was due; floor measures sidecar, bare relay and nothing between in turn.

--- a/crates/lab/src/cli.rs
+++ b/crates/lab/src/cli.rs
@@ -4,13 +4,19 @@
 use crate::plot;
 use crate::results::{self, series, Job, Keep, Row};
 use crate::rivals::Policy;
+use crate::sockets::fleet::Fleet;
+use crate::sockets::load::{Live, Load};
+use crate::sockets::program::free_address;
+use crate::sockets::{bench, sidecar_config};
 use crate::world::{play, Mutant, RunError, Wanted};
 use crate::{tables, theory};
 use clap::{Args, Parser, Subcommand, ValueEnum};
 use std::io::Write;
 use std::path::{Path, PathBuf};
 use std::process::ExitCode;
-use std::time::Instant;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::Arc;
+use std::time::{Duration, Instant};
 
 /// Emulates fleets behind passrelay and compares ways to balance them.
 ///
@@ -48,6 +54,72 @@
         #[arg(required = true)]
         files: Vec<PathBuf>,
     },
+    /// Starts the first tier's nodes and discovery of an experiment on loopback, with its troubles.
+    Fleet {
+        /// The experiment's file.
+        file: PathBuf,
+        /// Ends by itself after so many seconds.
+        #[arg(long, default_value_t = 3600.0)]
+        seconds: f64,
+        /// The seed, in place of the experiment's own.
+        #[arg(long)]
+        seed: Option<u64>,
+        /// Writes a sidecar's configuration for it, listening on a free port, to this file.
+        #[arg(long)]
+        config: Option<PathBuf>,
+    },
+    /// Puts an experiment's open-loop load on a running sidecar of loopback.
+    Load {
+        /// The experiment's file.
+        file: PathBuf,
+        /// Where the sidecar listens.
+        #[arg(long)]
+        to: std::net::SocketAddr,
+        /// The seed, in place of the experiment's own.
+        #[arg(long)]
+        seed: Option<u64>,
+        /// Prints the outcome as JSON.
+        #[arg(long)]
+        json: bool,
+    },
+    /// Plays an experiment's first tier emulated and on loopback with the real program, side by side.
+    Calibrate {
+        /// The experiment's file.
+        file: PathBuf,
+        /// The program; by default the one beside this.
+        #[arg(long)]
+        program: Option<PathBuf>,
+        /// The seed, in place of the experiment's own.
+        #[arg(long)]
+        seed: Option<u64>,
+        /// Sets a key of the experiment.
+        #[arg(long = "set", value_name = "KEY=VALUE")]
+        set: Vec<String>,
+        /// Prints both outcomes as JSON.
+        #[arg(long)]
+        json: bool,
+    },
+    /// Measures the sidecar against a bare relay and against no relay, before nodes that answer at once.
+    Floor {
+        /// The program; by default the one beside this.
+        #[arg(long)]
+        program: Option<PathBuf>,
+        /// Nodes.
+        #[arg(long, default_value_t = 8)]
+        nodes: usize,
+        /// Callers, each with one request under way.
+        #[arg(long, default_value_t = 32)]
+        callers: usize,
+        /// Rounds of all three in turn.
+        #[arg(long, default_value_t = 3)]
+        rounds: usize,
+        /// Seconds of each measurement.
+        #[arg(long, default_value_t = 3.0)]
+        seconds: f64,
+        /// Prints the rounds as JSON.
+        #[arg(long)]
+        json: bool,
+    },
     /// Holds the emulator against closed forms of queueing theory.
     Theory {
         /// Calls of each run.
@@ -239,6 +311,12 @@
         Command::Plot(plot) => do_plot(plot),
         Command::List { folder } => list(&folder),
         Command::Check { files } => check(&files),
+        Command::Fleet { file, seconds, seed, config } => fleet(&file, seconds, seed, config.as_deref()),
+        Command::Load { file, to, seed, json } => load(&file, to, seed, json),
+        Command::Calibrate { file, program, seed, set, json } => calibrate(&file, program, seed, &set, json),
+        Command::Floor { program, nodes, callers, rounds, seconds, json } => {
+            floor(program, nodes, callers, rounds, seconds, json)
+        }
         Command::Theory { calls, seeds, system, json } => do_theory(calls, seeds, &system, json),
     };
     match done {
@@ -453,3 +531,102 @@
     let points = points.collect::<Result<Vec<_>, _>>()?;
     print(&if as_json { json(&points)? } else { tables::theory(&points) })
 }
+
+/// The program that stands beside this one, unless another is named.
+fn program(named: Option<PathBuf>) -> Result<PathBuf, Failure> {
+    if let Some(path) = named {
+        return Ok(path);
+    }
+    let own = std::env::current_exe().map_err(|e| Failure(1, format!("this program's own place: {e}")))?;
+    let path = own.with_file_name("passrelay");
+    if path.is_file() {
+        return Ok(path);
+    }
+    Err(Failure(1, format!("{}: is not there; build it, or name one by --program", path.display())))
+}
+
+/// A flag that Ctrl-C and SIGTERM set, so that what was started is ended.
+fn stop_flag() -> Result<Arc<AtomicBool>, Failure> {
+    let stop = Arc::new(AtomicBool::new(false));
+    for signal in [signal_hook::consts::SIGINT, signal_hook::consts::SIGTERM] {
+        signal_hook::flag::register(signal, stop.clone()).map_err(|e| Failure(1, format!("signals: {e}")))?;
+    }
+    Ok(stop)
+}
+
+fn fleet(file: &Path, seconds: f64, seed: Option<u64>, config: Option<&Path>) -> Result<(), Failure> {
+    let e = bench::one_tier(&Experiment::read(file, &[])?, 0);
+    let seed = seed.unwrap_or(e.seed);
+    let stop = stop_flag()?;
+    let fleet = Fleet::start(&e, 0, seed).map_err(|e| Failure(1, format!("cannot be started: {e}")))?;
+    print(&format!("discovery {}\n", fleet.discovery))?;
+    for (n, node) in fleet.nodes.iter().enumerate() {
+        print(&format!("node s-{n} {node}\n"))?;
+    }
+    if let Some(path) = config {
+        let listen = free_address().map_err(|e| Failure(1, format!("no free port: {e}")))?;
+        let text = sidecar_config(&e, 0, listen, fleet.discovery, seed).to_string();
+        std::fs::write(path, text).map_err(|e| Failure(1, format!("{}: {e}", path.display())))?;
+        print(&format!("sidecar {listen} by {}\n", path.display()))?;
+    }
+    let began = Instant::now();
+    while began.elapsed().as_secs_f64() < seconds && !stop.load(Ordering::SeqCst) {
+        std::thread::sleep(Duration::from_millis(50));
+    }
+    let counts = &fleet.counts;
+    let (begun, shed) = (counts.begun.load(Ordering::Relaxed), counts.shed.load(Ordering::Relaxed));
+    print(&format!("{begun} requests worked on, {shed} turned away\n"))
+}
+
+fn load(file: &Path, to: std::net::SocketAddr, seed: Option<u64>, as_json: bool) -> Result<(), Failure> {
+    if !to.ip().is_loopback() {
+        return Err(Failure(2, format!("--to {to}: load is put on addresses of loopback only")));
+    }
+    let e = Experiment::read(file, &[])?;
+    let seed = seed.unwrap_or(e.seed);
+    let stop = stop_flag()?;
+    let mut load = Load::new(&e, to, seed).map_err(|problem| Failure(2, problem))?;
+    let mut outcome = load.play(&stop, live).map_err(|e| Failure(1, e.to_string()))?;
+    outcome.seed = seed;
+    eprintln!("calls went out {:.1} ms late at the worst", 1e3 * load.live().late_s);
+    print(&if as_json { json(&outcome)? } else { tables::outcome(&outcome) })
+}
+
+fn live(l: &Live) {
+    eprint!(
+        "\r{:5.1} s  {} calls, {} served, {} refused, {} failed, {} open   ",
+        l.at_s, l.calls, l.served, l.refused, l.failed, l.open
+    );
+}
+
+fn calibrate(
+    file: &Path,
+    named: Option<PathBuf>,
+    seed: Option<u64>,
+    set: &[String],
+    as_json: bool,
+) -> Result<(), Failure> {
+    let e = Experiment::read(file, &pairs(set)?)?;
+    let both = bench::calibrate(&program(named)?, &e, seed.unwrap_or(e.seed), live);
+    let both = both.map_err(|problem| Failure(1, problem))?;
+    eprintln!("\rcalls went out {:.1} ms late at the worst                                ", 1e3 * both.late_s);
+    print(&if as_json { json(&both)? } else { tables::calibration(&both) })
+}
+
+fn floor(
+    named: Option<PathBuf>,
+    nodes: usize,
+    callers: usize,
+    rounds: usize,
+    seconds: f64,
+    as_json: bool,
+) -> Result<(), Failure> {
+    if !(1..=400).contains(&nodes) || !(1..=400).contains(&callers) || !(0.1..=600.0).contains(&seconds) {
+        return Err(Failure(2, "--nodes and --callers should be 1 to 400, --seconds 0.1 to 600".to_owned()));
+    }
+    let show = |r: &bench::Round| eprintln!("{:?}: {:.0} requests a second", r.between, r.per_second);
+    let time = Duration::from_secs_f64(seconds);
+    let all = bench::floor(&program(named)?, nodes, callers, rounds, time, show);
+    let all = all.map_err(|e| Failure(1, e.to_string()))?;
+    print(&if as_json { json(&all)? } else { tables::floor(&all, nodes, callers) })
+}
--- a/crates/lab/src/queue.rs
+++ b/crates/lab/src/queue.rs
@@ -77,6 +77,11 @@
         Some(slot.event)
     }
 
+    /// When the next event comes out.
+    pub fn next_at(&self) -> Option<Nanos> {
+        self.heap.peek().map(|slot| slot.at)
+    }
+
     /// How many have been put in.
     pub fn count(&self) -> u64 {
         self.number
--- /dev/null
+++ b/crates/lab/src/sockets/bench.rs
@@ -0,0 +1,173 @@
+//! What the commands on sockets do: the floor, and the same experiment emulated and on loopback.
+
+use super::fleet::Fleet;
+use super::floor::Floor;
+use super::hammer::{hammer, FastNodes, Hammered};
+use super::load::{Live, Load};
+use super::program::{cpu_of, free_address, Program};
+use super::sidecar_config;
+use crate::experiment::Experiment;
+use crate::meter::Outcome;
+use crate::rivals::Policy;
+use crate::world::{play, Wanted};
+use serde::Serialize;
+use std::io;
+use std::net::SocketAddr;
+use std::path::Path;
+use std::sync::atomic::AtomicBool;
+use std::time::Duration;
+
+/// What stands between callers and nodes in a round.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Between {
+    /// The sidecar.
+    Sidecar,
+    /// The bare relay.
+    Floor,
+    /// Nothing.
+    Straight,
+}
+
+/// One round.
+#[derive(Clone, Debug, Serialize)]
+pub struct Round {
+    /// What stood between.
+    pub between: Between,
+    /// Requests served a second.
+    pub per_second: f64,
+    /// Requests answered otherwise.
+    pub others: u64,
+    /// CPU time for each request in microseconds, of what stood between.
+    pub cpu_us: Option<f64>,
+    /// Median latency in microseconds.
+    pub p50_us: u64,
+    /// 99th percentile.
+    pub p99_us: u64,
+}
+
+/// The sidecar, the bare relay and nothing in turn, `rounds` times, before nodes that answer at once.
+///
+/// # Errors
+///
+/// Fails when a port cannot be had or the program does not start.
+pub fn floor(
+    program: &Path,
+    nodes: usize,
+    callers: usize,
+    rounds: usize,
+    time: Duration,
+    mut show: impl FnMut(&Round),
+) -> io::Result<Vec<Round>> {
+    let fast = FastNodes::start(nodes)?;
+    let mut all = Vec::new();
+    for _ in 0..rounds {
+        for between in [Between::Sidecar, Between::Floor, Between::Straight] {
+            let mut from = None;
+            let (seen, cpu) = match between {
+                Between::Sidecar => {
+                    let listen = free_address()?;
+                    let config = hammer_config(listen, fast.discovery);
+                    let sidecar = Program::start(program, &config)?;
+                    let seen = hammer(&[listen], callers, time, || from = sidecar.cpu_s())?;
+                    (seen, sidecar.cpu_s())
+                }
+                Between::Floor => {
+                    let floor = Floor::start(fast.addresses.clone())?;
+                    let seen = hammer(&[floor.address], callers, time, || from = thread_cpu("floor"))?;
+                    (seen, thread_cpu("floor"))
+                }
+                Between::Straight => (hammer(&fast.addresses, callers, time, || ())?, None),
+            };
+            let Hammered { served, others, seconds, latency } = seen;
+            let round = Round {
+                between,
+                per_second: served as f64 / seconds.max(1e-9),
+                others,
+                cpu_us: cpu.zip(from).map(|(to, from)| (to - from) * 1e6 / (served + others).max(1) as f64),
+                p50_us: latency.value_at_quantile(0.5),
+                p99_us: latency.value_at_quantile(0.99),
+            };
+            show(&round);
+            all.push(round);
+        }
+    }
+    Ok(all)
+}
+
+/// CPU time of a thread of this process, by its name.
+fn thread_cpu(name: &str) -> Option<f64> {
+    let tasks = std::fs::read_dir("/proc/self/task").ok()?;
+    let named = |path: &Path| std::fs::read_to_string(path.join("comm")).is_ok_and(|n| n.trim() == name);
+    let task = tasks.filter_map(|t| Some(t.ok()?.path())).find(|p| named(p))?;
+    cpu_of(&task.join("stat").display().to_string())
+}
+
+fn hammer_config(listen: SocketAddr, discovery: SocketAddr) -> serde_json::Value {
+    let text = "[load]\nrate = 1\n[[tier]]\nname = \"only\"\n[[tier.kind]]\n[[class]]\nname = \"look\"\naim_s = 5\n\
+                [[tenant]]\nname = \"acme\"";
+    let e = Experiment::parse(text).unwrap_or_default();
+    sidecar_config(&e, 0, listen, discovery, 7)
+}
+
+/// The same experiment emulated and on sockets.
+#[derive(Clone, Debug, Serialize)]
+pub struct Calibration {
+    /// As emulated.
+    pub emulated: Outcome,
+    /// On loopback, with the real program.
+    pub sockets: Outcome,
+    /// How late the load itself was at the worst, in seconds.
+    pub late_s: f64,
+}
+
+/// One tier of an experiment, with one sidecar: what sockets can play.
+pub fn one_tier(e: &Experiment, tier: usize) -> Experiment {
+    let mut e = e.clone();
+    let name = e.tier[tier].name.clone();
+    e.trouble.retain(|t| t.tier.as_deref().is_none_or(|n| n == name));
+    e.tier = vec![e.tier[tier].clone()];
+    e.tier[0].sidecars = 1;
+    e.network.zones = 1;
+    // Loopback and two processes: what a message takes there.
+    (e.network.one_way_ms, e.network.jitter) = (0.05, 0.2);
+    e
+}
+
+/// Plays the first tier of an experiment on loopback with the real program.
+///
+/// # Errors
+///
+/// Says what could not be started or played.
+pub fn on_sockets(
+    program: &Path,
+    e: &Experiment,
+    seed: u64,
+    stop: &AtomicBool,
+    show: impl FnMut(&Live),
+) -> Result<(Outcome, Live), String> {
+    let listen = free_address().map_err(|e| e.to_string())?;
+    let fleet = Fleet::start(e, 0, seed).map_err(|e| format!("the stand-in fleet cannot be started: {e}"))?;
+    let config = sidecar_config(e, 0, listen, fleet.discovery, seed);
+    let _sidecar = Program::start(program, &config).map_err(|e| e.to_string())?;
+    let mut load = Load::new(e, listen, seed)?;
+    let outcome = load.play(stop, show).map_err(|e| e.to_string())?;
+    Ok((outcome, load.live()))
+}
+
+/// Plays the first tier of an experiment both ways.
+///
+/// # Errors
+///
+/// Says what could not be started or played.
+pub fn calibrate(
+    program: &Path,
+    e: &Experiment,
+    seed: u64,
+    show: impl FnMut(&Live),
+) -> Result<Calibration, String> {
+    let e = one_tier(e, 0);
+    let emulated = play(&e, Policy::Passrelay, seed, Wanted::default()).map_err(|e| e.to_string())?;
+    let (sockets, live) = on_sockets(program, &e, seed, &AtomicBool::new(false), show)?;
+    Ok(Calibration { emulated, sockets, late_s: live.late_s })
+}
--- /dev/null
+++ b/crates/lab/src/sockets/floor.rs
@@ -0,0 +1,130 @@
+//! The bare relay: what a one-thread relay costs that decides nothing. Requests go to the nodes in turn over kept
+//! connections; there is no check, no time-out and no second attempt. A sidecar is measured against it.
+
+use super::wire::Conn;
+use mio::net::{TcpListener, TcpStream};
+use mio::{Events, Interest, Poll, Token};
+use slab::Slab;
+use std::io::{self, ErrorKind};
+use std::net::SocketAddr;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::Arc;
+use std::thread::JoinHandle;
+use std::time::Duration;
+
+/// A relay on loopback; it ends when dropped.
+pub struct Floor {
+    /// Where it listens.
+    pub address: SocketAddr,
+    stop: Arc<AtomicBool>,
+    thread: Option<JoinHandle<io::Result<()>>>,
+}
+
+impl Floor {
+    /// Starts a relay in front of these nodes.
+    ///
+    /// # Errors
+    ///
+    /// Fails when no port can be had.
+    pub fn start(nodes: Vec<SocketAddr>) -> io::Result<Floor> {
+        let listener = TcpListener::bind(([127, 0, 0, 1], 0).into())?;
+        let address = listener.local_addr()?;
+        let stop = Arc::new(AtomicBool::new(false));
+        let ends = stop.clone();
+        let thread =
+            std::thread::Builder::new().name("floor".to_owned()).spawn(move || run(listener, &nodes, &ends))?;
+        Ok(Floor { address, stop, thread: Some(thread) })
+    }
+}
+
+impl Drop for Floor {
+    fn drop(&mut self) {
+        self.stop.store(true, Ordering::SeqCst);
+        if let Some(thread) = self.thread.take() {
+            let _ = thread.join();
+        }
+    }
+}
+
+struct End {
+    conn: Conn,
+    /// The node it leads to; none: a caller's.
+    node: Option<usize>,
+    /// The other end, while a request is under way.
+    peer: Option<usize>,
+}
+
+fn run(mut listener: TcpListener, nodes: &[SocketAddr], stop: &AtomicBool) -> io::Result<()> {
+    let mut poll = Poll::new()?;
+    poll.registry().register(&mut listener, Token(0), Interest::READABLE)?;
+    let mut ends: Slab<End> = Slab::new();
+    let mut idle: Vec<Vec<usize>> = vec![Vec::new(); nodes.len()];
+    let mut turn = 0;
+    let mut events = Events::with_capacity(1024);
+    let both = Interest::READABLE | Interest::WRITABLE;
+    while !stop.load(Ordering::SeqCst) {
+        match poll.poll(&mut events, Some(Duration::from_millis(50))) {
+            Err(e) if e.kind() == ErrorKind::Interrupted => continue,
+            other => other?,
+        }
+        for event in &events {
+            if event.token() == Token(0) {
+                while let Ok((mut sock, _)) = listener.accept() {
+                    let entry = ends.vacant_entry();
+                    poll.registry().register(&mut sock, Token(entry.key() + 1), both)?;
+                    entry.insert(End { conn: Conn::new(sock), node: None, peer: None });
+                }
+                continue;
+            }
+            let key = event.token().0 - 1;
+            let Some(end) = ends.get_mut(key) else { continue };
+            let open = end.conn.flush() && end.conn.fill();
+            if let Some(node) = end.node {
+                if let Ok(Some(m)) = end.conn.take(true) {
+                    let peer = end.peer.take();
+                    if open {
+                        idle[node].push(key);
+                    }
+                    let head = format!("HTTP/1.1 {} X\r\nContent-Length: {}\r\n\r\n", m.status, m.body.len());
+                    if let Some(caller) = peer.and_then(|p| ends.get_mut(p)) {
+                        caller.conn.put(&[head.as_bytes(), &m.body].concat());
+                        caller.peer = None;
+                    }
+                }
+            } else if let Ok(Some(m)) = end.conn.take(false) {
+                let to = turn % nodes.len();
+                turn += 1;
+                let head = format!(
+                    "{} {} HTTP/1.1\r\nHost: n\r\nX-Call-Class: {}\r\nContent-Length: {}\r\n\r\n",
+                    m.method,
+                    m.target,
+                    m.class,
+                    m.body.len()
+                );
+                let out = match idle[to].pop().filter(|k| ends.contains(*k)) {
+                    Some(out) => out,
+                    None => {
+                        let mut sock = TcpStream::connect(nodes[to])?;
+                        let entry = ends.vacant_entry();
+                        poll.registry().register(&mut sock, Token(entry.key() + 1), both)?;
+                        let out = entry.key();
+                        entry.insert(End { conn: Conn::new(sock), node: Some(to), peer: None });
+                        out
+                    }
+                };
+                ends[key].peer = Some(out);
+                ends[out].peer = Some(key);
+                ends[out].conn.put(&[head.as_bytes(), &m.body].concat());
+            }
+            if !open {
+                if let Some(mut end) = ends.try_remove(key) {
+                    let _ = poll.registry().deregister(&mut end.conn.sock);
+                    if let Some(node) = end.node {
+                        idle[node].retain(|k| *k != key);
+                    }
+                }
+            }
+        }
+    }
+    Ok(())
+}
--- /dev/null
+++ b/crates/lab/src/sockets/hammer.rs
@@ -0,0 +1,193 @@
+//! A closed loop as fast as it goes, and nodes that answer at once: what a relay can carry at most.
+
+use super::wire::Conn;
+use hdrhistogram::Histogram;
+use mio::net::{TcpListener, TcpStream};
+use mio::{Events, Interest, Poll, Token};
+use slab::Slab;
+use std::io::{self, ErrorKind};
+use std::net::SocketAddr;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::Arc;
+use std::thread::JoinHandle;
+use std::time::{Duration, Instant};
+
+/// Tokens from here on are connections; those below are listeners.
+const FIRST: usize = 1 << 20;
+const ANSWER: &[u8] = b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\nX-Load-Report: qps=100,util=0.3\r\n\r\nok";
+
+/// Nodes that answer at once; they end when dropped.
+pub struct FastNodes {
+    /// Where they listen.
+    pub addresses: Vec<SocketAddr>,
+    /// Where a discovery listens that names them.
+    pub discovery: SocketAddr,
+    stop: Arc<AtomicBool>,
+    thread: Option<JoinHandle<io::Result<()>>>,
+}
+
+impl FastNodes {
+    /// Starts so many of them, on one thread.
+    ///
+    /// # Errors
+    ///
+    /// Fails when no port can be had.
+    pub fn start(count: usize) -> io::Result<FastNodes> {
+        let poll = Poll::new()?;
+        let mut listeners = Vec::new();
+        // The last one is discovery.
+        for n in 0..=count {
+            let mut listener = TcpListener::bind(([127, 0, 0, 1], 0).into())?;
+            poll.registry().register(&mut listener, Token(n), Interest::READABLE)?;
+            listeners.push(listener);
+        }
+        let addresses = listeners.iter().map(TcpListener::local_addr).collect::<Result<Vec<_>, _>>()?;
+        let (discovery, nodes) = (addresses[count], addresses[..count].to_vec());
+        let hosts: Vec<_> = (nodes.iter().enumerate())
+            .map(|(n, at)| {
+                serde_json::json!({"host": format!("s-{n}"), "dial": at.to_string(), "site": "z0", "class": "m",
+                    "block": 0, "health": "in_service", "share": 1.0, "born_ms": 0})
+            })
+            .collect();
+        let body = serde_json::json!({"seq": 1, "whole": true, "hosts": hosts}).to_string();
+        let list = format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n{body}", body.len()).into_bytes();
+        let stop = Arc::new(AtomicBool::new(false));
+        let ends = stop.clone();
+        let serve = move || serve(poll, &listeners, count, &list, &ends);
+        let thread = std::thread::Builder::new().name("fast-nodes".to_owned()).spawn(serve)?;
+        Ok(FastNodes { addresses: nodes, discovery, stop, thread: Some(thread) })
+    }
+}
+
+impl Drop for FastNodes {
+    fn drop(&mut self) {
+        self.stop.store(true, Ordering::SeqCst);
+        if let Some(thread) = self.thread.take() {
+            let _ = thread.join();
+        }
+    }
+}
+
+fn serve(
+    mut poll: Poll,
+    listeners: &[TcpListener],
+    discovery: usize,
+    list: &[u8],
+    stop: &AtomicBool,
+) -> io::Result<()> {
+    let mut conns: Slab<(Conn, bool)> = Slab::new();
+    let mut events = Events::with_capacity(1024);
+    while !stop.load(Ordering::SeqCst) {
+        match poll.poll(&mut events, Some(Duration::from_millis(50))) {
+            Err(e) if e.kind() == ErrorKind::Interrupted => continue,
+            other => other?,
+        }
+        for event in &events {
+            let token = event.token().0;
+            if token < FIRST {
+                while let Ok((mut sock, _)) = listeners[token].accept() {
+                    let entry = conns.vacant_entry();
+                    poll.registry().register(&mut sock, Token(FIRST + entry.key()), Interest::READABLE)?;
+                    entry.insert((Conn::new(sock), token == discovery));
+                }
+                continue;
+            }
+            let Some((conn, lists)) = conns.get_mut(token - FIRST) else { continue };
+            let open = conn.fill();
+            while let Ok(Some(message)) = conn.take(false) {
+                // A watch is never answered: nothing changes.
+                if !*lists {
+                    conn.put(ANSWER);
+                } else if !message.target.contains("since=1") {
+                    conn.put(list);
+                }
+            }
+            if !open {
+                if let Some((mut conn, _)) = conns.try_remove(token - FIRST) {
+                    let _ = poll.registry().deregister(&mut conn.sock);
+                }
+            }
+        }
+    }
+    Ok(())
+}
+
+/// What a closed loop has seen.
+#[derive(Clone, Debug)]
+pub struct Hammered {
+    /// Requests answered with 200 in the time measured.
+    pub served: u64,
+    /// Other answers.
+    pub others: u64,
+    /// How long it was measured.
+    pub seconds: f64,
+    /// Latency in microseconds.
+    pub latency: Histogram<u64>,
+}
+
+/// Sends as fast as answers come, over `callers` connections in turn to `targets`. The first fifth of the time is
+/// not measured; `at_start` is called when measuring begins.
+///
+/// # Errors
+///
+/// Fails when a connection cannot be made.
+pub fn hammer(
+    targets: &[SocketAddr],
+    callers: usize,
+    time: Duration,
+    mut at_start: impl FnMut(),
+) -> io::Result<Hammered> {
+    let mut poll = Poll::new()?;
+    let mut conns = Vec::new();
+    let mut number = 0u64;
+    let run = u64::from(std::process::id());
+    let mut request = || {
+        number += 1;
+        format!(
+            "GET /look/x HTTP/1.1\r\nHost: sidecar\r\nX-Call-Id: {run:08x}{number:08x}\r\nX-Call-Class: look\r\n\
+             X-Caller: acme\r\nX-Budget: 5\r\n\r\n"
+        )
+    };
+    for n in 0..callers {
+        let mut sock = TcpStream::connect(targets[n % targets.len()])?;
+        poll.registry().register(&mut sock, Token(n), Interest::READABLE | Interest::WRITABLE)?;
+        conns.push((Conn::new(sock), None::<Instant>));
+    }
+    let (began, warm) = (Instant::now(), time / 5);
+    let latency = Histogram::new(3).expect("three digits are within the crate's bounds");
+    let mut seen = Hammered { served: 0, others: 0, seconds: 0.0, latency };
+    let mut since = None;
+    let mut events = Events::with_capacity(1024);
+    while began.elapsed() < time {
+        match poll.poll(&mut events, Some(Duration::from_millis(50))) {
+            Err(e) if e.kind() == ErrorKind::Interrupted => continue,
+            other => other?,
+        }
+        if since.is_none() && began.elapsed() >= warm {
+            since = Some(Instant::now());
+            at_start();
+        }
+        for event in &events {
+            let (conn, sent) = &mut conns[event.token().0];
+            let open = conn.flush() && conn.fill();
+            if let Ok(Some(message)) = conn.take(true) {
+                if let (Some(_), Some(sent)) = (since, sent.take()) {
+                    let us = sent.elapsed().as_micros() as u64;
+                    seen.latency.record(us.max(1)).expect("a histogram that grows takes any value");
+                    seen.served += u64::from(message.status == 200);
+                    seen.others += u64::from(message.status != 200);
+                }
+                *sent = None;
+            }
+            if !open {
+                return Err(io::Error::new(ErrorKind::ConnectionReset, "the other side has closed a connection"));
+            }
+            if sent.is_none() {
+                *sent = Some(Instant::now());
+                conn.put(request().as_bytes());
+            }
+        }
+    }
+    seen.seconds = since.map_or(0.0, |s| s.elapsed().as_secs_f64());
+    Ok(seen)
+}
--- /dev/null
+++ b/crates/lab/src/sockets/program.rs
@@ -0,0 +1,107 @@
+//! The real program as a process, with a configuration of its own; it ends when dropped.
+
+use serde_json::Value;
+use std::io;
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::path::{Path, PathBuf};
+use std::process::{Child, Command, Stdio};
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::time::{Duration, Instant};
+
+/// It has to be ready within this time.
+const READY: Duration = Duration::from_secs(20);
+
+/// A sidecar as a process.
+pub struct Program {
+    child: Child,
+    file: PathBuf,
+}
+
+/// An address of loopback that was free a moment ago.
+///
+/// # Errors
+///
+/// Fails when there is none.
+pub fn free_address() -> io::Result<SocketAddr> {
+    TcpListener::bind("127.0.0.1:0")?.local_addr()
+}
+
+impl Program {
+    /// Starts the program with this configuration and waits until it is ready. Its log goes to a file beside the
+    /// configuration, or nowhere.
+    ///
+    /// # Errors
+    ///
+    /// Says that it cannot be started, or was not ready in time.
+    pub fn start(program: &Path, config: &Value) -> io::Result<Program> {
+        static NUMBER: AtomicUsize = AtomicUsize::new(0);
+        let number = NUMBER.fetch_add(1, Ordering::SeqCst);
+        let file = std::env::temp_dir().join(format!("passrelay-lab-{}-{number}.json", std::process::id()));
+        std::fs::write(&file, config.to_string())?;
+        let named = |e: io::Error| io::Error::new(e.kind(), format!("{}: {e}", program.display()));
+        let child = Command::new(program)
+            .arg("run")
+            .env("RELAY_CONFIG", &file)
+            .env_remove("RELAY_NAME")
+            .env_remove("RELAY_LISTEN")
+            .env_remove("RELAY_DISCOVERY")
+            .stdin(Stdio::null())
+            .stdout(Stdio::null())
+            .stderr(Stdio::null())
+            .spawn()
+            .map_err(named);
+        let mut started = match child {
+            Ok(child) => Program { child, file },
+            Err(e) => {
+                let _ = std::fs::remove_file(&file);
+                return Err(e);
+            }
+        };
+        let address = config["listen"].as_str().unwrap_or_default().to_owned();
+        let began = Instant::now();
+        while !is_ready(&address) {
+            if let Some(status) = started.child.try_wait()? {
+                return Err(io::Error::other(format!("{} ended at once: {status}", program.display())));
+            }
+            if began.elapsed() > READY {
+                return Err(io::Error::new(io::ErrorKind::TimedOut, "the sidecar was not ready in 20 s"));
+            }
+            std::thread::sleep(Duration::from_millis(10));
+        }
+        Ok(started)
+    }
+
+    /// CPU time that it has used so far, in seconds, where the system tells.
+    pub fn cpu_s(&self) -> Option<f64> {
+        cpu_of(&format!("/proc/{}/stat", self.child.id()))
+    }
+}
+
+impl Drop for Program {
+    fn drop(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+        let _ = std::fs::remove_file(&self.file);
+    }
+}
+
+/// CPU time in a file of the form of `/proc/PID/stat`, in seconds.
+pub fn cpu_of(path: &str) -> Option<f64> {
+    let text = std::fs::read_to_string(path).ok()?;
+    // The name in brackets may hold blanks; what counts comes after it.
+    let fields: Vec<&str> = text.rsplit_once(')')?.1.split_whitespace().collect();
+    let ticks: f64 = fields.get(11)?.parse::<f64>().ok()? + fields.get(12)?.parse::<f64>().ok()?;
+    // Linux counts these in hundredths of a second for every program.
+    Some(ticks / 100.0)
+}
+
+fn is_ready(address: &str) -> bool {
+    use std::io::{Read, Write};
+    let Ok(mut sock) = TcpStream::connect(address) else { return false };
+    let _ = sock.set_read_timeout(Some(Duration::from_secs(1)));
+    if sock.write_all(b"GET /ready HTTP/1.1\r\nHost: lab\r\nConnection: close\r\n\r\n").is_err() {
+        return false;
+    }
+    let mut head = [0; 12];
+    sock.read_exact(&mut head).is_ok() && &head[9..12] == b"200"
+}
--- a/crates/lab/src/tables.rs
+++ b/crates/lab/src/tables.rs
@@ -349,3 +349,44 @@
     }
     format!("{out}\n")
 }
+
+/// The emulated run beside the one on sockets.
+pub fn calibration(both: &crate::sockets::bench::Calibration) -> String {
+    let (a, b) = (&both.emulated, &both.sockets);
+    let mut out = table(&["", "emulated", "sockets", "difference"]);
+    let mut row = |name: &str, a: f64, b: f64, relative: bool| {
+        let difference =
+            if relative { format!("{:+.1}%", 100.0 * (b / a.max(1e-9) - 1.0)) } else { format!("{:+.4}", b - a) };
+        let text = |v: f64| if relative { ms(v) } else { format!("{v:.4}") };
+        out.add_row([name.to_owned(), text(a), text(b), difference]);
+    };
+    row("served", a.served_share, b.served_share, false);
+    row("goal", a.goal, b.goal, false);
+    row("mean ms", a.latency_ms.mean, b.latency_ms.mean, true);
+    row("p50 ms", a.latency_ms.p50, b.latency_ms.p50, true);
+    row("p90 ms", a.latency_ms.p90, b.latency_ms.p90, true);
+    row("p99 ms", a.latency_ms.p99, b.latency_ms.p99, true);
+    format!("{}, one tier, seed {}\n\n{out}\n", a.experiment, a.seed)
+}
+
+/// Rounds of the sidecar, the bare relay and nothing between.
+pub fn floor(all: &[crate::sockets::bench::Round], nodes: usize, callers: usize) -> String {
+    use crate::sockets::bench::Between;
+    let mut out = table(&["between", "requests/s", "others", "CPU us each", "p50 us", "p99 us"]);
+    for r in all {
+        out.add_row([
+            format!("{:?}", r.between).to_lowercase(),
+            format!("{:.0}", r.per_second),
+            r.others.to_string(),
+            r.cpu_us.map_or("-".to_owned(), |c| format!("{c:.1}")),
+            r.p50_us.to_string(),
+            r.p99_us.to_string(),
+        ]);
+    }
+    let mean = |b: Between| {
+        let of: Vec<f64> = all.iter().filter(|r| r.between == b).map(|r| r.per_second).collect();
+        of.iter().sum::<f64>() / of.len().max(1) as f64
+    };
+    let share = mean(Between::Sidecar) / mean(Between::Floor).max(1e-9);
+    format!("{nodes} nodes, {callers} callers\n\n{out}\n\nthe sidecar carries {share:.2} of the bare relay\n")
+}
