Take turns in one pass over the upstreams, and bench the cost of a request

Change: the turn walks the upstreams beside the ready ones. criterion benches by nodes and held requests.

--- /dev/null
+++ b/crates/core/benches/pick.rs
@@ -0,0 +1,100 @@
+//! What one request costs in the module: its arrival with the pick, and its answer.
+
+use criterion::{criterion_group, criterion_main, BenchmarkId, Criterion};
+use passrelay_core::*;
+use std::hint::black_box;
+
+/// The module before `nodes` nodes with `held` requests that it cannot send, and a clock.
+struct Bench {
+    balancer: Balancer,
+    now: f64,
+    next: u64,
+    actions: Vec<Action>,
+}
+
+impl Bench {
+    fn new(nodes: u64) -> Bench {
+        let class = |effect| Class { aim: 2.5, effect, ..Class::default() };
+        let classes =
+            vec![class(Effect::Safe), class(Effect::Unsafe), class(Effect::Unsafe), class(Effect::Unsafe)];
+        let settings =
+            Settings { classes, cancel: true, duplicates: true, max_attempts: 4, ..Settings::default() };
+        let balancer = Balancer::new(settings, 7, 0.0).expect("the settings make sense");
+        let mut bench = Bench { balancer, now: 0.0, next: 0, actions: Vec::new() };
+        let entry = |n| Entry {
+            upstream: UpstreamId(n),
+            zone: ZoneId(0),
+            cell: 0,
+            condition: Condition::On,
+            started: None,
+        };
+        bench.handle(Event::FullList((0..nodes).map(entry).collect()));
+        // Every node has been heard of, in every class.
+        for _ in 0..nodes * 6 {
+            bench.request(5.0);
+        }
+        bench
+    }
+
+    fn handle(&mut self, event: Event) {
+        self.actions.clear();
+        self.balancer.handle(self.now, event, &mut self.actions);
+    }
+
+    fn arrive(&mut self, ttl: f64) -> Option<(RequestId, UpstreamId)> {
+        self.next += 1;
+        let (id, class) = (RequestId(self.next), ClassId((self.next % 4) as usize));
+        self.handle(Event::Request { id, class, tenant: None, ttl, work_hint: None, repeat: false });
+        self.actions.iter().find_map(|a| match a {
+            Action::Send { id, upstream, .. } => Some((*id, *upstream)),
+            _ => None,
+        })
+    }
+
+    /// One request and its answer.
+    fn request(&mut self, ttl: f64) {
+        self.now += 0.0005;
+        let Some((id, upstream)) = self.arrive(ttl) else { return };
+        self.now += 0.0005;
+        let report = Some(Report { cpu: Some(0.4), rps: Some(90.0), ..Report::default() });
+        let (attempt, ending) = (0, Ending::Delivered);
+        self.handle(Event::Outcome(Outcome {
+            id,
+            attempt,
+            upstream,
+            ending,
+            elapsed: 0.05,
+            last: true,
+            report,
+        }));
+    }
+}
+
+fn nodes(c: &mut Criterion) {
+    let mut group = c.benchmark_group("request_by_nodes");
+    for nodes in [10, 100, 1000, 5000] {
+        let mut bench = Bench::new(nodes);
+        group
+            .bench_function(BenchmarkId::from_parameter(nodes), |b| b.iter(|| black_box(bench.request(5.0))));
+    }
+    group.finish();
+}
+
+fn held(c: &mut Criterion) {
+    let mut group = c.benchmark_group("request_by_held");
+    for held in [1, 100, 2000] {
+        let mut bench = Bench::new(10);
+        // Nothing answers any more: what comes is sent until the room is full, and then held.
+        let mut waiting = 0;
+        while waiting < held {
+            waiting += u64::from(bench.arrive(1e9).is_none());
+        }
+        group.bench_function(BenchmarkId::from_parameter(held), |b| {
+            b.iter(|| black_box(bench.handle(Event::Wake(7))));
+        });
+    }
+    group.finish();
+}
+
+criterion_group!(benches, nodes, held);
+criterion_main!(benches);
--- a/crates/core/src/rules.rs
+++ b/crates/core/src/rules.rs
@@ -386,8 +386,10 @@
         let all_zero = ready.iter().all(|(id, _)| self.upstreams[id].factor <= 0.0);
         let mut sum = 0.0;
         let mut best: Option<(UpstreamId, f64)> = None;
-        for (id, trust) in ready {
-            let u = self.upstreams.get_mut(id)?;
+        let mut left = ready;
+        for (id, u) in &mut self.upstreams {
+            let Some(((_, trust), rest)) = left.split_first().filter(|((r, _), _)| r == id) else { continue };
+            left = rest;
             let factor = trust * if all_zero { 1.0 } else { u.factor };
             sum += factor;
             u.tally[class.0] += factor;
--- a/crates/lab/src/cli.rs
+++ b/crates/lab/src/cli.rs
@@ -609,7 +609,10 @@
     let e = Experiment::read(file, &pairs(set)?)?;
     let both = bench::calibrate(&program(named)?, &e, seed.unwrap_or(e.seed), live);
     let both = both.map_err(|problem| Failure(1, problem))?;
-    eprintln!("\rcalls went out {:.1} ms late at the worst                                ", 1e3 * both.late_s);
+    eprintln!(
+        "\rcalls went out {:.1} ms late at the worst                                ",
+        1e3 * both.late_s
+    );
     print(&if as_json { json(&both)? } else { tables::calibration(&both) })
 }
 
--- a/crates/lab/src/sockets/bench.rs
+++ b/crates/lab/src/sockets/bench.rs
@@ -104,7 +104,8 @@
 }
 
 fn hammer_config(listen: SocketAddr, discovery: SocketAddr) -> serde_json::Value {
-    let text = "[load]\nrate = 1\n[[tier]]\nname = \"only\"\n[[tier.kind]]\n[[class]]\nname = \"look\"\naim_s = 5\n\
+    let text =
+        "[load]\nrate = 1\n[[tier]]\nname = \"only\"\n[[tier.kind]]\n[[class]]\nname = \"look\"\naim_s = 5\n\
                 [[tenant]]\nname = \"acme\"";
     let e = Experiment::parse(text).unwrap_or_default();
     sidecar_config(&e, 0, listen, discovery, 7)
--- a/crates/lab/src/sockets/fleet.rs
+++ b/crates/lab/src/sockets/fleet.rs
@@ -157,7 +157,8 @@
             }
         }
         let discovery = listen(poll.registry(), any, FIRST - 1)?;
-        let lines = (0..nodes.len() as u32).map(|node| Line { node, zone: 0, condition: Condition::On, born: None });
+        let lines =
+            (0..nodes.len() as u32).map(|node| Line { node, zone: 0, condition: Condition::On, born: None });
         let mut queue = Queue::default();
         for (n, t) in e.trouble.iter().enumerate().filter(|(_, t)| e.tier_of(t) == tier) {
             queue.put(nanos(t.from_s), Happens::Begins(n));
@@ -195,7 +196,8 @@
     fn run(&mut self, stop: &AtomicBool) -> io::Result<()> {
         let mut events = Events::with_capacity(1024);
         while !stop.load(Ordering::SeqCst) {
-            let due = self.queue.next_at().map_or(LOOK, |at| Duration::from_nanos(at.saturating_sub(self.now())));
+            let due =
+                self.queue.next_at().map_or(LOOK, |at| Duration::from_nanos(at.saturating_sub(self.now())));
             match self.poll.poll(&mut events, Some(due.min(LOOK))) {
                 Err(e) if e.kind() == ErrorKind::Interrupted => continue,
                 other => other?,
@@ -240,7 +242,13 @@
             let interest = Interest::READABLE | Interest::WRITABLE;
             self.poll.registry().register(&mut sock, Token(FIRST + entry.key()), interest)?;
             self.serial += 1;
-            entry.insert(Peer { conn: Conn::new(sock), side, serial: self.serial, since: None, at_work: None });
+            entry.insert(Peer {
+                conn: Conn::new(sock),
+                side,
+                serial: self.serial,
+                since: None,
+                at_work: None,
+            });
         }
     }
 
@@ -410,7 +418,8 @@
             return Ok(());
         }
         let now = self.now();
-        self.listeners[n as usize] = Some(listen(self.poll.registry(), self.addresses[n as usize], n as usize)?);
+        self.listeners[n as usize] =
+            Some(listen(self.poll.registry(), self.addresses[n as usize], n as usize)?);
         self.nodes[n as usize].start(now);
         self.announce(n, Condition::On);
         Ok(())
--- a/crates/lab/src/sockets/floor.rs
+++ b/crates/lab/src/sockets/floor.rs
@@ -31,8 +31,9 @@
         let address = listener.local_addr()?;
         let stop = Arc::new(AtomicBool::new(false));
         let ends = stop.clone();
-        let thread =
-            std::thread::Builder::new().name("floor".to_owned()).spawn(move || run(listener, &nodes, &ends))?;
+        let thread = std::thread::Builder::new()
+            .name("floor".to_owned())
+            .spawn(move || run(listener, &nodes, &ends))?;
         Ok(Floor { address, stop, thread: Some(thread) })
     }
 }
--- a/crates/lab/src/sockets/hammer.rs
+++ b/crates/lab/src/sockets/hammer.rs
@@ -180,7 +180,10 @@
                 *sent = None;
             }
             if !open {
-                return Err(io::Error::new(ErrorKind::ConnectionReset, "the other side has closed a connection"));
+                return Err(io::Error::new(
+                    ErrorKind::ConnectionReset,
+                    "the other side has closed a connection",
+                ));
             }
             if sent.is_none() {
                 *sent = Some(Instant::now());
--- a/crates/lab/src/sockets/load.rs
+++ b/crates/lab/src/sockets/load.rs
@@ -121,7 +121,8 @@
         let mut events = Events::with_capacity(1024);
         let mut shown = Instant::now();
         while (self.arriving || !self.calls.is_empty()) && self.now() < last && !stop.load(Ordering::SeqCst) {
-            let due = self.queue.next_at().map_or(LOOK, |at| Duration::from_nanos(at.saturating_sub(self.now())));
+            let due =
+                self.queue.next_at().map_or(LOOK, |at| Duration::from_nanos(at.saturating_sub(self.now())));
             match self.poll.poll(&mut events, Some(due.min(LOOK))) {
                 Err(e) if e.kind() == ErrorKind::Interrupted => continue,
                 other => other?,
--- a/crates/lab/src/sockets/mod.rs
+++ b/crates/lab/src/sockets/mod.rs
@@ -13,7 +13,13 @@
 use std::net::SocketAddr;
 
 /// The configuration of a sidecar in front of a fleet, in the platform's form.
-pub fn sidecar_config(e: &Experiment, tier: usize, listen: SocketAddr, discovery: SocketAddr, seed: u64) -> Value {
+pub fn sidecar_config(
+    e: &Experiment,
+    tier: usize,
+    listen: SocketAddr,
+    discovery: SocketAddr,
+    seed: u64,
+) -> Value {
     let (limits, rules) = (&e.limits, &e.rules);
     let classes: Vec<Value> = (e.class.iter())
         .map(|c| {
--- a/crates/lab/src/tables.rs
+++ b/crates/lab/src/tables.rs
@@ -355,8 +355,11 @@
     let (a, b) = (&both.emulated, &both.sockets);
     let mut out = table(&["", "emulated", "sockets", "difference"]);
     let mut row = |name: &str, a: f64, b: f64, relative: bool| {
-        let difference =
-            if relative { format!("{:+.1}%", 100.0 * (b / a.max(1e-9) - 1.0)) } else { format!("{:+.4}", b - a) };
+        let difference = if relative {
+            format!("{:+.1}%", 100.0 * (b / a.max(1e-9) - 1.0))
+        } else {
+            format!("{:+.4}", b - a)
+        };
         let text = |v: f64| if relative { ms(v) } else { format!("{v:.4}") };
         out.add_row([name.to_owned(), text(a), text(b), difference]);
     };
