--- a/crates/core/benches/pick.rs
+++ b/crates/core/benches/pick.rs
@@ -1,8 +1,9 @@
 //! What one request costs in the module: its arrival with the pick, and its answer.
+// The macros make functions of their own.
+#![allow(missing_docs)]
 
 use criterion::{criterion_group, criterion_main, BenchmarkId, Criterion};
 use passrelay_core::*;
-use std::hint::black_box;
 
 /// The module before `nodes` nodes with `held` requests that it cannot send, and a clock.
 struct Bench {
@@ -74,8 +75,7 @@
     let mut group = c.benchmark_group("request_by_nodes");
     for nodes in [10, 100, 1000, 5000] {
         let mut bench = Bench::new(nodes);
-        group
-            .bench_function(BenchmarkId::from_parameter(nodes), |b| b.iter(|| black_box(bench.request(5.0))));
+        group.bench_function(BenchmarkId::from_parameter(nodes), |b| b.iter(|| bench.request(5.0)));
     }
     group.finish();
 }
@@ -90,7 +90,7 @@
             waiting += u64::from(bench.arrive(1e9).is_none());
         }
         group.bench_function(BenchmarkId::from_parameter(held), |b| {
-            b.iter(|| black_box(bench.handle(Event::Wake(7))));
+            b.iter(|| bench.handle(Event::Wake(7)));
         });
     }
     group.finish();
--- a/crates/lab/src/cli.rs
+++ b/crates/lab/src/cli.rs
@@ -54,6 +54,12 @@
         #[arg(required = true)]
         files: Vec<PathBuf>,
     },
+    /// Shows the real sidecar at work for half a minute: stand-in nodes, of which one dies in the middle, and load.
+    Demo {
+        /// The program; by default the one beside this.
+        #[arg(long)]
+        program: Option<PathBuf>,
+    },
     /// Starts the first tier's nodes and discovery of an experiment on loopback, with its troubles.
     Fleet {
         /// The experiment's file.
@@ -311,6 +317,7 @@
         Command::Plot(plot) => do_plot(plot),
         Command::List { folder } => list(&folder),
         Command::Check { files } => check(&files),
+        Command::Demo { program } => demo(program),
         Command::Fleet { file, seconds, seed, config } => fleet(&file, seconds, seed, config.as_deref()),
         Command::Load { file, to, seed, json } => load(&file, to, seed, json),
         Command::Calibrate { file, program, seed, set, json } => calibrate(&file, program, seed, &set, json),
@@ -554,6 +561,21 @@
     Ok(stop)
 }
 
+fn demo(named: Option<PathBuf>) -> Result<(), Failure> {
+    let e = Experiment::parse(include_str!("../demo.toml"))?;
+    let stop = stop_flag()?;
+    print(&format!("{}. Half a minute; Ctrl-C ends it.\n", e.about))?;
+    let show = |l: &Live| {
+        let now = if (12.0..20.0).contains(&l.at_s) { "a node is down" } else { "" };
+        live(l);
+        eprint!("{now:16}");
+    };
+    let played = bench::on_sockets(&program(named)?, &e, e.seed, &stop, show);
+    let (outcome, _) = played.map_err(|problem| Failure(1, problem))?;
+    eprintln!();
+    print(&tables::outcome(&outcome))
+}
+
 fn fleet(file: &Path, seconds: f64, seed: Option<u64>, config: Option<&Path>) -> Result<(), Failure> {
     let e = bench::one_tier(&Experiment::read(file, &[])?, 0);
     let seed = seed.unwrap_or(e.seed);
--- a/crates/lab/src/meter.rs
+++ b/crates/lab/src/meter.rs
@@ -186,10 +186,10 @@
     #[serde(default, skip_serializing_if = "Vec::is_empty")]
     pub seconds: Vec<Second>,
     /// Requests at sidecars of all tiers.
-    pub requests: TallyOut,
+    pub requests: Tally,
     /// Rules that did not hold, and how often.
     pub broken: BTreeMap<String, u64>,
-    /// Work done at nodes, in seconds of their cores, and the part of it that served no call.
+    /// Seconds for which cores of nodes were in use, since each node last started.
     pub busy_s: f64,
     /// Events of the run.
     pub events: u64,
@@ -200,34 +200,6 @@
     pub nodes: Vec<NodeLoad>,
 }
 
-/// [`Tally`] as it is written.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Serialize, Deserialize)]
-pub struct TallyOut {
-    /// Requests taken.
-    pub taken: u64,
-    /// Served.
-    pub served: u64,
-    /// Refused.
-    pub refused: u64,
-    /// Failed.
-    pub failed: u64,
-    /// Given up by their callers.
-    pub gone: u64,
-    /// Lost with a sidecar.
-    pub lost: u64,
-    /// Attempts sent.
-    pub sent: u64,
-    /// Attempts that a node began to work on.
-    pub begun: u64,
-}
-
-impl From<Tally> for TallyOut {
-    fn from(t: Tally) -> Self {
-        let Tally { taken, served, refused, failed, gone, lost, sent, begun } = t;
-        TallyOut { taken, served, refused, failed, gone, lost, sent, begun }
-    }
-}
-
 struct Tick {
     worth: Worth,
     latency: Histogram<u64>,
@@ -363,7 +335,7 @@
                     Second { worth: t.worth, p50: l.p50, p99: l.p99 }
                 })
                 .collect(),
-            requests: TallyOut::default(),
+            requests: Tally::default(),
             broken: BTreeMap::new(),
             busy_s: 0.0,
             events: 0,
--- a/crates/lab/src/model/node.rs
+++ b/crates/lab/src/model/node.rs
@@ -7,7 +7,7 @@
 use super::report::{Reporter, Truth};
 use crate::experiment::{Cancel, Discipline, Kind, Reports, Rules};
 use crate::queue::{nanos, seconds, Nanos};
-use crate::random::{between, wobble, Around, Stream, Streams};
+use crate::random::{between, Around, Stream, Streams};
 use rand::Rng;
 use rustc_hash::FxHashMap;
 use slab::Slab;
@@ -47,10 +47,6 @@
     pub fails: bool,
     /// It waits for a slot.
     pub waits: bool,
-    /// Nobody waits for it any more.
-    pub dropped: bool,
-    /// When it came.
-    pub came: Nanos,
 }
 
 /// What runs on the cores.
@@ -310,7 +306,7 @@
     fn start_ready(&mut self) {
         while self.running.len() < self.kind.cores as usize {
             let Some((job, work)) = self.ready.pop_front() else { return };
-            if self.jobs.get(job).is_some_and(|j| !j.dropped) {
+            if self.jobs.contains(job) {
                 self.run(Some(job), work);
             }
         }
@@ -524,22 +520,4 @@
         let calls = crate::random::whole(mean, &mut self.rng);
         (work * noise / f64::from(calls + 1), calls)
     }
-
-    /// Noise for a report of this node's truth, used where a policy sees the true state.
-    pub fn backlog(&self, now: Nanos) -> f64 {
-        let running: f64 = self.running.iter().map(|r| (r.end - self.virtual_now).max(0.0)).sum();
-        let ready: f64 = self.ready.iter().map(|(_, work)| work).sum();
-        let waiting: f64 = self.waiting.iter().map(|w| self.jobs[*w].piece).sum();
-        let pace = self.pace(now) * self.cores();
-        (running + ready + waiting + 0.001 * self.held() as f64) / pace.max(1e-9)
-    }
-}
-
-/// A node's noise stream is its own; this one wobbles a figure.
-pub fn noisy(value: f64, spread: f64, rng: &mut Stream) -> f64 {
-    if spread > 0.0 {
-        value * wobble(spread, rng)
-    } else {
-        value
-    }
 }
--- a/crates/lab/src/model/report.rs
+++ b/crates/lab/src/model/report.rs
@@ -1,9 +1,8 @@
 //! Load reports: worked out now and then, late, noisy, missing, stale or false.
 
-use super::node::noisy;
 use crate::experiment::{Field, Reports};
 use crate::queue::{nanos, seconds, Nanos};
-use crate::random::Stream;
+use crate::random::{wobble, Stream};
 use passrelay_core::Report;
 use rand::Rng;
 
@@ -83,7 +82,7 @@
         let passed = seconds(now - self.last.0);
         if !self.stale && passed >= self.figures.period_ms / 1e3 {
             let noise = self.figures.noise;
-            let mut noisy = |v: f64| noisy(v, noise, &mut self.rng);
+            let mut noisy = |v: f64| v * wobble(noise, &mut self.rng);
             let util = noisy((truth.busy - self.last.1.busy) / passed / cores).min(1.0);
             let qps = noisy((truth.served - self.last.1.served) as f64 / passed);
             let report = Self::fill(&self.figures.fields, [util, qps, truth.held, truth.waiting]);
--- a/crates/lab/src/observer.rs
+++ b/crates/lab/src/observer.rs
@@ -4,7 +4,7 @@
 use crate::experiment::Rules;
 use crate::queue::{nanos, seconds, Nanos};
 use rustc_hash::FxHashMap;
-use serde::Serialize;
+use serde::{Deserialize, Serialize};
 use std::fmt;
 
 /// The most events kept of one request.
@@ -110,7 +110,7 @@
 }
 
 /// What was asked and how it ended, over all requests to sidecars.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Tally {
     /// Requests taken.
     pub taken: u64,
--- a/crates/lab/src/random.rs
+++ b/crates/lab/src/random.rs
@@ -101,6 +101,9 @@
 
 /// Normal noise around 1, not under 0.
 pub fn wobble(spread: f64, rng: &mut Stream) -> f64 {
+    if spread <= 0.0 {
+        return 1.0;
+    }
     let z: f64 = StandardNormal.sample(rng);
     (1.0 + spread * z).max(0.0)
 }
--- a/crates/lab/src/sockets/fleet.rs
+++ b/crates/lab/src/sockets/fleet.rs
@@ -286,7 +286,7 @@
                     Side::Discovery => self.list_asked(key, &message),
                 },
                 Ok(None) => break,
-                Err(()) => return self.drop_peer(key),
+                Err(_) => return self.drop_peer(key),
             }
         }
         if !open {
@@ -335,8 +335,6 @@
             calls: 0,
             fails: false,
             waits: false,
-            dropped: false,
-            came: now,
         };
         match node.admit(now, job, spec.work_ms / 1e3 * tier_work, true, &self.e.rules) {
             Admission::Taken(_) => {
--- a/crates/lab/src/sockets/wire.rs
+++ b/crates/lab/src/sockets/wire.rs
@@ -36,6 +36,10 @@
     pub body: Vec<u8>,
 }
 
+/// What came in is no HTTP, or is not framed by a length.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Unreadable;
+
 impl Conn {
     /// A connection that has nothing to read or write yet.
     pub fn new(sock: TcpStream) -> Conn {
@@ -84,19 +88,19 @@
     /// # Errors
     ///
     /// The bytes are no HTTP, or are not framed by a length.
-    pub fn take(&mut self, answer: bool) -> Result<Option<Message>, ()> {
+    pub fn take(&mut self, answer: bool) -> Result<Option<Message>, Unreadable> {
         let mut slots = [httparse::EMPTY_HEADER; 48];
         let mut message = Message::default();
         let (len, headers) = if answer {
             let mut parsed = httparse::Response::new(&mut slots);
-            let httparse::Status::Complete(len) = parsed.parse(&self.input).map_err(|_| ())? else {
+            let httparse::Status::Complete(len) = parsed.parse(&self.input).map_err(|_| Unreadable)? else {
                 return Ok(None);
             };
             message.status = parsed.code.unwrap_or(0);
             (len, parsed.headers)
         } else {
             let mut parsed = httparse::Request::new(&mut slots);
-            let httparse::Status::Complete(len) = parsed.parse(&self.input).map_err(|_| ())? else {
+            let httparse::Status::Complete(len) = parsed.parse(&self.input).map_err(|_| Unreadable)? else {
                 return Ok(None);
             };
             message.method = parsed.method.unwrap_or("").to_owned();
@@ -108,9 +112,9 @@
             let text = || std::str::from_utf8(header.value).unwrap_or("").trim();
             let is = |name: &str| header.name.eq_ignore_ascii_case(name);
             if is("content-length") {
-                body = text().parse().map_err(|_| ())?;
+                body = text().parse().map_err(|_| Unreadable)?;
             } else if is("transfer-encoding") {
-                return Err(());
+                return Err(Unreadable);
             } else if is("x-call-class") {
                 message.class = text().to_owned();
             } else if is("x-call-info") {
@@ -123,7 +127,7 @@
             }
         }
         if body > MOST || self.input.len() < len + body {
-            return if body > MOST { Err(()) } else { Ok(None) };
+            return if body > MOST { Err(Unreadable) } else { Ok(None) };
         }
         message.body = self.input[len..len + body].to_vec();
         self.input.drain(..len + body);
--- a/crates/lab/src/tables.rs
+++ b/crates/lab/src/tables.rs
@@ -51,13 +51,17 @@
         ms(l.p999),
         ms(l.max)
     );
-    let r = &o.requests;
-    let _ = writeln!(
-        out,
-        "requests at sidecars: {} taken, {} served, {} refused, {} failed, {} given up, {} lost; {} attempts sent, \
-         {} begun",
-        r.taken, r.served, r.refused, r.failed, r.gone, r.lost, r.sent, r.begun
-    );
+    // On sockets nobody stands beside the nodes: what was not watched is not told.
+    let emulated = o.events > 0;
+    if emulated {
+        let r = &o.requests;
+        let _ = writeln!(
+            out,
+            "requests at sidecars: {} taken, {} served, {} refused, {} failed, {} given up, {} lost; {} attempts sent, \
+             {} begun",
+            r.taken, r.served, r.refused, r.failed, r.gone, r.lost, r.sent, r.begun
+        );
+    }
     let mut classes = table(&["class", "calls", "asked", "earned", "share", "p50 ms", "p99 ms"]);
     for (name, (worth, l)) in &o.classes {
         classes.add_row([
@@ -74,12 +78,11 @@
     if !o.lost.is_empty() {
         let _ = writeln!(out, "\n{}", lost(o));
     }
-    match o.broken.is_empty() {
-        true => out.push_str("\nrules: all held\n"),
-        false => {
-            let broken: Vec<String> = o.broken.iter().map(|(rule, n)| format!("{rule} {n} times")).collect();
-            let _ = writeln!(out, "\nrules BROKEN: {}", broken.join(", "));
-        }
+    if emulated && o.broken.is_empty() {
+        out.push_str("\nrules: all held\n");
+    } else if emulated {
+        let broken: Vec<String> = o.broken.iter().map(|(rule, n)| format!("{rule} {n} times")).collect();
+        let _ = writeln!(out, "\nrules BROKEN: {}", broken.join(", "));
     }
     out
 }
--- a/crates/lab/src/world.rs
+++ b/crates/lab/src/world.rs
@@ -441,7 +441,7 @@
     fn outcome(&mut self) -> Outcome {
         let now = self.queue.now();
         let mut outcome = self.meter.outcome(&self.e, self.policy.name(), self.seed);
-        outcome.requests = self.observer.tally().into();
+        outcome.requests = self.observer.tally();
         let broken = self.observer.counts().iter();
         outcome.broken = broken.map(|(rule, n)| (format!("{rule:?}"), *n)).collect();
         outcome.busy_s = self.nodes.iter_mut().map(|n| n.busy(now)).sum();
@@ -831,8 +831,6 @@
             calls: 0,
             fails: false,
             waits: false,
-            dropped: false,
-            came: now,
         });
         self.queue.put(now + delay, Event::AtNode { flight: flight as u32, address });
     }
@@ -855,7 +853,6 @@
         let calls = next.map_or([0.0, 0.0], |t| t.calls);
         let noise = self.e.class[job.class as usize].attempt_noise;
         (job.piece, job.calls) = node.pieces(job.work * spec.work, noise, calls);
-        job.came = now;
         let key = job.key;
         let usual = self.e.class[job.class as usize].work_ms / 1e3 * spec.work;
         let copy = job.clone();
