Say once what the laboratory said twice: the hash, a request's place, the wait for events

FNV-1a stood twice, the mask of a request's place three times and the wait for events with its interrupted call five times; the rivals' shell compared lists in two ways; two functions were not called; ending a request took it from the held ones twice; a faulty text would have given an empty configuration. Change: hash_of, place_of, wait; one way to compare lists; settle ends the holding too. Decisions stay as they are.

--- a/crates/core/src/rules.rs
+++ b/crates/core/src/rules.rs
@@ -670,7 +670,6 @@
     /// Nothing more is owed; the state goes once no attempt is out.
     fn finish(&mut self, id: RequestId) {
         self.requests.settle(id);
-        self.requests.hold(id, false);
         let Some(r) = self.requests.get(&id) else { return };
         if r.attempts.iter().all(|a| !a.out) {
             self.requests.remove(&id);
--- a/crates/core/src/state.rs
+++ b/crates/core/src/state.rs
@@ -169,9 +169,7 @@
         let Some(r) = self.all.get_mut(&id) else { return };
         self.open_safe -= usize::from(r.safe && !r.done);
         r.done = true;
-        if r.held {
-            self.held.remove(&r.as_held(id));
-        }
+        self.hold(id, false);
     }
 
     pub fn remove(&mut self, id: &RequestId) {
--- a/crates/lab/src/model/discovery.rs
+++ b/crates/lab/src/model/discovery.rs
@@ -111,11 +111,6 @@
         self.seq > since
     }
 
-    /// The version of the list.
-    pub fn seq(&self) -> u64 {
-        self.seq
-    }
-
     /// What someone is told who knows this version: what changed, or the whole list after a gap.
     pub fn tell(&self, since: Option<u64>) -> Told {
         let oldest = self.changes.front().map_or(self.seq + 1, |(seq, _)| *seq);
--- a/crates/lab/src/model/node.rs
+++ b/crates/lab/src/model/node.rs
@@ -222,11 +222,6 @@
         self.jobs.len()
     }
 
-    /// It is jammed.
-    pub fn is_jammed(&self) -> bool {
-        self.jammed_at.is_some()
-    }
-
     /// Its process runs and can be reached.
     pub fn is_there(&self) -> bool {
         self.state != State::Down
--- a/crates/lab/src/random.rs
+++ b/crates/lab/src/random.rs
@@ -6,6 +6,11 @@
 use rand_distr::{Distribution, Exp1, LogNormal, Pareto, StandardNormal};
 use serde::{Deserialize, Serialize};
 
+/// A hash that is the same on every machine: FNV-1a (Fowler, Noll, Vo).
+pub fn hash_of(text: &str) -> u64 {
+    text.bytes().fold(0xcbf2_9ce4_8422_2325, |h, b| (h ^ u64::from(b)).wrapping_mul(0x0000_0100_0000_01b3))
+}
+
 /// A stream of random numbers.
 pub type Stream = ChaCha8Rng;
 
@@ -23,10 +28,8 @@
 
     /// The stream of a part, such as `node`, and of a number within it.
     pub fn of(&self, part: &str, number: u64) -> Stream {
-        // FNV-1a (Fowler, Noll, Vo) tells the parts apart; ChaCha mixes the rest.
-        let hash = part
-            .bytes()
-            .fold(0xcbf2_9ce4_8422_2325_u64, |h, b| (h ^ u64::from(b)).wrapping_mul(0x0000_0100_0000_01b3));
+        // The hash tells the parts apart; ChaCha mixes the rest.
+        let hash = hash_of(part);
         let mut key = [0; 32];
         for (at, word) in [self.seed, hash, number, 0x7061_7373].into_iter().enumerate() {
             key[8 * at..8 * at + 8].copy_from_slice(&word.to_le_bytes());
--- a/crates/lab/src/results.rs
+++ b/crates/lab/src/results.rs
@@ -5,6 +5,7 @@
 
 use crate::experiment::Experiment;
 use crate::meter::Outcome;
+use crate::random::hash_of;
 use crate::rivals::Policy;
 use crate::world::{play, RunError, Wanted};
 use indicatif::{ProgressBar, ProgressStyle};
@@ -33,9 +34,7 @@
     /// Tells this run from all others: a change to the experiment is another run.
     pub fn key(&self) -> String {
         let text = serde_json::to_string(&self.experiment).unwrap_or_default();
-        let hash = text
-            .bytes()
-            .fold(0xcbf2_9ce4_8422_2325_u64, |h, b| (h ^ u64::from(b)).wrapping_mul(0x0000_0100_0000_01b3));
+        let hash = hash_of(&text);
         format!("{hash:016x}-{}-{}", self.policy.name(), self.seed)
     }
 }
--- a/crates/lab/src/rivals/mod.rs
+++ b/crates/lab/src/rivals/mod.rs
@@ -29,6 +29,7 @@
 use rand::Rng;
 use rustc_hash::FxHashMap;
 use serde::{Deserialize, Serialize};
+use std::collections::BTreeSet;
 
 use crate::random::{Stream, Streams};
 
@@ -326,17 +327,10 @@
         self.view.now = now.max(self.view.now);
         match event {
             Event::FullList(entries) => {
-                let there =
-                    |id: UpstreamId| entries.iter().any(|e| e.upstream == id && e.condition == Condition::On);
-                // Large lists come seldom; a set keeps this from growing with the square of them.
-                let known: Vec<UpstreamId> = self.view.nodes.iter().map(|n| n.id).collect();
-                let gone: Vec<UpstreamId> = if known.len() > 64 {
-                    let on: std::collections::BTreeSet<_> =
-                        entries.iter().filter(|e| e.condition == Condition::On).map(|e| e.upstream).collect();
-                    known.into_iter().filter(|id| !on.contains(id)).collect()
-                } else {
-                    known.into_iter().filter(|id| !there(*id)).collect()
-                };
+                let on = entries.iter().filter(|e| e.condition == Condition::On).map(|e| e.upstream);
+                let on: BTreeSet<UpstreamId> = on.collect();
+                let known = self.view.nodes.iter().map(|n| n.id);
+                let gone: Vec<UpstreamId> = known.filter(|id| !on.contains(id)).collect();
                 for id in gone {
                     let (zone, cell) = (self.settings.zone, 0);
                     self.view.put(&Entry {
--- a/crates/lab/src/sockets/bench.rs
+++ b/crates/lab/src/sockets/bench.rs
@@ -67,7 +67,7 @@
             let (seen, cpu) = match between {
                 Between::Sidecar => {
                     let listen = free_address()?;
-                    let config = hammer_config(listen, fast.discovery);
+                    let config = hammer_config(listen, fast.discovery)?;
                     let sidecar = Program::start(program, &config)?;
                     let seen = hammer(&[listen], callers, time, || from = sidecar.cpu_s())?;
                     (seen, sidecar.cpu_s())
@@ -103,12 +103,12 @@
     cpu_of(&task.join("stat").display().to_string())
 }
 
-fn hammer_config(listen: SocketAddr, discovery: SocketAddr) -> serde_json::Value {
+fn hammer_config(listen: SocketAddr, discovery: SocketAddr) -> io::Result<serde_json::Value> {
     let text =
         "[load]\nrate = 1\n[[tier]]\nname = \"only\"\n[[tier.kind]]\n[[class]]\nname = \"look\"\naim_s = 5\n\
                 [[tenant]]\nname = \"acme\"";
-    let e = Experiment::parse(text).unwrap_or_default();
-    sidecar_config(&e, 0, listen, discovery, 7)
+    let e = Experiment::parse(text).map_err(io::Error::other)?;
+    Ok(sidecar_config(&e, 0, listen, discovery, 7))
 }
 
 /// The same experiment emulated and on sockets.
--- a/crates/lab/src/sockets/fleet.rs
+++ b/crates/lab/src/sockets/fleet.rs
@@ -1,7 +1,7 @@
 //! The nodes and the discovery of an experiment as stand-ins on loopback: one thread, one loop. The nodes are the
 //! emulator's own models, driven by the wall clock, with the experiment's troubles.
 
-use super::wire::{Conn, Message};
+use super::wire::{wait, Conn, Message};
 use crate::experiment::{Experiment, TroubleKind};
 use crate::model::discovery::{Discovery, Line};
 use crate::model::node::{Admission, Job, Node, State};
@@ -14,15 +14,13 @@
 use rustc_hash::FxHashMap;
 use serde_json::json;
 use slab::Slab;
-use std::io::{self, ErrorKind};
+use std::io;
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::Arc;
 use std::thread::JoinHandle;
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
-/// The longest wait for events, so that a stop is noticed.
-const LOOK: Duration = Duration::from_millis(50);
 /// Tokens from here on are connections; those below are listeners.
 const FIRST: usize = 1 << 20;
 
@@ -196,12 +194,9 @@
     fn run(&mut self, stop: &AtomicBool) -> io::Result<()> {
         let mut events = Events::with_capacity(1024);
         while !stop.load(Ordering::SeqCst) {
-            let due =
-                self.queue.next_at().map_or(LOOK, |at| Duration::from_nanos(at.saturating_sub(self.now())));
-            match self.poll.poll(&mut events, Some(due.min(LOOK))) {
-                Err(e) if e.kind() == ErrorKind::Interrupted => continue,
-                other => other?,
-            }
+            let now = self.now();
+            let due = self.queue.next_at().map(|at| Duration::from_nanos(at.saturating_sub(now)));
+            wait(&mut self.poll, &mut events, due)?;
             let tokens: Vec<usize> = events.iter().map(|e| e.token().0).collect();
             for token in tokens {
                 if token >= FIRST {
--- a/crates/lab/src/sockets/floor.rs
+++ b/crates/lab/src/sockets/floor.rs
@@ -1,16 +1,15 @@
 //! The bare relay: what a one-thread relay costs that decides nothing. Requests go to the nodes in turn over kept
 //! connections; there is no check, no time-out and no second attempt. A sidecar is measured against it.
 
-use super::wire::Conn;
+use super::wire::{wait, Conn};
 use mio::net::{TcpListener, TcpStream};
 use mio::{Events, Interest, Poll, Token};
 use slab::Slab;
-use std::io::{self, ErrorKind};
+use std::io;
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::Arc;
 use std::thread::JoinHandle;
-use std::time::Duration;
 
 /// A relay on loopback; it ends when dropped.
 pub struct Floor {
@@ -64,10 +63,7 @@
     let mut events = Events::with_capacity(1024);
     let both = Interest::READABLE | Interest::WRITABLE;
     while !stop.load(Ordering::SeqCst) {
-        match poll.poll(&mut events, Some(Duration::from_millis(50))) {
-            Err(e) if e.kind() == ErrorKind::Interrupted => continue,
-            other => other?,
-        }
+        wait(&mut poll, &mut events, None)?;
         for event in &events {
             if event.token() == Token(0) {
                 while let Ok((mut sock, _)) = listener.accept() {
--- a/crates/lab/src/sockets/hammer.rs
+++ b/crates/lab/src/sockets/hammer.rs
@@ -1,6 +1,6 @@
 //! A closed loop as fast as it goes, and nodes that answer at once: what a relay can carry at most.
 
-use super::wire::Conn;
+use super::wire::{wait, Conn};
 use hdrhistogram::Histogram;
 use mio::net::{TcpListener, TcpStream};
 use mio::{Events, Interest, Poll, Token};
@@ -78,10 +78,7 @@
     let mut conns: Slab<(Conn, bool)> = Slab::new();
     let mut events = Events::with_capacity(1024);
     while !stop.load(Ordering::SeqCst) {
-        match poll.poll(&mut events, Some(Duration::from_millis(50))) {
-            Err(e) if e.kind() == ErrorKind::Interrupted => continue,
-            other => other?,
-        }
+        wait(&mut poll, &mut events, None)?;
         for event in &events {
             let token = event.token().0;
             if token < FIRST {
@@ -159,10 +156,7 @@
     let mut since = None;
     let mut events = Events::with_capacity(1024);
     while began.elapsed() < time {
-        match poll.poll(&mut events, Some(Duration::from_millis(50))) {
-            Err(e) if e.kind() == ErrorKind::Interrupted => continue,
-            other => other?,
-        }
+        wait(&mut poll, &mut events, None)?;
         if since.is_none() && began.elapsed() >= warm {
             since = Some(Instant::now());
             at_start();
--- a/crates/lab/src/sockets/load.rs
+++ b/crates/lab/src/sockets/load.rs
@@ -4,7 +4,7 @@
 //! runs from that moment also where the load itself was late. Guards against coordinated omission: a stalled sidecar
 //! must not keep the calls away that would have shown the stall.
 
-use super::wire::{Conn, Message};
+use super::wire::{wait, Conn, Message};
 use crate::experiment::Experiment;
 use crate::meter::{Cause, Meter, Outcome};
 use crate::model::caller::{next_try, Call, Heard, Source};
@@ -13,13 +13,11 @@
 use mio::net::TcpStream;
 use mio::{Events, Interest, Poll, Token};
 use slab::Slab;
-use std::io::{self, ErrorKind};
+use std::io;
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::{Duration, Instant};
 
-/// The longest wait for events, so that a stop is noticed.
-const LOOK: Duration = Duration::from_millis(50);
 /// After the last call it goes on for as long as anyone waits, and this much longer at the most.
 const TAIL_S: f64 = 5.0;
 /// A connection that has been idle for so long is not used again: the sidecar closes it after 10 s.
@@ -121,12 +119,9 @@
         let mut events = Events::with_capacity(1024);
         let mut shown = Instant::now();
         while (self.arriving || !self.calls.is_empty()) && self.now() < last && !stop.load(Ordering::SeqCst) {
-            let due =
-                self.queue.next_at().map_or(LOOK, |at| Duration::from_nanos(at.saturating_sub(self.now())));
-            match self.poll.poll(&mut events, Some(due.min(LOOK))) {
-                Err(e) if e.kind() == ErrorKind::Interrupted => continue,
-                other => other?,
-            }
+            let now = self.now();
+            let due = self.queue.next_at().map(|at| Duration::from_nanos(at.saturating_sub(now)));
+            wait(&mut self.poll, &mut events, due)?;
             let tokens: Vec<usize> = events.iter().map(|e| e.token().0).collect();
             tokens.into_iter().for_each(|key| self.ready(key));
             let now = self.now();
--- a/crates/lab/src/sockets/wire.rs
+++ b/crates/lab/src/sockets/wire.rs
@@ -1,11 +1,31 @@
 //! HTTP/1.1 as far as stand-ins and load need it: one message at a time on a connection that is kept.
 
 use mio::net::TcpStream;
-use std::io::{ErrorKind, Read, Write};
+use mio::{Events, Poll};
+use std::io::{self, ErrorKind, Read, Write};
+use std::time::Duration;
 
 /// The longest message that is read.
 const MOST: usize = 1 << 20;
 
+/// The longest wait for events, so that a stop is noticed.
+const LOOK: Duration = Duration::from_millis(50);
+
+/// Waits for events until something is due, but not for long; a signal ends the wait with no events.
+///
+/// # Errors
+///
+/// Fails when the poller does.
+pub fn wait(poll: &mut Poll, events: &mut Events, due: Option<Duration>) -> io::Result<()> {
+    match poll.poll(events, Some(due.map_or(LOOK, |d| d.min(LOOK)))) {
+        Err(e) if e.kind() == ErrorKind::Interrupted => {
+            events.clear();
+            Ok(())
+        }
+        other => other,
+    }
+}
+
 /// A connection with what has come in and what is to go out.
 pub struct Conn {
     /// The socket.
--- a/crates/lab/src/world.rs
+++ b/crates/lab/src/world.rs
@@ -27,6 +27,11 @@
 /// After the last call the run goes on for as long as anyone waits, and this much longer at the most.
 const TAIL_S: f64 = 30.0;
 
+/// Where a request stands.
+fn place_of(id: u64) -> usize {
+    (id & ((1 << PLACE_BITS) - 1)) as usize
+}
+
 /// A check taken out, so that a test can show that the observer would notice.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub enum Mutant {
@@ -626,14 +631,14 @@
     }
 
     fn request(&mut self, id: u64) -> Option<&mut Request> {
-        let place = (id & ((1 << PLACE_BITS) - 1)) as usize;
+        let place = place_of(id);
         self.requests.get_mut(place).filter(|r| r.id == id)
     }
 
     fn forget(&mut self, id: u64) {
         let over = |r: &Request| r.answered && r.attempts.iter().all(|a| a.phase == Phase::Over);
         if self.request(id).is_some_and(|r| over(r)) {
-            self.requests.remove((id & ((1 << PLACE_BITS) - 1)) as usize);
+            self.requests.remove(place_of(id));
         }
     }
 
@@ -1223,7 +1228,7 @@
         let mut ids: Vec<u64> = self.requests.iter().filter(|(_, r)| own(r)).map(|(_, r)| r.id).collect();
         ids.sort_unstable();
         for id in ids {
-            let place = (id & ((1 << PLACE_BITS) - 1)) as usize;
+            let place = place_of(id);
             if !self.requests[place].taken {
                 // Still on its way; it finds nobody.
                 continue;
