Keep each copy first to its share of the nodes, three copies to a node

Each of 17 front copies pays for each bad node by itself: 65 calls that no one answered in 5 s.

At fault: learn_list in crates/core/src/rules.rs marked a share only where reports tell of held requests, and ready_set preferred it only while idle. Now every copy has a share: a run of the sorted list from its rank on, three copies to a node and three nodes at the least. All other rules of the ready set stand before it, so that a share whose nodes stand aside or hold two calls more than others gives way; a lone copy uses all as before.

--- a/crates/core/src/rules.rs
+++ b/crates/core/src/rules.rs
@@ -23,6 +23,8 @@
 const STALL: f64 = 3.0;
 /// A safe call is withdrawn only after this part of the aim: what takes long is mostly heavy, also elsewhere.
 const RESCUE_PART: f64 = 0.5;
+/// Copies for each upstream among those that a copy keeps to: more would hear less often from each.
+const SHARED: f64 = 3.0;
 /// Own calls out by which one may be ahead of the least busy one that may be picked.
 const AHEAD: usize = 2;
 /// What became of calls is forgotten after about this time: troubles pass.
@@ -183,15 +185,14 @@
             }
         }
         self.upstreams.retain(|_, u| u.entry.condition != Condition::Off || !u.out.is_empty());
-        // Danger: many copies, few answers each: news of all upstreams is always old. Where reports tell of
-        // held requests and cannot be asked for, each copy keeps first to its share of the upstreams.
-        let keeps = self.set.reports_held && !self.verifies();
+        // Danger: many copies, few answers each: news of all upstreams is always old, and each copy pays for
+        // every bad one and opens a connection to each. It keeps first to some, which it shares with others.
         let on: Vec<_> = self.upstreams.values_mut().filter(|u| u.entry.condition == Condition::On).collect();
         let all = on.len() as f64;
-        let part = all / self.set.balancers as f64;
-        let start = (self.set.rank as f64 * part).floor();
+        let start = (self.set.rank as f64 * all / self.set.balancers as f64).floor();
+        let part = SHARED * (all / self.set.balancers as f64).max(1.0);
         for (i, u) in on.into_iter().enumerate() {
-            u.home = keeps && (i as f64 - start).rem_euclid(all) < part.ceil();
+            u.home = (i as f64 - start).rem_euclid(all) < part.ceil();
         }
         if self.limit <= 0.0 {
             (self.limit, self.able) = (START_EACH * self.per_copy(), self.upstreams.len() as f64);
@@ -312,7 +313,7 @@
         let sound = may_be.iter().filter(|(.., trust)| *trust > SOUND);
         let least = sound.map(|(_, u, _)| u.out.len()).min().unwrap_or(usize::MAX - AHEAD);
         let near = may_be.into_iter().filter(|(_, u, _)| u.out.len() < least + AHEAD);
-        let order = |u: &Upstream| (u.home && (u.out.is_empty() || self.workers.is_some()), self.verified(u));
+        let order = |u: &Upstream| (u.home, self.verified(u));
         let ready: Vec<_> = near.map(|(id, u, trust)| (id, trust, order(u))).collect();
         let best = ready.iter().map(|(.., rank)| *rank).max();
         ready.into_iter().filter(|(.., rank)| Some(*rank) == best).map(|(id, trust, _)| (id, trust)).collect()
