Divide a cold node's allowance among the copies that keep to it; old reports fade to the usual

The allowance was divided by all 17 copies, though only the three that keep to a node send to it. It also stood at half.

Ruled out: the tiers behind (2 of 300 calls failed there), discovery (the new list was held within 0.6 s of its change), copies that started from nothing (same rates).

At fault: cold_gap in crates/core/src/rules.rs. Calls to a cold node now come only from the copies that keep to it, each with its part of 0.8 of the bound that the rule sets. A node that is usually busy is also known as such when its report is old: formula faded it to 50 after two typical times, which at one call in seconds is always.

--- a/crates/core/src/rules.rs
+++ b/crates/core/src/rules.rs
@@ -7,16 +7,14 @@
 use crate::state::{Attempt, Balancer, Held, Request, Upstream};
 use std::collections::{BTreeMap, BTreeSet};
 
-/// Factor before a first report, and what an old one fades to: half of the scale says "nothing known".
+/// Factor before a first report: half of the scale says "nothing known".
 const CONFIGURED: f64 = 50.0;
 /// A spare worker told of is believed for this many typical times; beyond, idle ones go round as unknown.
 const TRUST: f64 = 10.0;
 /// Power by which factors are spread apart: turns in plain proportion would send half to busy upstreams.
 const SHARPEN: i32 = 2;
-/// A factor is recomputed after this part of the typical answer time: load turns over in one answer time.
+/// A factor is recomputed after a call or this part of the typical time: load turns over in one of these.
 const REFRESH_PART: f64 = 1.0 / 20.0;
-/// ... or after this many calls: one call changes a small upstream's load wholly.
-const REFRESH_CALLS: u32 = 1;
 /// Probing ahead of a pick is worth this price a request in all: 2 points in 100 buy wrong picks off.
 const PROBE_WORTH: f64 = 0.02;
 /// An attempt out for this many typical times, while peers answer, means a stall or a very heavy request.
@@ -25,6 +23,8 @@
 const RESCUE_PART: f64 = 0.5;
 /// Copies for each upstream among those that a copy keeps to: more would hear less often from each.
 const SHARED: f64 = 3.0;
+/// Part of what a cold upstream may be sent that is used: with less, warm ones carry all and jam.
+const COLD_PART: f64 = 0.8;
 /// Own calls out by which one may be ahead of the least busy one that may be picked.
 const AHEAD: usize = 2;
 /// What became of calls is forgotten after about this time: troubles pass.
@@ -127,6 +127,7 @@
                 self.workers = Some(self.workers.map_or(handled, |k| k + 0.05 * (handled - k)));
             }
         }
+        u.usual += 0.1 * report.cpu.filter(|c| c.is_finite()).map_or(0.0, |c| 100.0 * (1.0 - c) - u.usual);
         u.report = Some((report, self.now, u.out.len()));
     }
 
@@ -139,15 +140,15 @@
             (None, _, Some(cpu)) if cpu.is_finite() => 1.0 - cpu,
             _ => CONFIGURED / 100.0,
         };
-        // Danger: an old report starves or floods an upstream. It fades to the configured factor.
+        // Danger: an old report starves or floods an upstream. It fades to what has been usual for it.
         let fresh = (-(self.now - at) / (2.0 * self.median).max(self.set.tick)).exp();
-        let percent = (spare * 100.0).max(0.0) * fresh + CONFIGURED * (1.0 - fresh);
+        let percent = (spare * 100.0).max(0.0) * fresh + u.usual * (1.0 - fresh);
         percent * (percent / 100.0).powi(if self.set.reports_held { SHARPEN } else { 0 })
     }
 
     /// Refreshes a factor that is due by time or by calls.
     fn refresh_factor(&self, u: &mut Upstream) {
-        if self.now - u.refreshed >= self.median * REFRESH_PART || u.calls >= REFRESH_CALLS {
+        if self.now - u.refreshed >= self.median * REFRESH_PART || u.calls > 0 {
             u.factor = self.formula(u) * self.warmth(u) * u.health.powi(2);
             (u.refreshed, u.calls) = (self.now, 0);
         }
@@ -189,10 +190,11 @@
         // every bad one and opens a connection to each. It keeps first to some, which it shares with others.
         let on: Vec<_> = self.upstreams.values_mut().filter(|u| u.entry.condition == Condition::On).collect();
         let all = on.len() as f64;
-        let start = (self.set.rank as f64 * all / self.set.balancers as f64).floor();
-        let part = SHARED * (all / self.set.balancers as f64).max(1.0);
+        let (each, rank) = (all / self.set.balancers as f64, self.set.rank as f64);
+        let (start, part) = ((rank * each).floor(), (SHARED * each.max(1.0)).ceil().min(all));
+        self.copies = (part / each).max(1.0);
         for (i, u) in on.into_iter().enumerate() {
-            u.home = (i as f64 - start).rem_euclid(all) < part.ceil();
+            u.home = (i as f64 - start).rem_euclid(all) < part;
         }
         if self.limit <= 0.0 {
             (self.limit, self.able) = (START_EACH * self.per_copy(), self.upstreams.len() as f64);
@@ -208,8 +210,7 @@
     fn failed(&mut self, id: UpstreamId) {
         let Some(u) = self.upstreams.get_mut(&id) else { return };
         u.fails = (u.fails + 1).min(3);
-        let pause = self.set.connect_timeout * 2.0 * f64::from(1 << u.fails);
-        u.ejected_until = self.now + pause;
+        u.ejected_until = self.now + self.set.connect_timeout * 2.0 * f64::from(1 << u.fails);
     }
 
     /// Danger: a paused server keeps its factor. It is silent too long for the number of calls it has.
@@ -293,7 +294,7 @@
             // Danger: a queue at a server cannot be taken back. Fill its workers, hold the rest here.
             let filled = self.workers.is_some_and(|w| u.out.len() as f64 >= w.round());
             let out = u.entry.condition != Condition::On || u.shunned || tried || on_trial || filled;
-            let cold = self.now < u.cold_until && self.warmth(u) < 1.0;
+            let cold = (self.now < u.cold_until || !u.home) && self.warmth(u) < 1.0;
             let probing = self.now - u.probing.unwrap_or(f64::NEG_INFINITY) < self.set.connect_timeout;
             !out && !cold && !probing && self.in_group(r, u)
         };
@@ -331,15 +332,16 @@
         fresh && held(u).is_some_and(|h| h < self.workers.map_or(1.0, f64::round) - 0.5)
     }
 
-    /// Danger: a cold server falls over, even by one call from each of many copies. Calls are spaced to half
-    /// of this copy's share, by what warm ones serve or what one worker does in a typical time. Danger: what
-    /// they are sent is no measure: calls that they turn away come again and would swell it.
+    /// Danger: a cold server falls over, even by one call from each of many copies. Only those that keep to
+    /// it send, each in its share, by what warm ones serve or what one worker does in a typical time. Danger:
+    /// what they are sent is no measure: calls that they turn away come again and would swell it.
     fn cold_gap(&self, u: &Upstream) -> f64 {
-        let one_worker = self.set.fall / self.median.max(self.set.tick) / self.set.balancers as f64;
-        let warm = if self.median > 0.0 { self.warm_serves.max(one_worker) } else { 1.0 };
-        let budget = 0.5 * self.set.overload_factor * self.warmth(u) * warm;
-        let gap = (self.set.fall / budget).min(self.set.warm_within);
-        gap * f64::from(u8::from(self.warmth(u) < 1.0))
+        let one_worker = self.set.fall / self.median.max(self.set.tick);
+        let serves = (self.warm_serves * self.set.balancers as f64).max(one_worker);
+        let warm = if self.median > 0.0 { serves / self.copies } else { 1.0 };
+        let budget = COLD_PART * self.set.overload_factor * self.warmth(u) * warm;
+        let cold = f64::from(u8::from(self.warmth(u) < 1.0));
+        cold * (self.set.fall / budget).min(self.set.warm_within)
     }
 
     /// Once a keyed request may have run, only the group that drops its repeats may get it.
@@ -422,14 +424,12 @@
         let deadline = self.now + ttl;
         let aim_at = (self.now + c.aim + c.aim_stretch * work).min(deadline);
         let aim_at = if c.late_value > 0.0 { deadline } else { aim_at };
-        let (arrived, attempts) = (self.now, Vec::new());
-        let safe = c.effect == Effect::Safe;
-        let (held, done) = (true, false);
-        let request = Request { class, arrived, aim_at, deadline, worth, safe, attempts, held, done };
+        let (arrived, attempts, safe) = (self.now, Vec::new(), c.effect == Effect::Safe);
+        let r = Request { class, arrived, aim_at, deadline, worth, safe, attempts, held: true, done: false };
         self.retry_tokens = (self.retry_tokens + RETRY_PART).min(20.0);
         let asks = PROBE_WORTH / self.set.price_probe.max(PROBE_WORTH / 100.0);
         self.probe_tokens = (self.probe_tokens.max(0.0) + asks).min(2.0 * asks);
-        self.requests.insert(id, request);
+        self.requests.insert(id, r);
     }
 
     /// The latest time at which a first send can still be answered within the aim.
--- a/crates/core/src/state.rs
+++ b/crates/core/src/state.rs
@@ -23,6 +23,8 @@
     pub breaks: u32,
     pub ejected_until: f64,
     pub suspect_until: f64,
+    /// The factor that its reports spoke for on average.
+    pub usual: f64,
     /// While cold, no further call before this.
     pub cold_until: f64,
     pub health: f64,
@@ -73,6 +75,7 @@
             breaks: 0,
             ejected_until: f64::NEG_INFINITY,
             suspect_until: f64::NEG_INFINITY,
+            usual: factor,
             cold_until: f64::NEG_INFINITY,
             health: 1.0,
             record: Vec::new(),
@@ -220,6 +223,8 @@
     /// Upstreams that could be sent to when the limit was last set or scaled.
     pub(crate) able: f64,
     pub(crate) last_cut: f64,
+    /// Copies that keep to an upstream, this one among them.
+    pub(crate) copies: f64,
     /// Mean of own calls in flight, and when it was reckoned.
     pub(crate) load: f64,
     pub(crate) load_at: f64,
@@ -254,6 +259,7 @@
             limit: 0.0,
             able: 0.0,
             last_cut: now,
+            copies: 1.0,
             load: 0.0,
             load_at: now,
             retry_tokens: 1.0,
