Let a tenant save up six requests at a copy, however small the copy's share

Seen by reading, after the trace had shown requests held at copies with room: a tenant's allowance is divided by the copies and one second of it may be saved, one request at the least. With 17 copies and 12 requests a second a copy has 0.7 a second, and of requests that come by chance about a third are too close to the one before. They count as past the share, worth a fifth, and the room kept free for what is dear shuts them out. All copies do so.

At fault: take in crates/core/src/rules.rs, min(rate.max(1.0)).

--- a/crates/core/src/rules.rs
+++ b/crates/core/src/rules.rs
@@ -31,6 +31,8 @@
 const FORGET_S: f64 = 10.0;
 /// Trust above which an upstream is taken for one that serves what it gets.
 const SOUND: f64 = 0.5;
+/// Calls that a tenant may save up at a copy, however small the copy's share of its allowance.
+const SAVED: f64 = 6.0;
 /// Part of the requests that may be tried again after they may have run, so that retries stay few.
 const RETRY_PART: f64 = 0.2;
 /// So many bad upstreams make a zone suspect: one or two may be on their own.
@@ -340,8 +342,7 @@
         let serves = (self.warm_serves * self.set.balancers as f64).max(one_worker);
         let warm = if self.median > 0.0 { serves / self.copies } else { 1.0 };
         let budget = COLD_PART * self.set.overload_factor * self.warmth(u) * warm;
-        let cold = f64::from(u8::from(self.warmth(u) < 1.0));
-        cold * (self.set.fall / budget).min(self.set.warm_within)
+        f64::from(u8::from(self.warmth(u) < 1.0)) * (self.set.fall / budget).min(self.set.warm_within)
     }
 
     /// Once a keyed request may have run, only the group that drops its repeats may get it.
@@ -416,14 +417,13 @@
             // A second's allowance may be saved up; past it a tenant's requests are worth less.
             let rate = t.1 / self.set.balancers as f64;
             let (left, at) = self.allowance[t.0];
-            let left = (left + rate * (self.now - at)).min(rate.max(1.0));
+            let left = (left + rate * (self.now - at)).min(rate.max(SAVED));
             let inside = left >= 1.0;
             worth *= if inside { 1.0 } else { self.set.over_share_worth };
             self.allowance[t.0] = (left - f64::from(u8::from(inside)), self.now);
         }
-        let deadline = self.now + ttl;
-        let aim_at = (self.now + c.aim + c.aim_stretch * work).min(deadline);
-        let aim_at = if c.late_value > 0.0 { deadline } else { aim_at };
+        let (deadline, aim) = (self.now + ttl, self.now + c.aim + c.aim_stretch * work);
+        let aim_at = if c.late_value > 0.0 { deadline } else { aim.min(deadline) };
         let (arrived, attempts, safe) = (self.now, Vec::new(), c.effect == Effect::Safe);
         let r = Request { class, arrived, aim_at, deadline, worth, safe, attempts, held: true, done: false };
         self.retry_tokens = (self.retry_tokens + RETRY_PART).min(20.0);
--- a/crates/core/tests/rules.rs
+++ b/crates/core/tests/rules.rs
@@ -819,3 +819,21 @@
     }
     assert!(got[1] > 3 * got[0] && got[0] > 5, "{got:?}");
 }
+
+#[test]
+fn calls_that_come_by_threes_at_one_of_many_copies_are_inside_a_tenants_share() {
+    // 12 calls a second over 20 copies are 0.6 at each: two of these three counted as too much.
+    let tenants = vec![Tenant { allowance_per_s: 12.0 }];
+    let set = Settings { balancers: 20, tenants, over_share_worth: 0.2, ..settings(Effect::Unsafe) };
+    let mut rig = Rig::new(set, vec![]);
+    let (class, tenant, ttl, work_hint) = (ClassId(0), Some(TenantId(0)), 2.0, None);
+    for n in 1..=9 {
+        let id = RequestId(n);
+        rig.at(n as f64 * 0.01, Event::Request { id, class, tenant, ttl, work_hint, repeat: false });
+    }
+    let actions = rig.at(0.1, Event::FullList((1..=60).map(entry).collect()));
+    let order =
+        actions.iter().filter_map(|a| if let Action::Send { id, .. } = a { Some(id.0) } else { None });
+    // Of equal worth the newest first; what is past the share comes last.
+    assert_eq!(order.collect::<Vec<_>>()[..7], [6, 5, 4, 3, 2, 1, 9]);
+}
