--- a/crates/core/tests/rules.rs
+++ b/crates/core/tests/rules.rs
@@ -837,3 +837,30 @@
     // Of equal worth the newest first; what is past the share comes last.
     assert_eq!(order.collect::<Vec<_>>()[..7], [6, 5, 4, 3, 2, 1, 9]);
 }
+
+#[test]
+fn a_hundred_copies_do_not_storm_a_discovery_that_fails() {
+    // They all fail at the same moment and again at each call; each waits by a chance of its own.
+    let set = Settings { ask_for_list: true, ..settings(Effect::Safe) };
+    let mut calls = [0; 20];
+    for seed in 0..100 {
+        let mut balancer = Balancer::new(set.clone(), seed, 0.0).unwrap();
+        let mut now = 0.0;
+        balancer.handle(now, Event::FullList(vec![entry(1)]), &mut Vec::new());
+        while now < 20.0 {
+            let mut actions = Vec::new();
+            balancer.handle(now, Event::ListFailed, &mut actions);
+            let after = actions.iter().find_map(|a| {
+                if let Action::Wake { after, token: 1 } = a {
+                    Some(after)
+                } else {
+                    None
+                }
+            });
+            now += after.unwrap();
+            calls.get_mut(now as usize).into_iter().for_each(|c| *c += 1);
+        }
+    }
+    // From the fifth second on a copy asks every four seconds, in no step with others.
+    assert!(calls[5..].iter().all(|c| (5..=60).contains(c)), "{calls:?}");
+}
