Let the stand-in server end a connection for good before it counts it as ended

Seen once in 12 runs of the process tests: a call failed with 502 in a_connection_that_the_node_ended_is_not_used_again. The stand-in closed its socket and counted, but a process that another test was starting held a copy until its exec, so that the end came later than the count. It shuts the connection down now.

--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -2,7 +2,7 @@
 
 use serde_json::{json, Value};
 use std::io::{BufRead, BufReader, ErrorKind, Read, Write};
-use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
 use std::process::{Child, Command, Stdio};
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex};
@@ -123,7 +123,9 @@
                             Reply::Silence => {}
                         }
                     }
-                    // Counted only once the other side can see the end.
+                    // Counted only once the other side can see the end. A process that another test starts just
+                    // now holds a copy of the socket until it runs its program: closing alone may come late.
+                    let _ = sock.shutdown(Shutdown::Both);
                     drop((reader, sock));
                     ended.fetch_add(1, Ordering::SeqCst);
                 });
