Add the operators' address with standby and active, and share the clients' port

Design: a second listener (`operator`, `$RELAY_OPERATOR` over it) in a module of its own, crates/sidecar/src/operator.rs, with 32 slots apart from the clients' kiosks, one call a connection, a caller cut off 0.5 s after connecting without a whole call and the oldest making room when all are taken.

Process tests: calls beside 40 silent callers, 405 with Allow, 404, 400; standby closes an idle connection and answers with close; active brings 200 back; a second process starts on the same address; a bad `operator` ends the start naming the key.

--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -32,6 +32,7 @@
 //! ```
 mod api;
 pub mod barrier;
+pub mod duty;
 mod rules;
 mod state;
 
--- /dev/null
+++ b/crates/passrelay/tests/service.rs
@@ -0,0 +1,116 @@
+//! Day-to-day service: the operators' address, standby and a second process on the clients' address.
+
+use passrelay_standin::*;
+use serde_json::Value;
+use std::io::{BufReader, Write};
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::time::Duration;
+
+const PROGRAM: &str = env!("CARGO_BIN_EXE_passrelay");
+
+fn served(_: &Message) -> Reply {
+    answer(200, "X-Load-Report: rps=3,cpu=0.5\r\n", b"done")
+}
+
+fn free() -> SocketAddr {
+    TcpListener::bind("127.0.0.1:0").unwrap().local_addr().unwrap()
+}
+
+/// A sidecar with an operators' address, before one node.
+fn with_desk(node: &Server) -> (Relay, Discovery, SocketAddr, Value) {
+    let discovery = Discovery::start(vec![node_line("s-0", node.address, "in_service")]);
+    let mut config = config(discovery.server.address);
+    let desk = free();
+    config["operator"] = Value::String(desk.to_string());
+    let relay = Relay::start(PROGRAM, &config);
+    relay.until_ready();
+    (relay, discovery, desk, config)
+}
+
+/// One operator's call on a connection of its own.
+fn call(desk: SocketAddr, text: &str) -> Message {
+    let mut sock = TcpStream::connect(desk).unwrap();
+    sock.set_read_timeout(Some(Duration::from_secs(5))).unwrap();
+    sock.write_all(text.as_bytes()).unwrap();
+    Message::read(&mut BufReader::new(sock)).expect("an answer from the desk")
+}
+
+fn ready(relay: &Relay) -> u16 {
+    relay.caller().ask("GET /ready HTTP/1.1\r\n\r\n").status()
+}
+
+// Guards against an operator who waits behind silent callers, and against calls by a wrong method or path.
+#[test]
+fn the_desk_answers_its_calls_also_beside_silent_callers() {
+    let node = Server::start(served);
+    let (_relay, _discovery, desk, _) = with_desk(&node);
+    let silent: Vec<_> = (0..40).map(|_| TcpStream::connect(desk).unwrap()).collect();
+    let status = call(desk, "GET /status HTTP/1.1\r\nHost: x\r\n\r\n");
+    assert_eq!(status.status(), 200);
+    let body: Value = serde_json::from_slice(&status.body).unwrap();
+    assert_eq!((body["serving"].as_bool(), body["standby"].as_bool()), (Some(true), Some(false)));
+    let wrong = call(desk, "GET /standby HTTP/1.1\r\n\r\n");
+    assert_eq!((wrong.status(), wrong.header("allow")), (405, Some("POST")));
+    assert_eq!(call(desk, "GET /nothing HTTP/1.1\r\n\r\n").status(), 404);
+    assert_eq!(call(desk, "\x01 broken\r\n\r\n").status(), 400);
+    drop(silent);
+}
+
+// Guards against a standby that leaves idle client connections open or hands out keep-alive answers, and an
+// active that does not bring the yes back.
+#[test]
+fn standby_sends_clients_away_and_active_takes_them_again() {
+    let node = Server::start(served);
+    let (relay, _discovery, desk, _) = with_desk(&node);
+    let mut idle = relay.caller();
+    assert_eq!(idle.ask(&request("look", 4.0, b"")).status(), 200);
+    for _ in 0..2 {
+        assert_eq!(call(desk, "POST /standby HTTP/1.1\r\nContent-Length: 0\r\n\r\n").status(), 200);
+    }
+    assert_eq!(ready(&relay), 503);
+    assert!(idle.is_ended(), "an idle client connection stays open in standby");
+    let mut late = relay.caller();
+    let reply = late.ask(&request("look", 4.0, b""));
+    assert_eq!((reply.status(), reply.header("connection")), (200, Some("close")));
+    assert!(late.is_ended());
+    let status: Value = serde_json::from_slice(&call(desk, "GET /status HTTP/1.1\r\n\r\n").body).unwrap();
+    assert_eq!(status["standby"].as_bool(), Some(true));
+    assert_eq!(call(desk, "POST /active HTTP/1.1\r\n\r\n").status(), 200);
+    assert_eq!(ready(&relay), 200);
+    let mut kept = relay.caller();
+    for _ in 0..2 {
+        let reply = kept.ask(&request("look", 4.0, b""));
+        assert_eq!((reply.status(), reply.header("connection")), (200, None));
+    }
+}
+
+// Guards against a new process that cannot listen beside the old one on the clients' address.
+#[test]
+fn a_second_process_listens_beside_the_first() {
+    let node = Server::start(served);
+    let (first, _discovery, _, mut config) = with_desk(&node);
+    config["operator"] = Value::String(free().to_string());
+    let second = Relay::start(PROGRAM, &config);
+    second.until_ready();
+    first.terminate();
+    for _ in 0..5 {
+        assert_eq!(second.call("look", 4.0).status(), 200);
+    }
+}
+
+// Guards against an operators' address that is no address being taken for none.
+#[test]
+fn a_bad_operator_address_ends_the_start_with_its_key() {
+    let discovery = Discovery::start(vec![]);
+    let mut config = config(discovery.server.address);
+    config["operator"] = Value::String("not-an-address".into());
+    let path = config_file(&config);
+    let out = std::process::Command::new(PROGRAM).env("RELAY_CONFIG", &path).output().unwrap();
+    let _ = std::fs::remove_file(path);
+    assert!(!out.status.success());
+    assert!(
+        String::from_utf8_lossy(&out.stderr).contains("operator"),
+        "{}",
+        String::from_utf8_lossy(&out.stderr)
+    );
+}
--- a/crates/settings/src/config.rs
+++ b/crates/settings/src/config.rs
@@ -275,6 +275,8 @@
     pub listen: SocketAddr,
     /// Where discovery listens.
     pub discovery: SocketAddr,
+    /// Where operators call, if anywhere.
+    pub operator: Option<SocketAddr>,
     /// For random numbers.
     pub seed: u64,
     /// Most connections to callers.
@@ -303,6 +305,7 @@
             ("name", given("RELAY_NAME")),
             ("listen", given("RELAY_LISTEN")),
             ("discovery", given("RELAY_DISCOVERY")),
+            ("operator", given("RELAY_OPERATOR")),
         ];
         Config::read(path, over)
     }
@@ -375,10 +378,15 @@
             }
         };
         let house = House::from_json(&file["settings"])?;
+        let operator = match &file["operator"] {
+            Value::Null => None,
+            _ => Some(address("operator")?),
+        };
         Ok(Config {
             name: text("name")?.to_owned(),
             listen: address("listen")?,
             discovery: address("discovery")?,
+            operator,
             seed,
             max_kiosks: connections / 2,
             max_bays: connections - connections / 2,
--- a/crates/sidecar/src/gate.rs
+++ b/crates/sidecar/src/gate.rs
@@ -25,7 +25,8 @@
 }
 
 impl Gate {
-    /// Opens the gate. A restarted sidecar may take over the address of its forerunner at once.
+    /// Opens the gate. A restarted sidecar may take over the address of its forerunner at once, and a new
+    /// process may listen on it while the old one serves.
     pub fn open(address: SocketAddr) -> io::Result<Gate> {
         let socket = socket2::Socket::new(
             socket2::Domain::for_address(address),
@@ -33,6 +34,8 @@
             Some(socket2::Protocol::TCP),
         )?;
         socket.set_reuse_address(true)?;
+        // A new process listens beside the old one while that one still serves.
+        socket.set_reuse_port(true)?;
         socket.set_nonblocking(true)?;
         socket.bind(&address.into())?;
         socket.listen(BACKLOG)?;
--- a/crates/sidecar/src/lib.rs
+++ b/crates/sidecar/src/lib.rs
@@ -6,6 +6,7 @@
 mod log;
 mod lot;
 mod node_list;
+mod operator;
 mod sidecar;
 mod tray;
 mod wheel;
--- /dev/null
+++ b/crates/sidecar/src/operator.rs
@@ -0,0 +1,260 @@
+//! The operators' desk: a second listener, one call a connection, kept apart from the clients.
+//!
+//! Its connections have slots of their own, so that no crowd of clients stands between an operator and an
+//! answer; a caller who connects and says nothing is cut off after [`CALL_S`], and when all slots are taken
+//! the caller who has waited longest makes room. What a call means is decided by the loop.
+
+use mio::net::{TcpListener, TcpStream};
+use mio::{Interest, Registry, Token};
+use slab::Slab;
+use std::io::{self, Read, Write};
+use std::net::{Shutdown, SocketAddr};
+
+/// The desk's listener.
+pub const DESK: Token = Token(3);
+/// Tokens of the desk's connections start here, far above those of the yard.
+pub const CLERK_BASE: usize = 1 << 40;
+/// Operators connected at once.
+const SLOTS: usize = 32;
+/// A call has to be in so long after its caller connected.
+const CALL_S: f64 = 0.5;
+/// A caller has this long to take the answer and close.
+const LEAVE_S: f64 = 1.0;
+/// The longest head of a call.
+const HEAD_BYTES: usize = 4096;
+
+/// What an operator asks for.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Call {
+    /// `GET /status`.
+    Status,
+    /// `POST /standby`.
+    Standby,
+    /// `POST /active`.
+    Active,
+}
+
+/// A call that is not one: status, text and, for 405, the method to use.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Refusal(pub u16, pub &'static str, pub Option<&'static str>);
+
+/// Reads the head of a call; `Ok(None)` while it is not whole.
+pub fn read_call(bytes: &[u8]) -> Result<Option<Call>, Refusal> {
+    let mut headers = [httparse::EMPTY_HEADER; 32];
+    let mut request = httparse::Request::new(&mut headers);
+    match request.parse(bytes) {
+        Ok(httparse::Status::Partial) if bytes.len() >= HEAD_BYTES => {
+            Err(Refusal(431, "the head of the call is too long\n", None))
+        }
+        Ok(httparse::Status::Partial) => Ok(None),
+        Err(_) => Err(Refusal(400, "not a call that can be read\n", None)),
+        Ok(httparse::Status::Complete(_)) => {
+            let (method, target) = (request.method.unwrap_or(""), request.path.unwrap_or(""));
+            route(method, target.split('?').next().unwrap_or("")).map(Some)
+        }
+    }
+}
+
+fn route(method: &str, path: &str) -> Result<Call, Refusal> {
+    let (call, allowed) = match path {
+        "/status" => (Call::Status, "GET"),
+        "/standby" => (Call::Standby, "POST"),
+        "/active" => (Call::Active, "POST"),
+        _ => {
+            return Err(Refusal(
+                404,
+                "no such call; there are GET /status, POST /standby, POST /active\n",
+                None,
+            ))
+        }
+    };
+    if method != allowed {
+        return Err(Refusal(405, "another method\n", Some(allowed)));
+    }
+    Ok(call)
+}
+
+/// One operator's connection.
+struct Clerk {
+    sock: TcpStream,
+    since: f64,
+    head: Vec<u8>,
+    out: Vec<u8>,
+    written: usize,
+    /// The answer is out and the write side shut.
+    done: bool,
+}
+
+/// The listener and its connections.
+pub struct Desk {
+    listener: TcpListener,
+    clerks: Slab<Clerk>,
+    /// Callers cut off for saying nothing in time.
+    pub cut_off: u64,
+}
+
+impl Desk {
+    /// Listens for operators.
+    pub fn open(address: SocketAddr, registry: &Registry) -> io::Result<Desk> {
+        let mut listener = TcpListener::bind(address)?;
+        registry.register(&mut listener, DESK, Interest::READABLE)?;
+        Ok(Desk { listener, clerks: Slab::with_capacity(SLOTS), cut_off: 0 })
+    }
+
+    /// Where it listens.
+    pub fn address(&self) -> io::Result<SocketAddr> {
+        self.listener.local_addr()
+    }
+
+    /// Lets in who has come, making room by cutting off the caller who has waited longest.
+    pub fn let_in(&mut self, now: f64, registry: &Registry) {
+        loop {
+            let mut sock = match self.listener.accept() {
+                Ok((sock, _)) => sock,
+                Err(e) if e.kind() == io::ErrorKind::WouldBlock => return,
+                Err(e) if e.kind() == io::ErrorKind::Interrupted => continue,
+                // Out of descriptors or a caller gone before it was let in: the next event tries again.
+                Err(_) => return,
+            };
+            if self.clerks.len() >= SLOTS {
+                let oldest =
+                    self.clerks.iter().min_by(|a, b| a.1.since.total_cmp(&b.1.since)).map(|(k, _)| k);
+                if let Some(key) = oldest {
+                    self.cut_off += 1;
+                    self.close::<()>(key, registry);
+                }
+            }
+            let entry = self.clerks.vacant_entry();
+            let token = Token(CLERK_BASE + entry.key());
+            if registry.register(&mut sock, token, Interest::READABLE | Interest::WRITABLE).is_ok() {
+                let head = Vec::with_capacity(512);
+                entry.insert(Clerk { sock, since: now, head, out: Vec::new(), written: 0, done: false });
+            }
+        }
+    }
+
+    /// Callback of a connection: the call, once it is whole. A call that is not one is answered here.
+    pub fn on_ready(&mut self, token: Token, registry: &Registry) -> Option<(usize, Call)> {
+        let key = token.0.checked_sub(CLERK_BASE)?;
+        let clerk = self.clerks.get_mut(key)?;
+        if !clerk.out.is_empty() {
+            return match self.write(key) {
+                Ok(()) => None,
+                Err(()) => self.close(key, registry),
+            };
+        }
+        let mut chunk = [0u8; 1024];
+        loop {
+            match clerk.sock.read(&mut chunk) {
+                Ok(0) => return self.close(key, registry),
+                Ok(n) => clerk
+                    .head
+                    .extend_from_slice(&chunk[..n.min(HEAD_BYTES + 1 - clerk.head.len().min(HEAD_BYTES))]),
+                Err(e) if e.kind() == io::ErrorKind::Interrupted => {}
+                Err(e) if e.kind() == io::ErrorKind::WouldBlock => break,
+                Err(_) => return self.close(key, registry),
+            }
+        }
+        match read_call(&clerk.head) {
+            Ok(None) => None,
+            Ok(Some(call)) => Some((key, call)),
+            Err(Refusal(status, text, allow)) => {
+                let allow = allow.map(|m| format!("Allow: {m}\r\n")).unwrap_or_default();
+                self.answer(key, status, "text/plain", text, &allow, registry);
+                None
+            }
+        }
+    }
+
+    /// Answers a call and ends its connection.
+    pub fn answer(
+        &mut self,
+        key: usize,
+        status: u16,
+        media: &str,
+        body: &str,
+        more: &str,
+        registry: &Registry,
+    ) {
+        let Some(clerk) = self.clerks.get_mut(key) else { return };
+        let reason = match status {
+            200 => "OK",
+            400 => "Bad Request",
+            404 => "Not Found",
+            405 => "Method Not Allowed",
+            431 => "Request Header Fields Too Large",
+            _ => "Service Unavailable",
+        };
+        clerk.out = format!(
+            "HTTP/1.1 {status} {reason}\r\nContent-Type: {media}\r\nContent-Length: {}\r\n{more}Connection: close\r\n\r\n{body}",
+            body.len()
+        )
+        .into_bytes();
+        if self.write(key).is_err() {
+            self.close::<()>(key, registry);
+        }
+    }
+
+    fn write(&mut self, key: usize) -> Result<(), ()> {
+        let clerk = &mut self.clerks[key];
+        while clerk.written < clerk.out.len() {
+            match clerk.sock.write(&clerk.out[clerk.written..]) {
+                Ok(0) => return Err(()),
+                Ok(n) => clerk.written += n,
+                Err(e) if e.kind() == io::ErrorKind::Interrupted => {}
+                Err(e) if e.kind() == io::ErrorKind::WouldBlock => return Ok(()),
+                Err(_) => return Err(()),
+            }
+        }
+        if !clerk.done {
+            clerk.done = true;
+            // The caller reads to the end; what it still sends is read and dropped until it closes.
+            let _ = clerk.sock.shutdown(Shutdown::Write);
+        }
+        Ok(())
+    }
+
+    fn close<T>(&mut self, key: usize, registry: &Registry) -> Option<T> {
+        if let Some(mut clerk) = self.clerks.try_remove(key) {
+            let _ = registry.deregister(&mut clerk.sock);
+        }
+        None
+    }
+
+    /// Cuts off callers who said nothing whole in time, and those who do not close after the answer.
+    pub fn sweep(&mut self, now: f64, registry: &Registry) {
+        let late = |c: &Clerk| now - c.since >= if c.out.is_empty() { CALL_S } else { CALL_S + LEAVE_S };
+        let late: Vec<_> =
+            self.clerks.iter().filter(|(_, c)| late(c)).map(|(k, c)| (k, c.out.is_empty())).collect();
+        for (key, silent) in late {
+            self.cut_off += u64::from(silent);
+            self.close::<()>(key, registry);
+        }
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    // Guards against calls taken by the wrong method or path, and a half head taken for a whole one.
+    #[test]
+    fn calls_are_read_by_method_and_path() {
+        assert_eq!(read_call(b"GET /status HTTP/1.1\r\nHost: x\r\n\r\n"), Ok(Some(Call::Status)));
+        assert_eq!(
+            read_call(b"POST /standby HTTP/1.1\r\nContent-Length: 0\r\n\r\n"),
+            Ok(Some(Call::Standby))
+        );
+        assert_eq!(read_call(b"POST /active?now=1 HTTP/1.1\r\n\r\n"), Ok(Some(Call::Active)));
+        assert_eq!(
+            read_call(b"POST /status HTTP/1.1\r\n\r\n"),
+            Err(Refusal(405, "another method\n", Some("GET")))
+        );
+        assert_eq!(read_call(b"GET /standby HTTP/1.1\r\n\r\n").map_err(|r| r.2), Err(Some("POST")));
+        assert_eq!(read_call(b"GET /else HTTP/1.1\r\n\r\n").map_err(|r| r.0), Err(404));
+        assert_eq!(read_call(b"\x01\x02 nonsense\r\n\r\n").map_err(|r| r.0), Err(400));
+        assert_eq!(read_call(b"GET /status HTTP/1.1\r\nHost"), Ok(None));
+        let long = [b"GET /status HTTP/1.1\r\nX: ".as_slice(), &[b'a'; HEAD_BYTES]].concat();
+        assert_eq!(read_call(&long).map_err(|r| r.0), Err(431));
+    }
+}
--- a/crates/sidecar/src/sidecar.rs
+++ b/crates/sidecar/src/sidecar.rs
@@ -6,9 +6,11 @@
 use crate::log::Log;
 use crate::lot::{Errand, Phase, Return, Verdict};
 use crate::node_list::{NodeList, Word, PAUSE_S};
+use crate::operator::{Call, Desk, CLERK_BASE, DESK};
 use crate::yard::{owner, Bell, Bounds, News, Owner, Yard, GATE, NODE_LIST, SIGNALS};
 use mio::{Events, Interest, Poll};
 use passrelay_core::barrier::{Arrival, Barrier};
+use passrelay_core::duty::{Duty, Turn};
 use passrelay_core::{Condition, Effect, Ending, Entry, RequestId, ZoneId};
 use passrelay_settings::{Config, House, Item, Sheet};
 use signal_hook::consts::{SIGHUP, SIGINT, SIGTERM};
@@ -57,6 +59,10 @@
     poll: Poll,
     signals: Signals,
     gate: Option<Gate>,
+    /// Where operators call.
+    desk: Option<Desk>,
+    /// Standby or active, as the operators said.
+    duty: Duty,
     barrier: Barrier,
     yard: Yard,
     house: House,
@@ -83,10 +89,15 @@
     ///
     /// Fails where the address cannot be listened on or the system gives no poller.
     pub fn open(config: Config) -> Result<Sidecar, Box<dyn Error>> {
-        let Config { name, listen, discovery, seed, max_kiosks, max_bays, known, house, file } = config;
+        let Config { name, listen, discovery, operator, seed, max_kiosks, max_bays, known, house, file } =
+            config;
         let poll = Poll::new()?;
         let mut gate = Gate::open(listen).map_err(|e| format!("listen: {listen}: {e}"))?;
         poll.registry().register(&mut gate.listener, GATE, Interest::READABLE)?;
+        let desk = match operator {
+            Some(at) => Some(Desk::open(at, poll.registry()).map_err(|e| format!("operator: {at}: {e}"))?),
+            None => None,
+        };
         let mut signals = Signals::new([SIGTERM, SIGINT, SIGHUP])?;
         poll.registry().register(&mut signals, SIGNALS, Interest::READABLE)?;
         // One reading of both clocks: a start time that moved would look like a restart.
@@ -99,12 +110,18 @@
         let barrier = Barrier::new(&house.settings, seed)?;
         yard.wheel.set(SWEEP_S, Bell::Sweep);
         yard.wheel.set(FIGURES_S, Bell::Figures);
-        yard.say("info", "started", &[("tier", &house.tier), ("listen", &listen), ("rank", &s.rank)]);
+        let desk_at =
+            desk.as_ref().and_then(|d| d.address().ok()).map_or_else(|| "-".to_owned(), |a| a.to_string());
+        let started: [(&str, &dyn Display); 4] =
+            [("tier", &house.tier), ("listen", &listen), ("operator", &desk_at), ("rank", &s.rank)];
+        yard.say("info", "started", &started);
         let (gate, shift) = (Some(gate), Shift::On);
         let mut sidecar = Sidecar {
             poll,
             signals,
             gate,
+            desk,
+            duty: Duty::default(),
             barrier,
             yard,
             house,
@@ -153,6 +170,8 @@
                     GATE => self.gate_ready(),
                     SIGNALS => self.signalled(),
                     NODE_LIST => self.list_ready(),
+                    DESK => self.desk_ready(),
+                    token if token.0 >= CLERK_BASE => self.clerk_ready(token),
                     token => match owner(token) {
                         Owner::Kiosk(key) => self.kiosk_ready(key),
                         Owner::Bay(key) => self.bay_ready(key),
@@ -241,6 +260,12 @@
             }
             Bell::Sweep => {
                 self.yard.sweep();
+                if self.duty.sends_idle_away() {
+                    self.yard.send_off_all_idle();
+                }
+                if let Some(desk) = self.desk.as_mut() {
+                    desk.sweep(now, self.poll.registry());
+                }
                 self.yard.wheel.set(now + SWEEP_S, Bell::Sweep);
                 if self.gate_full {
                     self.gate_ready();
@@ -284,6 +309,57 @@
         self.yard.say("info", event, &figures);
     }
 
+    // ---- Operators ----
+
+    fn desk_ready(&mut self) {
+        if let Some(desk) = self.desk.as_mut() {
+            desk.let_in(self.yard.now, self.poll.registry());
+        }
+    }
+
+    fn clerk_ready(&mut self, token: mio::Token) {
+        let Some(desk) = self.desk.as_mut() else { return };
+        let Some((key, call)) = desk.on_ready(token, self.poll.registry()) else { return };
+        let now = self.yard.now;
+        let (status, body) = match call {
+            Call::Status => {
+                let serving = self.gate.is_some() && self.shift == Shift::On && self.barrier.is_ready();
+                let ready = self.duty.is_ready(self.barrier.is_ready(), self.shift != Shift::On);
+                let c = self.barrier.counts();
+                let body = serde_json::json!({
+                    "name": self.name, "serving": serving, "ready": ready,
+                    "standby": self.duty.standby_since().is_some(), "ending": self.shift != Shift::On,
+                    "owed": self.barrier.owed(), "clients": self.yard.kiosks.len(), "node_connections": self.yard.bays.len(),
+                    "taken": c.taken, "served": c.served, "refused": c.refused, "failed": c.failed,
+                    "standbys": self.duty.standbys, "operator_cut_off": desk.cut_off,
+                });
+                (if serving { 200 } else { 503 }, format!("{body}\n"))
+            }
+            Call::Standby => {
+                if self.duty.standby(now) == Turn::Changed {
+                    self.yard.standby = true;
+                    self.yard.send_off_all_idle();
+                    self.yard.say(
+                        "info",
+                        "standby",
+                        &[("owed", &self.barrier.owed()), ("clients", &self.yard.kiosks.len())],
+                    );
+                }
+                (200, "{\"standby\":true}\n".to_owned())
+            }
+            Call::Active => {
+                if self.duty.active() == Turn::Changed {
+                    self.yard.standby = false;
+                    self.yard.say("info", "active", &[("owed", &self.barrier.owed())]);
+                }
+                (200, "{\"standby\":false}\n".to_owned())
+            }
+        };
+        if let Some(desk) = self.desk.as_mut() {
+            desk.answer(key, status, "application/json", &body, "", self.poll.registry());
+        }
+    }
+
     // ---- Callers ----
 
     fn gate_ready(&mut self) {
@@ -352,7 +428,7 @@
             if head.method != "GET" {
                 return self.yard.word(key, 405, "use GET\n", &[("Allow", &"GET")]);
             }
-            let ready = self.barrier.is_ready() && self.shift == Shift::On;
+            let ready = self.duty.is_ready(self.barrier.is_ready(), self.shift != Shift::On);
             let (status, text) = if ready { (200, "ready\n") } else { (503, "not ready\n") };
             return self.yard.word(key, status, text, &[]);
         }
--- a/crates/sidecar/src/yard.rs
+++ b/crates/sidecar/src/yard.rs
@@ -141,6 +141,8 @@
     let_in: u64,
     /// After SIGTERM: answers say that the connection closes.
     pub leaving: bool,
+    /// In standby: answers say that the connection closes, and idle connections are closed.
+    pub standby: bool,
     name: String,
     rides: HashMap<RequestId, Ride>,
     /// The callers' ids of these.
@@ -176,6 +178,7 @@
             now: 0.0,
             let_in: 0,
             leaving: false,
+            standby: false,
             name: name.to_owned(),
             rides: HashMap::new(),
             call_ids: HashSet::new(),
@@ -223,6 +226,13 @@
         self.send_off_first(|k| k.stage == Stage::Reading && now - k.since >= SQUEEZE_S)
     }
 
+    /// Closes every client connection on which nothing is: in standby they are to move elsewhere.
+    pub fn send_off_all_idle(&mut self) {
+        let idle = self.kiosks.iter().filter(|(_, k)| k.stage == Stage::Idle && k.is_quiet());
+        let idle: Vec<_> = idle.map(|(key, _)| key).collect();
+        idle.into_iter().for_each(|key| self.send_off(key));
+    }
+
     /// Of those who may go, closes the one that has been as it is for longest and loses nothing unread.
     fn send_off_first(&mut self, may_go: impl Fn(&Kiosk) -> bool) -> bool {
         let idle = self.kiosks.iter().filter(|(_, k)| may_go(k));
@@ -258,7 +268,7 @@
     /// Answers a kiosk with a few words of the sidecar's own.
     pub fn word(&mut self, key: usize, status: u16, text: &str, more: &[(&str, &dyn Display)]) {
         let Some(kiosk) = self.kiosks.get_mut(key) else { return };
-        kiosk.close |= self.leaving;
+        kiosk.close |= self.leaving || self.standby;
         let mut fields: Vec<(&str, &dyn Display)> = vec![("Content-Type", &"text/plain")];
         fields.extend_from_slice(more);
         let mut head = answer_head(status, text.len(), kiosk.close, &fields);
@@ -584,7 +594,7 @@
         match (answer, load) {
             (Answer::Served { .. }, Some(Load { tray, body, media })) => {
                 let Some(kiosk) = self.kiosks.get_mut(key) else { return self.rack.give_back(tray) };
-                kiosk.close |= self.leaving;
+                kiosk.close |= self.leaving || self.standby;
                 let fields: Vec<(&str, &dyn Display)> =
                     media.iter().map(|m| ("Content-Type", m as &dyn Display)).collect();
                 let head = answer_head(200, body.len(), kiosk.close, &fields);
