Take classes, effects and attempts from SIGHUP by generation; open requests keep theirs

Ruled out: discovery (list changes arrive and are logged), the drain (no rule broken since the operators' address).

Design: settings come by generation. The whole file is read and checked first; then House::retuned lays it over the settings in force: a class that is the same keeps its position, a changed one is appended under a new position, one no longer named keeps its position without a name (no new request can name it). Requests already taken keep their ClassId and so their class's rules; the barrier keeps each request's number of attempts as it came. The module takes the grown table by Balancer::retune (state.rs, not policy). The table is bounded at 256 classes a run; past that a reload is refused with the key and a note to restart.

Also refused now, naming file, key and line: a class without Name, a GiveUp that is not a positive number. Found on the way by the process test: a new class indexed the turns' tallies out of bounds (rules.rs:399) and ended the program; each upstream's tally grows with the table.

--- a/crates/core/src/barrier.rs
+++ b/crates/core/src/barrier.rs
@@ -68,18 +68,35 @@
 pub trait Decider {
     /// Takes one event at time `now` and adds what is to be done to `actions`.
     fn handle(&mut self, now: f64, event: Event, actions: &mut Vec<Action>);
+
+    /// Takes the settings of a later generation; see [`Balancer::retune`]. One that cannot keeps its own.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`SettingsError`] when the settings cannot be taken; nothing is changed then.
+    fn retune(&mut self, _settings: &Settings) -> Result<(), SettingsError> {
+        Ok(())
+    }
 }
 
 impl Decider for Balancer {
     fn handle(&mut self, now: f64, event: Event, actions: &mut Vec<Action>) {
         Balancer::handle(self, now, event, actions);
     }
+
+    fn retune(&mut self, settings: &Settings) -> Result<(), SettingsError> {
+        Balancer::retune(self, settings.clone())
+    }
 }
 
 impl<D: Decider + ?Sized> Decider for Box<D> {
     fn handle(&mut self, now: f64, event: Event, actions: &mut Vec<Action>) {
         (**self).handle(now, event, actions);
     }
+
+    fn retune(&mut self, settings: &Settings) -> Result<(), SettingsError> {
+        (**self).retune(settings)
+    }
 }
 
 /// A request as its caller put it.
@@ -99,6 +116,8 @@
 struct Driver {
     deadline: f64,
     answered: bool,
+    /// Attempts that the settings of its arrival allow: a later generation does not change them.
+    max_attempts: usize,
     passes: Vec<Pass>,
 }
 
@@ -174,6 +193,19 @@
         }
     }
 
+    /// Takes the settings of a later generation for requests that come from now on; those already taken
+    /// keep their class and their number of attempts.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`SettingsError`] where the decider cannot take them; nothing is changed then.
+    pub fn retune(&mut self, settings: &Settings) -> Result<(), SettingsError> {
+        self.decider.retune(settings)?;
+        self.max_attempts = settings.max_attempts as usize;
+        self.retry_after = settings.retry_after.then_some(settings.max_retry_after);
+        Ok(())
+    }
+
     /// Whether there is a node that may get something new.
     pub fn is_ready(&self) -> bool {
         !self.open.is_empty()
@@ -206,7 +238,8 @@
         let Arrival { class, tenant, budget, repeat } = arrival;
         let deadline = now + budget;
         self.counts.taken += 1;
-        self.drivers.insert(id, Driver { deadline, answered: false, passes: Vec::new() });
+        let max_attempts = self.max_attempts;
+        self.drivers.insert(id, Driver { deadline, answered: false, max_attempts, passes: Vec::new() });
         // One tick early: the answer after an expired attempt has to be there in time.
         lane.alarm(deadline - self.tick, Alarm::Deadline(id));
         let ttl = budget;
@@ -407,7 +440,7 @@
         let Some(d) = self.drivers.get_mut(&id) else { return };
         let attempt = d.passes.len() as u32;
         let in_time = now + self.tick < d.deadline;
-        let allowed = !d.answered && d.passes.len() < self.max_attempts && in_time;
+        let allowed = !d.answered && d.passes.len() < d.max_attempts && in_time;
         d.passes.push(Pass { to, sent: now, out: true, may_have_run: true, ending: None });
         if !allowed || !self.open.contains(&to) {
             let event = self.close(now, id, attempt, Ending::Unused, None, lane);
--- a/crates/core/src/state.rs
+++ b/crates/core/src/state.rs
@@ -270,4 +270,34 @@
             set: settings,
         })
     }
+
+    /// Takes the settings of a later generation. Classes keep their positions, so that requests already
+    /// taken keep the rules of their class; a changed class comes under a new position at the end. The
+    /// tick stays: the alarms already set count in it.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`SettingsError`] when the settings make no sense or would take classes away.
+    pub fn retune(&mut self, settings: Settings) -> Result<(), SettingsError> {
+        settings.validate()?;
+        if settings.classes.len() < self.set.classes.len() {
+            return Err(SettingsError { name: "classes", problem: "may be added to, not taken away" });
+        }
+        self.typical.resize(settings.classes.len(), 0.0);
+        // New classes start their turns at a random place, as those of the start did, and no old tally moves.
+        let (classes, start) =
+            (settings.classes.len(), self.upstreams.values().map(|u| u.factor).fold(1.0, f64::max));
+        for u in self.upstreams.values_mut() {
+            while u.tally.len() < classes {
+                u.tally.push(self.rng.next() * start);
+            }
+        }
+        let now = self.now;
+        self.allowance.resize(settings.tenants.len(), (f64::INFINITY, now));
+        for (allowance, tenant) in self.allowance.iter_mut().zip(&settings.tenants) {
+            allowance.0 = tenant.allowance_per_s;
+        }
+        self.set = Settings { tick: self.set.tick, ..settings };
+        Ok(())
+    }
 }
--- a/crates/core/tests/rules.rs
+++ b/crates/core/tests/rules.rs
@@ -858,3 +858,21 @@
     // From the fifth second on a copy asks every four seconds, in no step with others.
     assert!(calls[5..].iter().all(|c| (5..=60).contains(c)), "{calls:?}");
 }
+
+// Guards against a class added by a later generation that the turns do not know (an index out of bounds
+// in the module), and against settings that would take a class from under requests already taken.
+#[test]
+fn a_later_generation_adds_a_class_that_is_sent_at_once() {
+    let mut rig = Rig::new(settings(Effect::Safe), vec![entry(1), entry(2)]);
+    let (_, first) = rig.submit(0.1);
+    assert!(matches!(first[..], [Action::Send { .. }, ..]));
+    let unsafe_class = Class { effect: Effect::Unsafe, ..Class::default() };
+    let mut later = settings(Effect::Safe);
+    later.classes.push(unsafe_class);
+    rig.balancer.retune(later.clone()).unwrap();
+    let id = RequestId(99);
+    let event =
+        Event::Request { id, class: ClassId(1), tenant: None, ttl: 2.0, work_hint: None, repeat: false };
+    assert!(matches!(rig.at(0.2, event)[..], [Action::Send { id: RequestId(99), .. }, ..]));
+    assert!(rig.balancer.retune(settings(Effect::Safe)).is_err(), "classes may not be taken away");
+}
--- a/crates/passrelay/tests/service.rs
+++ b/crates/passrelay/tests/service.rs
@@ -114,3 +114,45 @@
         String::from_utf8_lossy(&out.stderr)
     );
 }
+
+// Guards against a reload that leaves new classes unknown, keeps dropped ones, takes part of a broken file,
+// or moves a request already taken to the rules of the new generation.
+#[test]
+fn a_reload_brings_new_classes_for_new_requests_and_keeps_open_ones() {
+    let node = Server::start(|m| {
+        if m.line.contains("/look/") {
+            std::thread::sleep(Duration::from_millis(700));
+        }
+        answer(200, "", b"ok")
+    });
+    let (relay, discovery) = Relay::before(PROGRAM, &[&node]);
+    let mut open = relay.caller();
+    open.send(&request("look", 6.0, b""));
+    until("the node has it", || node.seen().len() == 1);
+    let mut told = config(discovery.server.address);
+    let class =
+        |name: &str, kind: &str| serde_json::json!({"Name": name, "GiveUp": 6.0, "Idempotency": kind});
+    told["listen"] = relay.address.to_string().into();
+    told["settings"]["Classes"] =
+        serde_json::json!([class("look", "non_idempotent"), class("book", "read_like")]);
+    relay.reload(&told.to_string());
+    relay.until_logged("event=reloaded generation=1");
+    assert_eq!(open.hear().unwrap().status(), 200, "the open request keeps its class");
+    assert_eq!(relay.call("book", 4.0).status(), 200);
+    assert_eq!(relay.call("pay", 4.0).status(), 404, "a dropped class is no longer taken");
+    let look = request("pay", 4.0, b"")
+        .replace("/pay/", "/look/")
+        .replace("X-Call-Class: pay", "X-Call-Class: look");
+    assert_eq!(relay.caller().ask(&look).status(), 200, "look is taken as unsafe, by POST");
+    for (n, text) in ["", "{\"name\": "].into_iter().enumerate() {
+        relay.reload(text);
+        let failed =
+            || relay.log().into_iter().filter(|l| l.contains("event=reload_failed")).collect::<Vec<_>>();
+        until("the broken file is logged", || failed().len() > n);
+        assert!(failed()[n].contains("key=RELAY_CONFIG") && failed()[n].contains("file="), "{:?}", failed());
+    }
+    told["settings"]["Limits"]["AttemptsCap"] = 0.into();
+    relay.reload(&told.to_string());
+    relay.until_logged("key=\"settings.setting max_attempts\"");
+    assert_eq!(relay.call("book", 4.0).status(), 200, "nothing was taken from the broken files");
+}
--- a/crates/settings/src/config.rs
+++ b/crates/settings/src/config.rs
@@ -15,6 +15,9 @@
 const SPARE_SOCKETS: usize = 24;
 /// What one connection may cost at most: a buffer and a little beside it, in KiB.
 const CONNECTION_KIB: usize = 96;
+/// Classes, retired ones among them, that the settings of one run may come to. Guards against a table that
+/// grows with each reload without end.
+const MOST_CLASSES: usize = 256;
 
 /// A key of the configuration and what is wrong with it.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -138,7 +141,14 @@
             Some("non_idempotent") | None => Effect::Unsafe,
             Some(other) => return wrong(&key("Idempotency"), format!("unknown repeat rule '{other}'")),
         };
-        let name = self.text(&key("Name")).unwrap_or("").to_owned();
+        let name = self.text(&key("Name")).map(str::to_owned);
+        let name = name.map_or_else(|| wrong(&key("Name"), "is missing"), Ok)?;
+        if let Some(text) = self.text(&key("GiveUp")) {
+            // A deadline of nothing would refuse every request of the class.
+            if !text.parse::<f64>().is_ok_and(|g| g.is_finite() && g > 0.0) {
+                return wrong(&key("GiveUp"), format!("should be a positive number of seconds, is '{text}'"));
+            }
+        }
         let class = Class {
             aim: self.get(&key("Aim"), self.get(&key("GiveUp"), d.aim)?)?,
             aim_stretch: self.get(&key("AimStretch"), d.aim_stretch)?,
@@ -152,6 +162,58 @@
 }
 
 impl House {
+    /// The settings of a later generation, laid over these: a class that is the same keeps its position, a
+    /// changed or new one comes at the end, and one that is no longer named is retired (its name is left
+    /// empty), so that requests already taken keep the rules that they came under. The tick stays.
+    ///
+    /// # Errors
+    ///
+    /// Fails where the classes of the run would come to more than [`MOST_CLASSES`].
+    pub fn retuned(&self, new: House) -> Result<House, ConfigError> {
+        let mut merged = self.clone();
+        let same = |at: usize, old: usize| {
+            new.settings.classes[at] == self.settings.classes[old] && new.give_up[at] == self.give_up[old]
+        };
+        let kept: Vec<Option<usize>> = (0..new.names.classes.len())
+            .map(|at| {
+                self.names
+                    .classes
+                    .iter()
+                    .position(|n| *n == new.names.classes[at])
+                    .filter(|&old| same(at, old))
+            })
+            .collect();
+        for (old, name) in merged.names.classes.iter_mut().enumerate() {
+            if !kept.contains(&Some(old)) {
+                name.clear();
+            }
+        }
+        for (at, kept) in kept.iter().enumerate() {
+            if kept.is_none() {
+                merged.names.classes.push(new.names.classes[at].clone());
+                merged.settings.classes.push(new.settings.classes[at].clone());
+                merged.give_up.push(new.give_up[at]);
+            }
+        }
+        if merged.settings.classes.len() > MOST_CLASSES {
+            return wrong(
+                "settings.Classes",
+                format!("would bring the classes of this run to over {MOST_CLASSES}; restart to take them"),
+            );
+        }
+        let classes = std::mem::take(&mut merged.settings.classes);
+        merged.settings = Settings { classes, tick: self.settings.tick, ..new.settings };
+        merged.names.tenants = new.names.tenants;
+        (merged.conn_idle, merged.answer_slack, merged.max_open) =
+            (new.conn_idle, new.answer_slack, new.max_open);
+        Ok(merged)
+    }
+
+    /// The position of a class that new requests may name.
+    pub fn class(&self, name: &str) -> Option<usize> {
+        self.names.classes.iter().position(|c| !c.is_empty() && c == name)
+    }
+
     /// Reads settings given as `path=value` pairs. Unknown keys are skipped, absent ones get defaults.
     ///
     /// # Errors
@@ -412,3 +474,71 @@
         items.iter().map(|i| Entry { zone: self.zone(&i.zone), ..i.entry }).collect()
     }
 }
+
+/// The line of a file on which the key of an error stands, as near as can be told: for a file that is no
+/// JSON the line that the reader stopped at; else the line that names the key's last part, the Nth such
+/// line for a key in the Nth item of a list. 0 where neither is found.
+pub fn line_of(path: &str, error: &ConfigError) -> usize {
+    if let Some(at) = error.problem.find(" at line ") {
+        return error.problem[at + 9..].split(' ').next().and_then(|n| n.parse().ok()).unwrap_or(0);
+    }
+    let Ok(text) = std::fs::read_to_string(path) else { return 0 };
+    let parts: Vec<&str> = error.key.split('.').collect();
+    let Some(last) = parts.iter().rev().find(|p| p.parse::<usize>().is_err()) else { return 0 };
+    let item = parts.iter().rev().find_map(|p| p.parse::<usize>().ok()).unwrap_or(0);
+    let quoted = format!("\"{last}\"");
+    let mut lines = text.lines().enumerate().filter(|(_, l)| l.contains(&quoted)).map(|(n, _)| n + 1);
+    let first = lines.clone().next().unwrap_or(0);
+    lines.nth(item).unwrap_or(first)
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use serde_json::json;
+
+    fn house(classes: Value, attempts: u32) -> House {
+        House::from_json(&json!({"Classes": classes, "Limits": {"AttemptsCap": attempts}})).unwrap()
+    }
+
+    // Guards against a reload that moves a class under requests already taken: a changed class gets a new
+    // position, a dropped one keeps its position but no name, a class that stays keeps both.
+    #[test]
+    fn a_later_generation_adds_changes_and_retires_classes_in_place() {
+        let old = house(
+            json!([{"Name": "look", "Idempotency": "read_like"}, {"Name": "pay"}, {"Name": "gone"}]),
+            4,
+        );
+        let new = house(json!([{"Name": "pay"}, {"Name": "look"}, {"Name": "book", "GiveUp": 3.0}]), 2);
+        let merged = old.retuned(new).unwrap();
+        assert_eq!(merged.names.classes, ["", "pay", "", "look", "book"]);
+        assert_eq!(merged.settings.classes[0].effect, Effect::Safe, "the old look stays for its requests");
+        assert_eq!(merged.settings.classes[3].effect, Effect::Unsafe);
+        assert_eq!((merged.class("look"), merged.class("gone"), merged.class("")), (Some(3), None, None));
+        assert_eq!((merged.give_up[4], merged.settings.max_attempts), (3.0, 2));
+        let mut grown = merged;
+        for n in 0..MOST_CLASSES {
+            match grown.retuned(house(json!([{"Name": format!("c{n}")}]), 1)) {
+                Ok(next) => grown = next,
+                Err(e) => return assert_eq!(e.key, "settings.Classes"),
+            }
+        }
+        panic!("the classes grew without bound");
+    }
+
+    // Guards against a broken file taken in part: each of these is refused with the key at fault.
+    #[test]
+    fn a_class_without_name_or_with_no_deadline_is_refused() {
+        let refused = |classes: Value, attempts: Value| {
+            House::from_json(&json!({"Classes": classes, "Limits": {"AttemptsCap": attempts}}))
+                .unwrap_err()
+                .key
+        };
+        assert_eq!(refused(json!([{"Idempotency": "read_like"}]), json!(2)), "settings.Classes.0.Name");
+        assert_eq!(refused(json!([{"Name": "a", "GiveUp": 0}]), json!(2)), "settings.Classes.0.GiveUp");
+        assert_eq!(refused(json!([{"Name": "a", "GiveUp": "soon"}]), json!(2)), "settings.Classes.0.GiveUp");
+        assert_eq!(refused(json!([{"Name": "a"}]), json!(0)), "settings.setting max_attempts");
+        assert_eq!(refused(json!([{"Name": "a"}]), json!(-1)), "settings.Limits.AttemptsCap");
+        assert_eq!(refused(json!([]), json!(2)), "settings.setting classes");
+    }
+}
--- a/crates/sidecar/src/sidecar.rs
+++ b/crates/sidecar/src/sidecar.rs
@@ -63,6 +63,8 @@
     desk: Option<Desk>,
     /// Standby or active, as the operators said.
     duty: Duty,
+    /// Settings read so far: 0 for those of the start, one more for each good reload.
+    generation: u64,
     barrier: Barrier,
     yard: Yard,
     house: House,
@@ -122,6 +124,7 @@
             gate,
             desk,
             duty: Duty::default(),
+            generation: 0,
             barrier,
             yard,
             house,
@@ -331,7 +334,7 @@
                     "standby": self.duty.standby_since().is_some(), "ending": self.shift != Shift::On,
                     "owed": self.barrier.owed(), "clients": self.yard.kiosks.len(), "node_connections": self.yard.bays.len(),
                     "taken": c.taken, "served": c.served, "refused": c.refused, "failed": c.failed,
-                    "standbys": self.duty.standbys, "operator_cut_off": desk.cut_off,
+                    "standbys": self.duty.standbys, "operator_cut_off": desk.cut_off, "generation": self.generation,
                 });
                 (if serving { 200 } else { 503 }, format!("{body}\n"))
             }
@@ -452,8 +455,7 @@
     /// Checks the headers of a request; the error is a status and a text (for 405 the right method).
     fn read_arrival(&self, head: &Head, path: &str) -> Result<Arrival, (u16, &'static str)> {
         let name = path[1..].split('/').next().unwrap_or("");
-        let classes = &self.house.names.classes;
-        let class = classes.iter().position(|c| c == name).ok_or((404, "no such class"))?;
+        let class = self.house.class(name).ok_or((404, "no such class"))?;
         let method = if self.house.settings.classes[class].effect == Effect::Safe { "GET" } else { "POST" };
         if head.method != method {
             return Err((405, method));
@@ -621,18 +623,40 @@
         }
     }
 
-    /// Reads the configuration again. Guards against an end on SIGHUP and against a faulty file: that one
-    /// changes nothing. Of a good one the address of discovery takes effect, at once and without a change
-    /// to the nodes known, the connections to them or the requests taken.
+    /// Reads the configuration again. Guards against an end on SIGHUP and against a faulty file: the whole
+    /// file is read and checked first, and one that fails changes nothing. Of a good one the settings of
+    /// requests (classes, their effects, attempts, tenants) bind for requests from now on; those already
+    /// taken keep theirs. The address of discovery takes effect at once, without a change to the nodes
+    /// known or the connections to them.
     fn reload(&mut self) {
-        let file = self.file.as_deref().unwrap_or_default();
-        match Config::reread(file, &self.name, self.listen) {
-            Ok(config) => {
-                self.yard.say("info", "reloaded", &[("discovery", &config.discovery)]);
-                self.yard.find_list_at(config.discovery);
+        let file = self.file.clone().unwrap_or_default();
+        let read = Config::reread(&file, &self.name, self.listen);
+        let read = read.and_then(|config| Ok((self.house.retuned(config.house.clone())?, config)));
+        let (house, config) = match read {
+            Ok(both) => both,
+            Err(e) => {
+                let line = passrelay_settings::line_of(&file, &e);
+                let values: [(&str, &dyn Display); 4] =
+                    [("file", &file), ("key", &e.key), ("line", &line), ("problem", &e.problem)];
+                return self.yard.say("warn", "reload_failed", &values);
             }
-            Err(e) => self.yard.say("warn", "reload_failed", &[("key", &e.key), ("problem", &e.problem)]),
+        };
+        if let Err(e) = self.barrier.retune(&house.settings) {
+            let values: [(&str, &dyn Display); 3] =
+                [("file", &file), ("key", &e.name), ("problem", &e.problem)];
+            return self.yard.say("warn", "reload_failed", &values);
         }
+        self.generation += 1;
+        self.house = house;
+        let live = self.house.names.classes.iter().filter(|c| !c.is_empty()).count();
+        let values: [(&str, &dyn Display); 4] = [
+            ("generation", &self.generation),
+            ("classes", &live),
+            ("attempts", &self.house.settings.max_attempts),
+            ("discovery", &config.discovery),
+        ];
+        self.yard.say("info", "reloaded", &values);
+        self.yard.find_list_at(config.discovery);
     }
 
     /// Arrivals have ended: lets in who already stands at the gate, then closes it.
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -270,6 +270,11 @@
         self.log.lock().unwrap().iter().find(|l| l.contains(text)).cloned()
     }
 
+    /// All log lines so far.
+    pub fn log(&self) -> Vec<String> {
+        self.log.lock().unwrap().clone()
+    }
+
     /// Waits for a log line that holds this text.
     pub fn until_logged(&self, text: &str) -> String {
         until(&format!("'{text}' is logged"), || self.logged(text).is_some());
