Time a request's body by its progress, not by its whole

Now the head still has to be whole 2.5 s after the first byte; after that the body only has to bring a byte every 2.5 s. A caller that stops is turned away 2.5 to 2.75 s after its last byte. Test: a 3.6 s body in pieces is served (it failed before with a 408), a stalled one gets 408 within 3 s.

--- a/crates/passrelay/tests/service.rs
+++ b/crates/passrelay/tests/service.rs
@@ -156,3 +156,26 @@
     relay.until_logged("key=\"settings.setting max_attempts\"");
     assert_eq!(relay.call("book", 4.0).status(), 200, "nothing was taken from the broken files");
 }
+
+// Guards against a timeout on the whole of a request: a body that keeps coming is taken however long it
+// takes, one that stops is turned away soon after its last byte.
+#[test]
+fn a_slow_body_is_taken_while_it_comes_and_a_stalled_one_is_turned_away() {
+    let node = Server::start(served);
+    let (relay, _discovery) = Relay::before(PROGRAM, &[&node]);
+    let body = "b".repeat(3600);
+    let text = request("pay", 8.0, body.as_bytes());
+    let (head, rest) = text.split_at(text.len() - body.len());
+    let mut slow = relay.caller();
+    slow.send(head);
+    for piece in rest.as_bytes().chunks(300) {
+        std::thread::sleep(Duration::from_millis(300));
+        slow.send(std::str::from_utf8(piece).unwrap());
+    }
+    assert_eq!(slow.hear().unwrap().status(), 200, "a body that took 3.6 s was cut off");
+    let mut stalled = relay.caller();
+    let began = std::time::Instant::now();
+    stalled.send(&text[..text.len() - 10]);
+    assert_eq!(stalled.hear().unwrap().status(), 408);
+    assert!(began.elapsed() < Duration::from_secs(3), "{:?}", began.elapsed());
+}
--- a/crates/sidecar/src/kiosk.rs
+++ b/crates/sidecar/src/kiosk.rs
@@ -51,6 +51,8 @@
     pub number: u64,
     /// It ends after the answer that goes out now or next.
     pub close: bool,
+    /// When the last byte came from the caller.
+    pub progress: f64,
     tray: Option<Tray>,
     reading: Option<(Head, BodyReader)>,
     body: Range<usize>,
@@ -71,6 +73,7 @@
             new_since: Some(now),
             number,
             close: false,
+            progress: now,
             tray: None,
             reading: None,
             body: 0..0,
@@ -91,6 +94,11 @@
         }
     }
 
+    /// Whether the head of the request that comes in is whole.
+    pub fn has_head(&self) -> bool {
+        self.reading.is_some()
+    }
+
     /// The body of the request that waits.
     pub fn request_body(&self) -> &[u8] {
         self.tray.as_ref().map_or(&[], |t| &t.bytes()[self.body.clone()])
@@ -118,8 +126,10 @@
             }
             match tray.fill_from(&mut self.sock) {
                 Ok(0) => return Brought::Closed,
-                Ok(_) if self.stage == Stage::Idle => (self.stage, self.since) = (Stage::Reading, now),
-                Ok(_) => {}
+                Ok(_) if self.stage == Stage::Idle => {
+                    (self.stage, self.since, self.progress) = (Stage::Reading, now, now)
+                }
+                Ok(_) => self.progress = now,
                 Err(e) if e.kind() == io::ErrorKind::Interrupted => {}
                 Err(e) if e.kind() == io::ErrorKind::WouldBlock => {
                     // Held only while bytes are in flight.
--- a/crates/sidecar/src/yard.rs
+++ b/crates/sidecar/src/yard.rs
@@ -27,6 +27,8 @@
 const TRY_S: f64 = 0.002;
 /// A request has to be in so long after its first byte, and a caller's first one after it was let in.
 const REQUEST_S: f64 = 2.5;
+/// A body that comes in has to bring a byte so often.
+const STALL_S: f64 = 2.5;
 /// A caller has this long to take its answer.
 const TAKE_S: f64 = 5.0;
 /// A caller that has had an answer may stand idle for so long.
@@ -514,7 +516,15 @@
                 self.send_off(key);
             }
         }
-        let slow = |k: &Kiosk| k.stage == Stage::Reading && now - k.new_since.unwrap_or(k.since) >= REQUEST_S;
+        // A head has to be whole in time; a body only has to keep coming: it may be large and its caller slow.
+        let slow = |k: &Kiosk| {
+            k.stage == Stage::Reading
+                && if k.has_head() {
+                    now - k.progress >= STALL_S
+                } else {
+                    now - k.new_since.unwrap_or(k.since) >= REQUEST_S
+                }
+        };
         let slow: Vec<_> = self.kiosks.iter().filter(|(_, k)| slow(k)).map(|(k, _)| k).collect();
         for key in slow {
             self.kiosks[key].close = true;
