Pass served answers larger than a buffer on while they come, with backpressure

Design: a passage (crates/sidecar/src/passage.rs) couples the node's connection and the caller's through the one buffer of the bay: what is read is passed on, and nothing more is read until it is out, so memory is one buffer per passage and a slow caller slows the node. A 200 answer to a request whose buffer fills is served to the barrier at that moment (the attempt is the caller's from then on) and the rest follows; the caller gets the node's length, else chunks (close-delimited answers too, so the caller's connection stays). If the node breaks off, the caller's connection is closed before the end, which it can tell. Not taken: spooling to $TMPDIR, which counts as memory and would hold 32 MB whole; and passing every answer on at once, which would give up retries of small answers whose node breaks mid-way.

Lengths over 64 MiB are still refused at the head.

--- a/crates/passrelay/tests/service.rs
+++ b/crates/passrelay/tests/service.rs
@@ -179,3 +179,27 @@
     assert_eq!(stalled.hear().unwrap().status(), 408);
     assert!(began.elapsed() < Duration::from_secs(3), "{:?}", began.elapsed());
 }
+
+// Guards against an answer larger than a buffer taken for a spoilt one: it is passed on whole while it comes,
+// to a caller that reads slowly, and the connection serves the next request after it.
+#[test]
+fn an_answer_of_megabytes_passes_whole_to_a_slow_reader() {
+    let big: Vec<u8> = (0..6_000_000u32).map(|n| (n % 251) as u8).collect();
+    let body = big.clone();
+    let node = Server::start(move |m| {
+        if m.line.contains("/look/") {
+            answer(200, "Content-Type: application/octet-stream\r\n", &body)
+        } else {
+            answer(200, "", b"small")
+        }
+    });
+    let (relay, _discovery) = Relay::before(PROGRAM, &[&node]);
+    let mut caller = relay.caller();
+    caller.send(&request("look", 10.0, b""));
+    std::thread::sleep(Duration::from_millis(300));
+    let reply = caller.hear().expect("the large answer");
+    assert_eq!((reply.status(), reply.body.len()), (200, big.len()));
+    assert!(reply.body == big, "the body came changed");
+    assert_eq!(reply.header("content-type"), Some("application/octet-stream"));
+    assert_eq!(caller.ask(&request("pay", 4.0, b"")).body, b"small");
+}
--- a/crates/sidecar/src/http.rs
+++ b/crates/sidecar/src/http.rs
@@ -14,6 +14,9 @@
 const MAX_FRAMING: usize = 512 * 1024;
 
 /// What is wrong with a message, as the status that says so.
+/// The longest answer that is passed on: twice the largest that callers are promised (32 MB).
+const LONGEST_ANSWER: usize = 64 << 20;
+
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Fault(pub u16);
 
@@ -106,8 +109,9 @@
             100..=199 | 204 | 304 => Framing::Length(0),
             _ => stated.unwrap_or(Framing::UntilClose),
         };
+        // A length over a buffer is no fault here: an answer to serve is passed on while it comes.
         match head.framing {
-            Framing::Length(n) if n > BODY_ROOM => return Err(Fault(502)),
+            Framing::Length(n) if n > LONGEST_ANSWER => return Err(Fault(502)),
             Framing::UntilClose => head.close = true,
             _ => {}
         }
@@ -172,12 +176,52 @@
     pub end: usize,
     /// The first byte that does not belong to it, as far as read.
     pub raw: usize,
+    /// It goes on while it comes: no bound on its size but the buffer's, which is emptied as it goes.
+    pub streaming: bool,
+    /// Bytes of it already passed on and cut from the buffer.
+    taken: usize,
 }
 
 impl BodyReader {
     pub fn new(head: &Head) -> Self {
         let start = head.len;
-        BodyReader { framing: head.framing, step: Step::Size, spent: 0, start, end: start, raw: start }
+        let (streaming, taken) = (false, 0);
+        BodyReader {
+            framing: head.framing,
+            step: Step::Size,
+            spent: 0,
+            start,
+            end: start,
+            raw: start,
+            streaming,
+            taken,
+        }
+    }
+
+    /// Whether the body has a length that was told: then the caller gets the same one.
+    pub fn length(&self) -> Option<usize> {
+        match self.framing {
+            Framing::Length(n) => Some(n),
+            Framing::Chunked | Framing::UntilClose => None,
+        }
+    }
+
+    /// Whether the body ends with its connection.
+    pub fn until_close(&self) -> bool {
+        self.framing == Framing::UntilClose
+    }
+
+    /// Cuts the first `n` bytes of the body out of the buffer: they have been passed on.
+    pub fn consume(&mut self, tray: &mut Tray, n: usize) {
+        let n = n.min(self.end - self.start);
+        tray.cut(self.start, self.start + n);
+        (self.end, self.raw, self.taken, self.spent) = (self.end - n, self.raw - n, self.taken + n, 0);
+    }
+
+    /// Cuts what stands before the body out of the buffer.
+    pub fn drop_head(&mut self, tray: &mut Tray) {
+        tray.cut(0, self.start);
+        (self.end, self.raw, self.start) = (self.end - self.start, self.raw - self.start, 0);
     }
 
     /// Takes in what the buffer holds by now; true when the body is whole.
@@ -185,13 +229,13 @@
         let filled = tray.bytes().len();
         match self.framing {
             Framing::Length(n) => {
-                self.end = filled.min(self.start + n);
+                self.end = filled.min(self.start + n - self.taken);
                 self.raw = self.end;
-                Ok(self.end == self.start + n)
+                Ok(self.taken + self.end - self.start == n)
             }
             Framing::UntilClose => {
                 (self.end, self.raw) = (filled, filled);
-                if self.end - self.start > BODY_ROOM {
+                if self.end - self.start > BODY_ROOM && !self.streaming {
                     Err(Fault(413))
                 } else {
                     Ok(ended)
@@ -225,7 +269,7 @@
             match self.step {
                 Step::Size => match httparse::parse_chunk_size(rest) {
                     Ok(httparse::Status::Complete((used, size))) => {
-                        if size > (BODY_ROOM - (self.end - self.start)) as u64 {
+                        if !self.streaming && size > (BODY_ROOM - (self.end - self.start)) as u64 {
                             return Err(Fault(413));
                         }
                         self.skip(used)?;
@@ -285,6 +329,22 @@
     }
 }
 
+/// The head of an answer that is passed on while it comes: with the node's length where it told one, else in
+/// chunks.
+pub fn passage_head(length: Option<usize>, close: bool, media: Option<&str>) -> Vec<u8> {
+    let mut head = Vec::with_capacity(160);
+    let _ = write!(head, "HTTP/1.1 200 OK\r\n");
+    match length {
+        Some(n) => drop(write!(head, "Content-Length: {n}\r\n")),
+        None => head.extend_from_slice(b"Transfer-Encoding: chunked\r\n"),
+    }
+    if let Some(media) = media {
+        let _ = write!(head, "Content-Type: {media}\r\n");
+    }
+    head.extend_from_slice(if close { b"Connection: close\r\n\r\n" } else { b"\r\n" });
+    head
+}
+
 /// The head of an answer with a body of `length` bytes.
 pub fn answer_head(status: u16, length: usize, close: bool, more: &[(&str, &dyn Display)]) -> Vec<u8> {
     let mut head = Vec::with_capacity(160);
--- a/crates/sidecar/src/kiosk.rs
+++ b/crates/sidecar/src/kiosk.rs
@@ -34,6 +34,8 @@
     Waiting(RequestId),
     /// An answer goes out.
     Writing,
+    /// A served answer goes out while it comes from the node on this bay.
+    Passing(usize),
     /// The last answer is out; what the caller still sends is thrown away until it closes. Guards against
     /// a reset that would take the answer from a caller who has not read it yet.
     Leaving,
@@ -90,7 +92,7 @@
         match self.stage {
             Stage::Idle => !matches!(self.sock.peek(&mut [0]), Ok(n) if n > 0),
             Stage::Leaving | Stage::Reading => true,
-            Stage::Waiting(_) | Stage::Writing => false,
+            Stage::Waiting(_) | Stage::Writing | Stage::Passing(_) => false,
         }
     }
 
@@ -107,7 +109,7 @@
     /// Callback: bytes may have come. Called again until it brings nothing.
     pub fn on_readable(&mut self, now: f64, rack: &mut Rack) -> Brought {
         match self.stage {
-            Stage::Waiting(_) | Stage::Writing => return self.watch_waiting(),
+            Stage::Waiting(_) | Stage::Writing | Stage::Passing(_) => return self.watch_waiting(),
             Stage::Leaving => return self.throw_away(),
             Stage::Idle | Stage::Reading => {}
         }
@@ -207,6 +209,12 @@
             }
         }
         self.out_body.take().into_iter().for_each(|(t, _)| rack.give_back(t));
+        self.answered(now, rack);
+        Ok(true)
+    }
+
+    /// The answer is out: what the caller sent behind its request is read next.
+    pub fn answered(&mut self, now: f64, rack: &mut Rack) {
         if let Some(tray) = self.tray.as_mut() {
             tray.cut(0, self.rest);
         }
@@ -216,7 +224,6 @@
         }
         (self.rest, self.body) = (0, 0..0);
         (self.stage, self.since) = (if early { Stage::Reading } else { Stage::Idle }, now);
-        Ok(true)
     }
 
     /// The last answer is out: says so to the caller.
--- a/crates/sidecar/src/lib.rs
+++ b/crates/sidecar/src/lib.rs
@@ -7,6 +7,7 @@
 mod lot;
 mod node_list;
 mod operator;
+mod passage;
 mod sidecar;
 mod tray;
 mod wheel;
--- a/crates/sidecar/src/lot.rs
+++ b/crates/sidecar/src/lot.rs
@@ -1,6 +1,7 @@
 //! Lots: the connections to each node. A bay is one connection and carries one errand at a time.
 
-use crate::http::{BodyReader, Head};
+use crate::http::{passage_head, BodyReader, Head};
+use crate::passage::{Flow, Passage};
 use crate::tray::{Rack, Tray};
 use mio::net::TcpStream;
 use passrelay_core::{Ending, Report, RequestId, UpstreamId};
@@ -28,6 +29,8 @@
     Busy,
     /// Up, without an errand.
     Idle,
+    /// Its answer goes to a caller while it comes.
+    Passing,
 }
 
 /// How an errand ended.
@@ -39,6 +42,8 @@
     /// The connection can carry another errand.
     pub reusable: bool,
     pub verdict: Verdict,
+    /// The answer is served but larger than a buffer: the rest comes on this connection, by a passage.
+    pub stream: bool,
 }
 
 /// Who is to blame for what came back.
@@ -77,6 +82,8 @@
     /// one that may have run.
     pub held: bool,
     answer: Option<(Head, BodyReader)>,
+    /// Where its answer goes while it comes.
+    pub passage: Option<Passage>,
 }
 
 impl Bay {
@@ -93,6 +100,7 @@
             sent: false,
             held: false,
             answer: None,
+            passage: None,
         }
     }
 
@@ -146,7 +154,8 @@
         loop {
             let Some(tray) = self.tray.as_mut() else { return Some(self.broken()) };
             if tray.is_full() {
-                return Some(self.spoilt());
+                let served = self.answer.as_ref().is_some_and(|(_, body)| body.streaming);
+                return Some(if served { self.stream_start() } else { self.spoilt() });
             }
             let ended = match tray.fill_from(&mut self.sock) {
                 Ok(n) => n == 0,
@@ -176,7 +185,9 @@
                 tray.cut(0, head.len);
                 continue;
             }
-            let body = BodyReader::new(&head);
+            let mut body = BodyReader::new(&head);
+            // Only an answer to serve may be larger than a buffer; it is passed on while it comes.
+            body.streaming = head.status == 200 && matches!(self.errand, Some(Errand::Pass { .. }));
             self.answer = Some((head, body));
         }
         let (_, body) = self.answer.as_mut().ok_or(())?;
@@ -186,7 +197,43 @@
     /// The connection has broken: the request has not run only if its last byte was never written.
     pub fn broken(&mut self) -> Return {
         let ending = if self.sent { Ending::Dropped } else { Ending::DialFailed };
-        Return { ending, report: None, load: None, reusable: false, verdict: Verdict::Plain }
+        Return { ending, report: None, load: None, reusable: false, verdict: Verdict::Plain, stream: false }
+    }
+
+    /// A served answer fills the buffer: it is the caller's, and the rest follows by a passage.
+    fn stream_start(&mut self) -> Return {
+        let head = self.answer.as_ref().map(|(head, _)| head);
+        let report =
+            head.and_then(|h| h.header("x-load-report")).and_then(|t| parse_report(t.trim(), '=').ok());
+        let report = report.filter(is_sound);
+        Return { ending: Ending::Delivered, report, stream: true, ..self.broken() }
+    }
+
+    /// Opens the passage of a served answer to the caller at `kiosk`.
+    pub fn open_passage(&mut self, kiosk: usize, close: bool, now: f64) {
+        let (Some((head, body)), Some(tray)) = (self.answer.as_mut(), self.tray.as_mut()) else { return };
+        body.drop_head(tray);
+        let media = head.header("content-type");
+        let passage_head = passage_head(body.length(), close, media);
+        self.passage = Some(Passage::new(kiosk, passage_head, body.length().is_none(), now));
+        (self.phase, self.since) = (Phase::Passing, now);
+    }
+
+    /// Moves what can be moved of the passage to `caller`.
+    pub fn pass_on(&mut self, now: f64, caller: &mut TcpStream) -> Flow {
+        let (Some(passage), Some((head, body)), Some(tray)) =
+            (self.passage.as_mut(), self.answer.as_mut(), self.tray.as_mut())
+        else {
+            return Flow::NodeBroke;
+        };
+        match passage.pump(now, tray, body, &mut self.sock, caller) {
+            Flow::Done { reusable } => {
+                let reusable = reusable && !head.close;
+                (self.answer, self.passage) = (None, None);
+                Flow::Done { reusable }
+            }
+            other => other,
+        }
     }
 
     /// Bytes that are no answer: it has run, or may have. Guards against taking a node that works, and that
@@ -219,7 +266,7 @@
             400..=499 if !probe => Verdict::Faulty,
             _ => Verdict::Plain,
         };
-        Return { ending, report, load, reusable, verdict }
+        Return { ending, report, load, reusable, verdict, stream: false }
     }
 
     /// Gives the buffer back.
--- a/crates/sidecar/src/sidecar.rs
+++ b/crates/sidecar/src/sidecar.rs
@@ -205,7 +205,7 @@
         let leaving = |k: &crate::kiosk::Kiosk| match k.stage {
             Stage::Idle | Stage::Leaving => true,
             Stage::Reading => now - k.since > PART_S,
-            Stage::Waiting(_) | Stage::Writing => false,
+            Stage::Waiting(_) | Stage::Writing | Stage::Passing(_) => false,
         };
         self.shift == Shift::Closed
             && self.barrier.owed() == 0
@@ -510,6 +510,7 @@
                     self.yard.close_bay(key);
                 }
             }
+            Phase::Passing => self.yard.pump(key),
         }
     }
 
@@ -533,7 +534,18 @@
     /// An errand has come back from its node.
     fn returned(&mut self, key: usize, end: Return) {
         let now = self.yard.now;
-        let Return { ending, report, load, reusable, verdict } = end;
+        let Return { ending, report, load, reusable, verdict, stream } = end;
+        if stream {
+            // Served, and larger than a buffer: the bay stays up to pass the rest on, if the barrier serves it.
+            if let Some((_, Errand::Pass { id, attempt })) = self.yard.hold_bay(key) {
+                self.yard.stream = Some(key);
+                self.barrier.outcome(now, id, attempt, ending, report, &mut self.yard);
+            }
+            if let Some(key) = self.yard.stream.take() {
+                self.yard.close_bay(key);
+            }
+            return;
+        }
         let Some((node, errand)) = self.yard.free_bay(key, reusable) else {
             return load.into_iter().for_each(|l| self.yard.rack.give_back(l.tray));
         };
--- a/crates/sidecar/src/yard.rs
+++ b/crates/sidecar/src/yard.rs
@@ -5,6 +5,7 @@
 use crate::log::Log;
 use crate::lot::{Bay, Errand, Load, Lot, Lots, Phase, Return, Verdict};
 use crate::node_list::NodeList;
+use crate::passage::Flow;
 use crate::tray::{Rack, Tray};
 use crate::wheel::Wheel;
 use mio::net::TcpStream;
@@ -153,6 +154,8 @@
     out: HashMap<(RequestId, u32), usize>,
     /// The body of the answer that is about to be given.
     pub load: Option<Load>,
+    /// The bay whose served answer is about to be passed on while it comes.
+    pub stream: Option<usize>,
     max_bays: usize,
     connect_timeout: f64,
     conn_idle: f64,
@@ -186,6 +189,7 @@
             call_ids: HashSet::new(),
             out: HashMap::new(),
             load: None,
+            stream: None,
             max_bays: bounds.max_bays,
             connect_timeout: bounds.connect_timeout,
             conn_idle: bounds.conn_idle * IDLE_PART,
@@ -211,6 +215,9 @@
 
     /// Closes a caller's connection.
     pub fn send_off(&mut self, key: usize) {
+        if let Some(Stage::Passing(bay)) = self.kiosks.get(key).map(|k| k.stage) {
+            self.close_bay(bay);
+        }
         if let Some(kiosk) = self.kiosks.try_remove(key) {
             let mut sock = kiosk.clear(&mut self.rack);
             let _ = self.registry.deregister(&mut sock);
@@ -282,6 +289,9 @@
     /// Writes what a kiosk has to write. A caller that has more in store is looked at by the loop.
     pub fn write_out(&mut self, key: usize) {
         let Some(kiosk) = self.kiosks.get_mut(key) else { return };
+        if let Stage::Passing(bay) = kiosk.stage {
+            return self.pump(bay);
+        }
         match kiosk.on_writable(self.now, &mut self.rack) {
             Ok(true) if kiosk.close => kiosk.leave(self.now),
             // Guards against a request that waits unseen: its edge may have come during the answer.
@@ -291,6 +301,61 @@
         }
     }
 
+    // ---- Passages ----
+
+    /// Starts to pass a served answer on while it comes.
+    fn open_passage(&mut self, kiosk: usize, bay: usize) {
+        let (Some(k), Some(b)) = (self.kiosks.get_mut(kiosk), self.bays.get_mut(bay)) else {
+            return self.close_bay(bay);
+        };
+        k.close |= self.leaving || self.standby;
+        (k.stage, k.since) = (Stage::Passing(bay), self.now);
+        b.open_passage(kiosk, k.close, self.now);
+        self.pump(bay);
+    }
+
+    /// Moves what can be moved between a passage's node and its caller.
+    pub fn pump(&mut self, bay: usize) {
+        let Some(b) = self.bays.get_mut(bay) else { return };
+        let Some(kiosk) = b.passage.as_ref().map(|p| p.kiosk) else { return };
+        let Some(k) = self.kiosks.get_mut(kiosk) else { return self.close_bay(bay) };
+        match b.pass_on(self.now, &mut k.sock) {
+            Flow::Going => {}
+            Flow::Done { reusable } => {
+                k.answered(self.now, &mut self.rack);
+                if k.close {
+                    k.leave(self.now);
+                } else {
+                    self.news.push_back(News::Free { kiosk });
+                }
+                if reusable {
+                    self.put_back(bay);
+                } else {
+                    self.close_bay(bay);
+                }
+            }
+            Flow::NodeBroke | Flow::CallerGone => {
+                // The caller can tell from the length or the missing last chunk that it is not whole.
+                self.say(
+                    "warn",
+                    "passage_broken",
+                    &[("node", &self.lots.host(self.bays[bay].node).to_owned())],
+                );
+                self.send_off(kiosk);
+            }
+        }
+    }
+
+    /// The errand of a bay whose answer is served and passed on: over for the barrier, not for the bay.
+    pub fn hold_bay(&mut self, key: usize) -> Option<(UpstreamId, Errand)> {
+        let bay = self.bays.get_mut(key)?;
+        let errand = bay.errand.take()?;
+        if let Errand::Pass { id, attempt } = errand {
+            self.out.remove(&(id, attempt));
+        }
+        Some((bay.node, errand))
+    }
+
     // ---- Bays ----
 
     /// The request as it goes to a node; `None` once its driver has left.
@@ -507,6 +572,9 @@
             Stage::Writing => now - k.since >= TAKE_S,
             // Guards against those who connect and say nothing; no caller of ours waits before it asks.
             Stage::Idle => now - k.since >= if k.new_since.is_some() { REQUEST_S } else { IDLE_S },
+            Stage::Passing(bay) => {
+                self.bays.get(bay).and_then(|b| b.passage.as_ref()).is_none_or(|p| now - p.moved_at >= TAKE_S)
+            }
             Stage::Reading | Stage::Waiting(_) => false,
         };
         let late: Vec<_> = self.kiosks.iter().filter(|(_, k)| late(k)).map(|(key, _)| key).collect();
@@ -601,6 +669,11 @@
     fn answer(&mut self, id: RequestId, answer: Answer) {
         let load = self.load.take();
         let Some(key) = self.unseat(id) else { return };
+        if let (Answer::Served { .. }, Some(bay)) = (answer, self.stream) {
+            self.stream = None;
+            load.into_iter().for_each(|l| self.rack.give_back(l.tray));
+            return self.open_passage(key, bay);
+        }
         match (answer, load) {
             (Answer::Served { .. }, Some(Load { tray, body, media })) => {
                 let Some(kiosk) = self.kiosks.get_mut(key) else { return self.rack.give_back(tray) };
