--- a/crates/settings/src/config.rs
+++ b/crates/settings/src/config.rs
@@ -168,7 +168,7 @@
     ///
     /// # Errors
     ///
-    /// Fails where the classes of the run would come to more than [`MOST_CLASSES`].
+    /// Fails where the classes of the run would come to more than 256.
     pub fn retuned(&self, new: House) -> Result<House, ConfigError> {
         let mut merged = self.clone();
         let same = |at: usize, old: usize| {
