--- a/crates/simhost/tests/wire.rs
+++ b/crates/simhost/tests/wire.rs
@@ -47,7 +47,7 @@
         ("mark\t1\t1\ngone\t3\t5\n", "powered on"),
         ("mark\t1\t1\nstop\t3\n", "an instance that runs"),
         ("mark\t1\t1\nlist\t0\t2\nitem\t1\ta\tk\t0\ton\neob\n", "1 more item lines"),
-        ("mark\t1\t1\npower_on\t1\t2\tBalancers=0\tClasses.count=1\n", "setting balancers"),
+        ("mark\t1\t1\npower_on\t1\t2\tBalancers=0\tClasses.count=1\tClasses.0.Name=a\n", "setting balancers"),
     ];
     for (input, wanted) in cases {
         let out = run(input);
