Give a passage's buffer back to the pool when it ends

Seen on rereading the change: after a passage the bay went back to its lot still holding its buffer (Bay::pass_on left `tray` in place; the ordinary path hands it on in `finished`), so each idle connection that had carried a large answer held 81 KiB. Probe: `GET /status` now shows `buffers`, the pool buffers out; after a 6 MB answer and a small request on the same connection it said 1 without the fix and says 0 with it (process test).

--- a/crates/passrelay/tests/service.rs
+++ b/crates/passrelay/tests/service.rs
@@ -193,7 +193,7 @@
             answer(200, "", b"small")
         }
     });
-    let (relay, _discovery) = Relay::before(PROGRAM, &[&node]);
+    let (relay, _discovery, desk, _) = with_desk(&node);
     let mut caller = relay.caller();
     caller.send(&request("look", 10.0, b""));
     std::thread::sleep(Duration::from_millis(300));
@@ -202,4 +202,7 @@
     assert!(reply.body == big, "the body came changed");
     assert_eq!(reply.header("content-type"), Some("application/octet-stream"));
     assert_eq!(caller.ask(&request("pay", 4.0, b"")).body, b"small");
+    // Guards against a connection that keeps its buffer once the passage is over.
+    let status: Value = serde_json::from_slice(&call(desk, "GET /status HTTP/1.1\r\n\r\n").body).unwrap();
+    assert_eq!(status["buffers"].as_u64(), Some(0), "{status}");
 }
--- a/crates/sidecar/src/lot.rs
+++ b/crates/sidecar/src/lot.rs
@@ -219,6 +219,11 @@
         (self.phase, self.since) = (Phase::Passing, now);
     }
 
+    /// The buffer of an ended passage, to go back to the pool: an idle connection holds none.
+    pub fn take_tray(&mut self) -> Option<Tray> {
+        self.tray.take()
+    }
+
     /// Moves what can be moved of the passage to `caller`.
     pub fn pass_on(&mut self, now: f64, caller: &mut TcpStream) -> Flow {
         let (Some(passage), Some((head, body)), Some(tray)) =
--- a/crates/sidecar/src/sidecar.rs
+++ b/crates/sidecar/src/sidecar.rs
@@ -332,7 +332,7 @@
                 let body = serde_json::json!({
                     "name": self.name, "serving": serving, "ready": ready,
                     "standby": self.duty.standby_since().is_some(), "ending": self.shift != Shift::On,
-                    "owed": self.barrier.owed(), "clients": self.yard.kiosks.len(), "node_connections": self.yard.bays.len(),
+                    "owed": self.barrier.owed(), "clients": self.yard.kiosks.len(), "node_connections": self.yard.bays.len(), "buffers": self.yard.rack.out,
                     "taken": c.taken, "served": c.served, "refused": c.refused, "failed": c.failed,
                     "standbys": self.duty.standbys, "operator_cut_off": desk.cut_off, "generation": self.generation,
                 });
--- a/crates/sidecar/src/tray.rs
+++ b/crates/sidecar/src/tray.rs
@@ -69,15 +69,19 @@
 #[derive(Default)]
 pub struct Rack {
     spare: Vec<Box<[u8]>>,
+    /// Buffers taken and not given back.
+    pub out: usize,
 }
 
 impl Rack {
     pub fn take(&mut self) -> Tray {
         let buf = self.spare.pop().unwrap_or_else(|| vec![0; TRAY_SIZE].into_boxed_slice());
+        self.out += 1;
         Tray { buf, end: 0 }
     }
 
     pub fn give_back(&mut self, tray: Tray) {
+        self.out = self.out.saturating_sub(1);
         if self.spare.len() < SPARE {
             self.spare.push(tray.buf);
         }
--- a/crates/sidecar/src/yard.rs
+++ b/crates/sidecar/src/yard.rs
@@ -322,6 +322,8 @@
         match b.pass_on(self.now, &mut k.sock) {
             Flow::Going => {}
             Flow::Done { reusable } => {
+                // Guards against an idle connection that keeps its buffer after a passage.
+                b.take_tray().into_iter().for_each(|t| self.rack.give_back(t));
                 k.answered(self.now, &mut self.rack);
                 if k.close {
                     k.leave(self.now);
