Let the desk's answers use the sidecar's answer_head instead of a second reason table

operator.rs wrote its own status line, reason table and header layout; http::answer_head already has them. Same headers go out (Content-Type, Content-Length, Allow where given, Connection: close).

--- a/crates/sidecar/src/operator.rs
+++ b/crates/sidecar/src/operator.rs
@@ -4,9 +4,11 @@
 //! answer; a caller who connects and says nothing is cut off after [`CALL_S`], and when all slots are taken
 //! the caller who has waited longest makes room. What a call means is decided by the loop.
 
+use crate::http::answer_head;
 use mio::net::{TcpListener, TcpStream};
 use mio::{Interest, Registry, Token};
 use slab::Slab;
+use std::fmt::Display;
 use std::io::{self, Read, Write};
 use std::net::{Shutdown, SocketAddr};
 
@@ -159,7 +161,8 @@
             Ok(None) => None,
             Ok(Some(call)) => Some((key, call)),
             Err(Refusal(status, text, allow)) => {
-                let allow = allow.map(|m| format!("Allow: {m}\r\n")).unwrap_or_default();
+                let allow: Vec<(&str, &dyn Display)> =
+                    allow.iter().map(|m| ("Allow", m as &dyn Display)).collect();
                 self.answer(key, status, "text/plain", text, &allow, registry);
                 None
             }
@@ -173,23 +176,14 @@
         status: u16,
         media: &str,
         body: &str,
-        more: &str,
+        more: &[(&str, &dyn Display)],
         registry: &Registry,
     ) {
         let Some(clerk) = self.clerks.get_mut(key) else { return };
-        let reason = match status {
-            200 => "OK",
-            400 => "Bad Request",
-            404 => "Not Found",
-            405 => "Method Not Allowed",
-            431 => "Request Header Fields Too Large",
-            _ => "Service Unavailable",
-        };
-        clerk.out = format!(
-            "HTTP/1.1 {status} {reason}\r\nContent-Type: {media}\r\nContent-Length: {}\r\n{more}Connection: close\r\n\r\n{body}",
-            body.len()
-        )
-        .into_bytes();
+        let mut fields: Vec<(&str, &dyn Display)> = vec![("Content-Type", &media)];
+        fields.extend_from_slice(more);
+        clerk.out = answer_head(status, body.len(), true, &fields);
+        clerk.out.extend_from_slice(body.as_bytes());
         if self.write(key).is_err() {
             self.close::<()>(key, registry);
         }
