Derive the yard's closing flag from the duty and the shift; take the reload's parts by move

The yard kept 'leaving' and 'standby' side by side, each set by hand, while Duty::closes_after_answer, written for exactly this, was never called. Now one flag, 'closing', is set from it at standby, active and the last call. The reload no longer clones the House it consumes. Behaviour is unchanged; the standby and SIGTERM process tests pass as before.

--- a/crates/sidecar/src/sidecar.rs
+++ b/crates/sidecar/src/sidecar.rs
@@ -314,6 +314,11 @@
 
     // ---- Operators ----
 
+    /// Tells the yard whether answers end their connections, as the duty and the shift say.
+    fn set_closing(&mut self) {
+        self.yard.closing = self.duty.closes_after_answer(self.shift == Shift::Closed);
+    }
+
     fn desk_ready(&mut self) {
         if let Some(desk) = self.desk.as_mut() {
             desk.let_in(self.yard.now, self.poll.registry());
@@ -340,7 +345,7 @@
             }
             Call::Standby => {
                 if self.duty.standby(now) == Turn::Changed {
-                    self.yard.standby = true;
+                    self.set_closing();
                     self.yard.send_off_all_idle();
                     self.yard.say(
                         "info",
@@ -352,14 +357,14 @@
             }
             Call::Active => {
                 if self.duty.active() == Turn::Changed {
-                    self.yard.standby = false;
+                    self.set_closing();
                     self.yard.say("info", "active", &[("owed", &self.barrier.owed())]);
                 }
                 (200, "{\"standby\":false}\n".to_owned())
             }
         };
         if let Some(desk) = self.desk.as_mut() {
-            desk.answer(key, status, "application/json", &body, "", self.poll.registry());
+            desk.answer(key, status, "application/json", &body, &[], self.poll.registry());
         }
     }
 
@@ -643,8 +648,8 @@
     fn reload(&mut self) {
         let file = self.file.clone().unwrap_or_default();
         let read = Config::reread(&file, &self.name, self.listen);
-        let read = read.and_then(|config| Ok((self.house.retuned(config.house.clone())?, config)));
-        let (house, config) = match read {
+        let read = read.and_then(|config| Ok((self.house.retuned(config.house)?, config.discovery)));
+        let (house, discovery) = match read {
             Ok(both) => both,
             Err(e) => {
                 let line = passrelay_settings::line_of(&file, &e);
@@ -665,10 +670,10 @@
             ("generation", &self.generation),
             ("classes", &live),
             ("attempts", &self.house.settings.max_attempts),
-            ("discovery", &config.discovery),
+            ("discovery", &discovery),
         ];
         self.yard.say("info", "reloaded", &values);
-        self.yard.find_list_at(config.discovery);
+        self.yard.find_list_at(discovery);
     }
 
     /// Arrivals have ended: lets in who already stands at the gate, then closes it.
@@ -687,7 +692,7 @@
     /// Closes the idle kiosks; the others close with their answer.
     fn last_call(&mut self) {
         self.shift = Shift::Closed;
-        self.yard.leaving = true;
+        self.set_closing();
         let keys: Vec<_> = self.yard.kiosks.iter().map(|(key, _)| key).collect();
         for key in keys {
             self.kiosk_ready(key);
--- a/crates/sidecar/src/yard.rs
+++ b/crates/sidecar/src/yard.rs
@@ -142,10 +142,8 @@
     pub now: f64,
     /// Callers let in so far.
     let_in: u64,
-    /// After SIGTERM: answers say that the connection closes.
-    pub leaving: bool,
-    /// In standby: answers say that the connection closes, and idle connections are closed.
-    pub standby: bool,
+    /// Answers say that the connection closes: after SIGTERM's last call, or in standby.
+    pub closing: bool,
     name: String,
     rides: HashMap<RequestId, Ride>,
     /// The callers' ids of these.
@@ -182,8 +180,7 @@
             news: VecDeque::new(),
             now: 0.0,
             let_in: 0,
-            leaving: false,
-            standby: false,
+            closing: false,
             name: name.to_owned(),
             rides: HashMap::new(),
             call_ids: HashSet::new(),
@@ -277,7 +274,7 @@
     /// Answers a kiosk with a few words of the sidecar's own.
     pub fn word(&mut self, key: usize, status: u16, text: &str, more: &[(&str, &dyn Display)]) {
         let Some(kiosk) = self.kiosks.get_mut(key) else { return };
-        kiosk.close |= self.leaving || self.standby;
+        kiosk.close |= self.closing;
         let mut fields: Vec<(&str, &dyn Display)> = vec![("Content-Type", &"text/plain")];
         fields.extend_from_slice(more);
         let mut head = answer_head(status, text.len(), kiosk.close, &fields);
@@ -308,7 +305,7 @@
         let (Some(k), Some(b)) = (self.kiosks.get_mut(kiosk), self.bays.get_mut(bay)) else {
             return self.close_bay(bay);
         };
-        k.close |= self.leaving || self.standby;
+        k.close |= self.closing;
         (k.stage, k.since) = (Stage::Passing(bay), self.now);
         b.open_passage(kiosk, k.close, self.now);
         self.pump(bay);
@@ -679,7 +676,7 @@
         match (answer, load) {
             (Answer::Served { .. }, Some(Load { tray, body, media })) => {
                 let Some(kiosk) = self.kiosks.get_mut(key) else { return self.rack.give_back(tray) };
-                kiosk.close |= self.leaving || self.standby;
+                kiosk.close |= self.closing;
                 let fields: Vec<(&str, &dyn Display)> =
                     media.iter().map(|m| ("Content-Type", m as &dyn Display)).collect();
                 let head = answer_head(200, body.len(), kiosk.close, &fields);
