--- a/crates/sidecar/src/lot.rs
+++ b/crates/sidecar/src/lot.rs
@@ -202,10 +202,7 @@
 
     /// A served answer fills the buffer: it is the caller's, and the rest follows by a passage.
     fn stream_start(&mut self) -> Return {
-        let head = self.answer.as_ref().map(|(head, _)| head);
-        let report =
-            head.and_then(|h| h.header("x-load-report")).and_then(|t| parse_report(t.trim(), '=').ok());
-        let report = report.filter(is_sound);
+        let report = self.answer.as_ref().and_then(|(head, _)| report_of(head.header("x-load-report")));
         Return { ending: Ending::Delivered, report, stream: true, ..self.broken() }
     }
 
@@ -214,8 +211,8 @@
         let (Some((head, body)), Some(tray)) = (self.answer.as_mut(), self.tray.as_mut()) else { return };
         body.drop_head(tray);
         let media = head.header("content-type");
-        let passage_head = passage_head(body.length(), close, media);
-        self.passage = Some(Passage::new(kiosk, passage_head, body.length().is_none(), now));
+        let out = passage_head(body.length(), close, media);
+        self.passage = Some(Passage::new(kiosk, out, body.length().is_none(), now));
         (self.phase, self.since) = (Phase::Passing, now);
     }
 
@@ -260,7 +257,7 @@
         };
         let text = std::str::from_utf8(&tray.bytes()[body.start..body.end]).ok();
         let text = head.header("x-load-report").or(text.filter(|_| probe));
-        let report = text.and_then(|t| parse_report(t.trim(), '=').ok()).filter(is_sound);
+        let report = report_of(text);
         // Bytes behind the answer belong to no request: the connection is not used again.
         let reusable = !head.close && !ended && body.raw == tray.bytes().len();
         let media = head.header("content-type").map(str::to_owned);
@@ -281,6 +278,11 @@
     }
 }
 
+/// A load report as it stands in a header or a probe's body, if it is one that can be true.
+fn report_of(text: Option<&str>) -> Option<Report> {
+    text.and_then(|t| parse_report(t.trim(), '=').ok()).filter(is_sound)
+}
+
 /// The connections to one node.
 pub struct Lot {
     pub dial: SocketAddr,
