Check picks by a probe only where reports tell held requests from waiting ones

Ruled out: errors and time-outs (1 to 2%), crashes, rules (none broken); the balancer's CPU was late in 2% of requests, from the probes' events.

Cause: `verifies` (rules.rs) turned on with `reports_held` alone and a cheap probe. `verified` then asks for a node with fewer held requests than workers less a half; the workers are learned from `waiting`, which this deployment does not report, so they counted as one and any node with one call in hand was "unsure". Each pick waited for a probe whose report is as old as those in the answers (750 to 1300 ms).

Change: a setting of its own, `reports_queue` (both `active` and `waiting` are reported), is what `verifies` asks for.

--- a/crates/core/src/api.rs
+++ b/crates/core/src/api.rs
@@ -102,6 +102,8 @@
     pub reports_in_answers: bool,
     /// Reports carry the requests an upstream holds; false by default.
     pub reports_held: bool,
+    /// ... and how many of these wait, so that a spare worker shows; false by default.
+    pub reports_queue: bool,
     /// Probes are allowed; false by default.
     pub probes: bool,
     /// Cancelling an attempt is allowed; false by default.
@@ -146,6 +148,7 @@
             ask_every: 10.0,
             reports_in_answers: true,
             reports_held: false,
+            reports_queue: false,
             probes: false,
             cancel: false,
             duplicates: false,
--- a/crates/core/src/rules.rs
+++ b/crates/core/src/rules.rs
@@ -324,7 +324,7 @@
 
     /// Danger: many copies, old reports. Where probes are cheap, one checks a pick before it is used.
     fn verifies(&self) -> bool {
-        self.set.probes && 2.0 * self.set.price_probe <= PROBE_WORTH && self.set.reports_held
+        self.set.probes && 2.0 * self.set.price_probe <= PROBE_WORTH && self.set.reports_queue
     }
 
     /// Whether recent news tells of a spare worker.
--- a/crates/core/tests/rules.rs
+++ b/crates/core/tests/rules.rs
@@ -206,7 +206,13 @@
 
 #[test]
 fn a_pick_is_checked_by_a_cheap_probe() {
-    let set = Settings { probes: true, reports_held: true, balancers: 3, ..settings(Effect::Unsafe) };
+    let set = Settings {
+        probes: true,
+        reports_held: true,
+        reports_queue: true,
+        balancers: 3,
+        ..settings(Effect::Unsafe)
+    };
     let mut rig = Rig::new(set, vec![entry(1), entry(2)]);
     // From the first request on, before anything is known of the workers.
     let (_, actions) = rig.submit(5.0);
@@ -221,11 +227,29 @@
     assert_eq!(sent(&rig.at(5.002, idle)), Some(other));
 }
 
+/// Guards against calls that wait for a spare worker which the reports cannot show: they tell how many
+/// calls a node holds, but not how many of these wait, and one held call is no sign of a full node.
+#[test]
+fn no_pick_is_checked_where_reports_cannot_show_a_spare_worker() {
+    let set = Settings { probes: true, reports_held: true, balancers: 3, ..settings(Effect::Unsafe) };
+    let mut rig = Rig::new(set, (1..=4).map(entry).collect());
+    let in_flight = |n| Some(Report { active: Some(n), cpu: Some(0.4), ..Report::default() });
+    let (id, actions) = rig.submit(0.0);
+    let to = sent(&actions).expect("the first call waits for no probe");
+    rig.end_with(0.1, id, 0, to, Ending::Delivered, in_flight(5.0));
+    for n in 0..8 {
+        let (_, actions) = rig.submit(0.2 + f64::from(n) * 0.01);
+        assert!(sent(&actions).is_some(), "call {n}: {actions:?}");
+        assert!(!actions.iter().any(|a| matches!(a, Action::Probe(_))), "call {n}: {actions:?}");
+    }
+}
+
 #[test]
 fn probes_stop_at_their_part_of_the_price() {
     let set = Settings {
         probes: true,
         reports_held: true,
+        reports_queue: true,
         price_probe: 0.005,
         balancers: 3,
         ..settings(Effect::Unsafe)
--- a/crates/lab/src/experiment.rs
+++ b/crates/lab/src/experiment.rs
@@ -954,6 +954,7 @@
             ask_for_list: true,
             reports_in_answers: true,
             reports_held: has(Field::Inflight),
+            reports_queue: has(Field::Inflight) && has(Field::Queue),
             probes: limits.probes,
             cancel: limits.cancel,
             duplicates: limits.duplicates,
--- a/crates/settings/src/config.rs
+++ b/crates/settings/src/config.rs
@@ -260,6 +260,7 @@
             tenants.push(Tenant { allowance_per_s });
         }
         let fields = p.list("Report.Fields");
+        let reported = |field| fields.iter().any(|f| f == field);
         let d = Settings::default();
         let settings = Settings {
             balancers: p.get("Balancers", d.balancers)?,
@@ -274,7 +275,8 @@
             ask_for_list: p.text("RegistryMode") == Some("ask"),
             ask_every: p.get("Rules.AskEvery", d.ask_every)?,
             reports_in_answers: p.text("Report.Source").is_none_or(|s| s == "piggyback"),
-            reports_held: fields.iter().any(|f| f == "active"),
+            reports_held: reported("active"),
+            reports_queue: reported("active") && reported("waiting"),
             probes: p.flag("Limits.Probes", d.probes)?,
             cancel: p.flag("Limits.Cancel", d.cancel)?,
             duplicates: p.flag("Limits.MayDuplicate", d.duplicates)?,
