Spread calls by hinted work and node pace; refuse at once what cannot be done in time

The sidecar dropped `X-Call-Cost` (barrier.rs passed `work_hint: None`), and the module counted calls, not work (`ready_set`: `u.out.len() <= least`); times differ by node up to threefold.

Option not taken: a queue model of each node from its reports; they are too old.

--- a/crates/core/src/barrier.rs
+++ b/crates/core/src/barrier.rs
@@ -108,6 +108,8 @@
     pub tenant: Option<TenantId>,
     /// How long the caller will wait.
     pub budget: f64,
+    /// The work that the caller expects of it, in seconds, if it says so.
+    pub work: Option<f64>,
     /// The caller says that it is a repeat.
     pub repeat: bool,
 }
@@ -235,7 +237,7 @@
 
     /// Takes a request; its clock starts now.
     pub fn arrive(&mut self, now: f64, id: RequestId, arrival: Arrival, lane: &mut dyn Lane) {
-        let Arrival { class, tenant, budget, repeat } = arrival;
+        let Arrival { class, tenant, budget, work, repeat } = arrival;
         let deadline = now + budget;
         self.counts.taken += 1;
         let max_attempts = self.max_attempts;
@@ -243,7 +245,7 @@
         // One tick early: the answer after an expired attempt has to be there in time.
         lane.alarm(deadline - self.tick, Alarm::Deadline(id));
         let ttl = budget;
-        self.feed(now, Event::Request { id, class, tenant, ttl, work_hint: None, repeat }, lane);
+        self.feed(now, Event::Request { id, class, tenant, ttl, work_hint: work, repeat }, lane);
     }
 
     /// The caller has gone away. What is out for it still gets its outcome.
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -33,6 +33,7 @@
 mod api;
 pub mod barrier;
 pub mod duty;
+mod estimate;
 mod rules;
 mod state;
 
--- a/crates/core/src/rules.rs
+++ b/crates/core/src/rules.rs
@@ -27,8 +27,6 @@
 const SHARED: f64 = 3.0;
 /// Part of what a cold upstream may be sent that is used: with less, warm ones carry all and jam.
 const COLD_PART: f64 = 0.8;
-/// What became of calls is forgotten after about this time: troubles pass.
-const FORGET_S: f64 = 10.0;
 /// Trust above which an upstream is taken for one that serves what it gets.
 const SOUND: f64 = 0.5;
 /// Calls that a tenant may save up at a copy, however small the copy's share of its allowance.
@@ -37,6 +35,13 @@
 const RETRY_PART: f64 = 0.2;
 /// So many bad upstreams make a zone suspect: one or two may be on their own.
 const ZONE_BAD: usize = 3;
+/// A call's own work weighs so much against what is out already: the latter is half done, on several cores.
+const OWN_WORK: f64 = 3.0;
+/// Loads this near to the least, in mean calls, are alike.
+const ALIKE: f64 = 0.2;
+/// A call of this many times the usual work is out of reach if this part of its time is past its aim.
+const FAR: f64 = 2.0;
+const HOPELESS: f64 = 0.9;
 /// With more than this part of all upstreams bad, the fault is elsewhere; a lost zone of two stays below it.
 const PANIC_PART: f64 = 0.8;
 /// Room over this copy's equal share of all workers: clients do not spread evenly over copies.
@@ -44,8 +49,6 @@
 /// Requests in flight for each upstream, over all copies: at the start (soon corrected) and at the least.
 const START_EACH: f64 = 12.0;
 const FLOOR_EACH: f64 = 3.0;
-/// The mean of calls in flight runs over this many typical times.
-const SMOOTH: f64 = 4.0;
 /// A median above this part of the aim shrinks the limit on requests in flight: the slower half needs room.
 const CROWDED_PART: f64 = 0.7;
 
@@ -61,13 +64,6 @@
 /// For one class and moment: the part served over all upstreams, and the trust in each as far as asked for.
 type Trusts = Option<(f64, Vec<f64>)>;
 
-/// Requests an upstream holds: the last report, corrected by own calls sent and answered since.
-fn held(u: &Upstream) -> Option<f64> {
-    let (report, _, out_then) = u.report?;
-    let held = report.active.or(report.waiting).filter(|v| v.is_finite())?;
-    Some((held + u.out.len() as f64 - out_then as f64).max(u.out.len() as f64))
-}
-
 impl Balancer {
     /// Takes one event at time `now` and adds what is to be done to `actions`.
     pub fn handle(&mut self, now: f64, event: Event, actions: &mut Vec<Action>) {
@@ -136,7 +132,7 @@
     /// The formula: spare workers where held requests are reported, else spare CPU; 0 to 100.
     fn formula(&self, u: &Upstream) -> f64 {
         let (report, at, _) = u.report.unwrap_or((Report::default(), f64::NEG_INFINITY, 0));
-        let spare = match (held(u), self.workers, report.cpu) {
+        let spare = match (u.holds(), self.workers, report.cpu) {
             (Some(held), Some(workers), _) => 1.0 - held / workers.round(),
             (Some(held), None, _) => 1.0 / (1.0 + held),
             (None, _, Some(cpu)) if cpu.is_finite() => 1.0 - cpu,
@@ -179,8 +175,9 @@
             if known.is_none() || restarted {
                 // Offset by the seed, so that copies do not move in step.
                 let tally = self.set.classes.iter().map(|_| self.rng.next() * CONFIGURED).collect();
-                let out = self.upstreams.remove(&e.upstream).map_or_else(Vec::new, |u| u.out);
-                let mut fresh = Upstream { tally, out, ..Upstream::new(*e, CONFIGURED) };
+                let before = self.upstreams.remove(&e.upstream);
+                let (out, load) = before.map_or_else(Default::default, |u| (u.out, u.load));
+                let mut fresh = Upstream { tally, out, load, ..Upstream::new(*e, CONFIGURED) };
                 fresh.cold_until = self.now + self.rng.next() * self.cold_gap(&fresh);
                 self.upstreams.insert(e.upstream, fresh);
             } else if let Some(u) = self.upstreams.get_mut(&e.upstream) {
@@ -203,11 +200,6 @@
         }
     }
 
-    /// Upstreams for each copy: what all copies send together must not grow with their number.
-    fn per_copy(&self) -> f64 {
-        self.upstreams.len() as f64 / self.set.balancers as f64
-    }
-
     /// Fast failures take an upstream out for a growing time; one trial call brings it back.
     fn failed(&mut self, id: UpstreamId) {
         let Some(u) = self.upstreams.get_mut(&id) else { return };
@@ -301,7 +293,7 @@
             !out && !cold && !probing && self.in_group(r, u)
         };
         // Danger: reports are old and noisy, and a slow one draws as many turns as its spare CPU says. Who
-        // holds more own calls than the least busy stands aside until answers come.
+        // holds more own work, at its own pace, than the least busy stands aside until answers come.
         // Failing ones are no measure: they are least busy because they fail.
         let (served, trusts) =
             trusts.get_or_insert_with(|| (self.served(r.class), vec![f64::NAN; self.upstreams.len()]));
@@ -314,8 +306,10 @@
         };
         let may_be: Vec<_> = may_be.map(|((id, u), known)| (*id, u, trust(u, known))).collect();
         let sound = may_be.iter().filter(|(.., trust)| *trust > SOUND);
-        let least = sound.map(|(_, u, _)| u.out.len()).min().unwrap_or(usize::MAX);
-        let near = may_be.into_iter().filter(|(_, u, _)| u.out.len() <= least);
+        let busy = |u: &Upstream| (u.load + OWN_WORK * r.load()) * u.pace;
+        let least = sound.map(|(_, u, _)| busy(u)).fold(f64::INFINITY, f64::min);
+        let least = least + ALIKE * self.mean_work.unwrap_or(1.0);
+        let near = may_be.into_iter().filter(|(_, u, _)| busy(u) <= least);
         let order = |u: &Upstream| (u.home, self.verified(u));
         let ready: Vec<_> = near.map(|(id, u, trust)| (id, trust, order(u))).collect();
         let best = ready.iter().map(|(.., rank)| *rank).max();
@@ -331,7 +325,7 @@
     fn verified(&self, u: &Upstream) -> bool {
         let window = self.median * if self.verifies() { REFRESH_PART } else { TRUST };
         let fresh = u.report.is_some_and(|(_, at, _)| self.now - at <= window);
-        fresh && held(u).is_some_and(|h| h < self.workers.map_or(1.0, f64::round) - 0.5)
+        fresh && u.holds().is_some_and(|h| h < self.workers.map_or(1.0, f64::round) - 0.5)
     }
 
     /// Danger: a cold server falls over, even by one call from each of many copies. Only those that keep to
@@ -358,19 +352,9 @@
 
     // ---- 3. Turns ----
 
-    /// What has become of an upstream's calls of a class: served, and all that came back, fading with time.
-    fn record(&self, u: &Upstream, class: ClassId) -> (f64, f64) {
-        let (served, all, at) = u.record.get(class.0).copied().unwrap_or_default();
-        if all == 0.0 {
-            return (0.0, 0.0);
-        }
-        let fresh = (-(self.now - at) / FORGET_S).exp();
-        (served * fresh, all * fresh)
-    }
-
     /// The part of the calls of a class that was served, over all upstreams.
     fn served(&self, class: ClassId) -> f64 {
-        let records = self.upstreams.values().map(|u| self.record(u, class));
+        let records = self.upstreams.values().map(|u| u.served(class, self.now));
         let (served, all) = records.fold((3.0, 3.0), |sum, r| (sum.0 + r.0, sum.1 + r.1));
         served / all
     }
@@ -379,9 +363,9 @@
     /// became of its last calls of it; where these are few, also by its other classes and by all upstreams.
     fn trust(&self, u: &Upstream, class: ClassId, served: f64) -> f64 {
         let others =
-            (0..self.set.classes.len()).filter(|c| *c != class.0).map(|c| self.record(u, ClassId(c)));
+            (0..self.set.classes.len()).filter(|c| *c != class.0).map(|c| u.served(ClassId(c), self.now));
         let others = others.fold((2.0, 2.0), |sum, r| (sum.0 + r.0, sum.1 + r.1));
-        let own = self.record(u, class);
+        let own = u.served(class, self.now);
         ((own.0 + 2.0 * served * others.0 / others.1) / (own.1 + 2.0)).powi(4)
     }
 
@@ -411,7 +395,7 @@
     fn take(&mut self, id: RequestId, class: ClassId, tenant: Option<TenantId>, ttl: f64, work: Option<f64>) {
         let Some(c) = self.set.classes.get(class.0) else { return };
         let ttl = if ttl.is_finite() { ttl.max(0.0) } else { c.aim };
-        let work = work.filter(|w| w.is_finite() && *w > 0.0).unwrap_or(0.0);
+        let work = work.filter(|w| w.is_finite() && *w > 0.0);
         let mut worth = c.gain;
         if let Some(t) = tenant.and_then(|t| self.set.tenants.get(t.0).map(|s| (t.0, s.allowance_per_s))) {
             // A second's allowance may be saved up; past it a tenant's requests are worth less.
@@ -422,10 +406,20 @@
             worth *= if inside { 1.0 } else { self.set.over_share_worth };
             self.allowance[t.0] = (left - f64::from(u8::from(inside)), self.now);
         }
-        let (deadline, aim) = (self.now + ttl, self.now + c.aim + c.aim_stretch * work);
+        let (deadline, aim) = (self.now + ttl, self.now + c.aim + c.aim_stretch * work.unwrap_or(0.0));
         let aim_at = if c.late_value > 0.0 { deadline } else { aim.min(deadline) };
         let (arrived, attempts, safe) = (self.now, Vec::new(), c.effect == Effect::Safe);
-        let r = Request { class, arrived, aim_at, deadline, worth, safe, attempts, held: true, done: false };
+        let mut needs = self.typical[class.0];
+        if let Some(work) = work {
+            self.learn_work(work);
+            needs = self.times[class.0].at(work).unwrap_or(needs);
+            // Danger: a few calls ask for more than anyone can do in time, and would keep a core from many
+            // others. Usual ones always go: only from them can be seen that all is faster again.
+            let more = self.times[class.0].usual().is_some_and(|usual| work > FAR * usual);
+            needs = if more && HOPELESS * needs > aim_at - self.now { f64::INFINITY } else { needs };
+        }
+        let (held, done) = (true, false);
+        let r = Request { class, arrived, aim_at, deadline, worth, work, needs, safe, attempts, held, done };
         self.retry_tokens = (self.retry_tokens + RETRY_PART).min(20.0);
         let asks = PROBE_WORTH / self.set.price_probe.max(PROBE_WORTH / 100.0);
         self.probe_tokens = (self.probe_tokens.max(0.0) + asks).min(2.0 * asks);
@@ -436,7 +430,7 @@
     fn give_up_at(&self, r: &Held) -> f64 {
         // Danger: where all is slow the typical time passes the aim; even the dearest would go at once.
         let end = r.aim_at.min(r.deadline - self.set.tick);
-        (end - self.typical[r.class.0].min(0.5 * (end - r.arrived))).max(r.arrived)
+        (end - r.needs.min(0.5 * (end - r.arrived))).max(r.arrived)
     }
 
     /// Sends what is held, most worth first, and ends what can no longer be answered in time.
@@ -471,7 +465,10 @@
             // of a full room (its root, half of it at most) is kept free, the more the less is at stake.
             let room = room - (room / 2.0).min(room.sqrt()) * (1.0 - worth / top);
             let full = in_flight >= room.max(1.0) + small || self.load() * small >= room;
-            if !full && !closed {
+            // What cannot be answered in time is not sent: for the first time, or again.
+            let tried = !self.requests[&id].attempts.is_empty();
+            let late = r.needs.is_infinite() || tried && self.now + self.set.tick >= r.aim_at;
+            if !full && !closed && !late {
                 let ready = self.ready_set(&self.requests[&id], &mut trusts[class.0]);
                 // Nobody for a request that may go anywhere: nobody for those behind it.
                 closed = ready.is_empty() && self.requests[&id].attempts.is_empty();
@@ -501,7 +498,7 @@
                     }
                 }
             }
-            if self.now >= self.give_up_at(&r) {
+            if late || self.now >= self.give_up_at(&r) {
                 self.end(id, actions);
             }
         }
@@ -520,11 +517,6 @@
         }
     }
 
-    /// Calls in flight as a mean over some typical times, so that a copy's limit may lie under one call.
-    fn load(&self) -> f64 {
-        self.load * (-(self.now - self.load_at) / (SMOOTH * self.median).max(self.set.tick)).exp()
-    }
-
     /// The gate that every send passes: the four rules are kept here whatever the layers above say.
     fn send(&mut self, id: RequestId, to: UpstreamId, actions: &mut Vec<Action>) -> bool {
         let Some(r) = self.requests.get(&id) else { return false };
@@ -549,9 +541,8 @@
         u.cold_until = self.now + gap;
         let (entry, sent) = (u.entry, self.now);
         r.attempts.push(Attempt { entry, sent, out: true, may_have_run: true, withdrawn: false });
-        u.out.push((id, attempt, self.now));
-        u.calls += 1;
-        (self.load, self.load_at) = (self.load() + 1.0 / SMOOTH, self.now);
+        u.sent(id, attempt, r.load(), self.now);
+        self.add_load();
         let mut sent = self.upstreams.remove(&to).expect("looked up above");
         self.refresh_factor(&mut sent);
         self.upstreams.insert(to, sent);
@@ -561,7 +552,10 @@
 
     fn outcome(&mut self, o: &Outcome, actions: &mut Vec<Action>) {
         let Outcome { id, attempt, upstream, ending, elapsed, last, report } = *o;
-        let class = self.requests.get(&id).map(|r| r.class);
+        let request = self.requests.get(&id);
+        let (class, load) = (request.map(|r| r.class), request.map_or(0.0, Request::load));
+        let work = request.and_then(|r| r.work);
+        let expected = work.and_then(|w| self.times[class?.0].at(w)).filter(|t| *t > 0.0);
         // Before the attempt is struck off: a report is older than the answer and still counts it.
         self.learn_report(upstream, report);
         let warm = self.upstreams.get(&upstream).is_some_and(|u| self.warmth(u) >= 1.0);
@@ -569,7 +563,10 @@
             self.served_at.push_back(self.now);
         }
         if let Some(u) = self.upstreams.get_mut(&upstream) {
-            u.out.retain(|(r, n, _)| (*r, *n) != (id, attempt));
+            u.ended(id, attempt, load);
+            if let (Some(time), Ending::Delivered | Ending::Expired) = (expected, ending) {
+                u.learn_pace(elapsed / time);
+            }
             let heard = matches!(ending, Ending::Delivered | Ending::AppError | Ending::Shed);
             u.heard = if heard { self.now } else { u.heard };
             match ending {
@@ -598,14 +595,13 @@
         if let (Some(u), Some(class)) = (self.upstreams.get_mut(&upstream), class) {
             let failed = matches!(ending, Ending::AppError | Ending::Dropped | Ending::Shed);
             if failed || ending == Ending::Delivered {
-                u.record.resize(self.set.classes.len(), (0.0, 0.0, self.now));
-                let (served, all, at) = u.record[class.0];
-                let kept = 0.9 * (-(self.now - at) / FORGET_S).exp();
-                u.record[class.0] =
-                    (served * kept + f64::from(u8::from(!failed)), all * kept + 1.0, self.now);
+                u.came_back(class, self.now, !failed);
             }
         }
         if let (Ending::Delivered | Ending::Expired, Some(class)) = (ending, class) {
+            if let Some(work) = work {
+                self.times[class.0].add(work, elapsed);
+            }
             self.learn_time(class, elapsed);
         }
         let Some(r) = self.requests.get_mut(&id) else { return };
--- a/crates/core/src/state.rs
+++ b/crates/core/src/state.rs
@@ -1,9 +1,16 @@
 //! What the policy keeps: plain state, no decisions.
 
 use crate::api::{ClassId, Entry, Report, RequestId, Settings, SettingsError, UpstreamId};
+use crate::estimate::{Line, Record};
 use std::cmp::Ordering;
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
+/// The mean of calls in flight runs over this many typical times.
+const SMOOTH: f64 = 4.0;
+/// Part of the way that an upstream's pace goes to that of its latest call, and the mean work to the latest.
+const PACE_STEP: f64 = 0.1;
+const MEAN_STEP: f64 = 0.02;
+
 /// One server as this copy sees it.
 pub struct Upstream {
     pub entry: Entry,
@@ -16,6 +23,9 @@
     pub report: Option<(Report, f64, usize)>,
     /// When each own attempt now out was sent, the earliest first.
     pub out: Vec<(RequestId, u32, f64)>,
+    /// Their work together, and how long a call takes here for each second that it takes on average.
+    pub load: f64,
+    pub pace: f64,
     /// When it last answered anything.
     pub heard: f64,
     pub fails: u32,
@@ -28,8 +38,8 @@
     /// While cold, no further call before this.
     pub cold_until: f64,
     pub health: f64,
-    /// By class: how many of the latest calls were served, how many came back at all, and when the last did.
-    pub record: Vec<(f64, f64, f64)>,
+    /// By class: what became of its latest calls.
+    pub record: Vec<Record>,
     pub probing: Option<f64>,
     /// Stands aside for now: silent, ejected, or in a zone that is cut off.
     pub shunned: bool,
@@ -52,6 +62,10 @@
     pub aim_at: f64,
     pub deadline: f64,
     pub worth: f64,
+    /// Its work as its caller sees it, if told.
+    pub work: Option<f64>,
+    /// How long it will take; infinite where that is past the time it has, whoever gets it.
+    pub needs: f64,
     /// Its class may run again.
     pub safe: bool,
     pub attempts: Vec<Attempt>,
@@ -60,6 +74,45 @@
 }
 
 impl Upstream {
+    /// Requests that it holds: the last report, corrected by own calls sent and answered since.
+    pub fn holds(&self) -> Option<f64> {
+        let (report, _, out_then) = self.report?;
+        let held = report.active.or(report.waiting).filter(|v| v.is_finite())?;
+        Some((held + self.out.len() as f64 - out_then as f64).max(self.out.len() as f64))
+    }
+
+    /// What has become of its calls of a class: served, and all that came back, as far as not forgotten.
+    pub fn served(&self, class: ClassId, now: f64) -> (f64, f64) {
+        self.record.get(class.0).map_or((0.0, 0.0), |r| r.at(now))
+    }
+
+    /// A call of a class came back, served or not.
+    pub fn came_back(&mut self, class: ClassId, now: f64, served: bool) {
+        if self.record.len() <= class.0 {
+            self.record.resize(class.0 + 1, Record::new(now));
+        }
+        self.record[class.0].add(now, served);
+    }
+
+    /// An attempt of a request goes out to it.
+    pub fn sent(&mut self, id: RequestId, attempt: u32, load: f64, now: f64) {
+        self.out.push((id, attempt, now));
+        self.load += load;
+        self.calls += 1;
+    }
+
+    /// It has ended.
+    pub fn ended(&mut self, id: RequestId, attempt: u32, load: f64) {
+        self.out.retain(|(r, n, _)| (*r, *n) != (id, attempt));
+        // Nothing out is no load, whatever sums of fractions say.
+        self.load = if self.out.is_empty() { 0.0 } else { self.load - load };
+    }
+
+    /// A call took so much for each second that it takes on average.
+    pub fn learn_pace(&mut self, pace: f64) {
+        self.pace += PACE_STEP * (pace.clamp(0.2, 5.0) - self.pace);
+    }
+
     /// An upstream of which nothing is known but its list entry.
     pub fn new(entry: Entry, factor: f64) -> Self {
         Upstream {
@@ -70,6 +123,8 @@
             calls: 0,
             report: None,
             out: Vec::new(),
+            load: 0.0,
+            pace: 1.0,
             heard: f64::NEG_INFINITY,
             fails: 0,
             breaks: 0,
@@ -95,6 +150,7 @@
     pub aim_at: f64,
     pub deadline: f64,
     pub worth: f64,
+    pub needs: f64,
 }
 
 impl Ord for Held {
@@ -119,9 +175,14 @@
 impl Eq for Held {}
 
 impl Request {
+    /// What it adds to the load of an upstream: its work, or 1 where that is not told.
+    pub fn load(&self) -> f64 {
+        self.work.unwrap_or(1.0)
+    }
+
     fn as_held(&self, id: RequestId) -> Held {
-        let Request { class, arrived, aim_at, deadline, worth, .. } = *self;
-        Held { id, class, arrived, aim_at, deadline, worth }
+        let Request { class, arrived, aim_at, deadline, worth, needs, .. } = *self;
+        Held { id, class, arrived, aim_at, deadline, worth, needs }
     }
 }
 
@@ -214,6 +275,10 @@
     pub(crate) workers: Option<f64>,
     /// Median time of a served answer, by class, and over all.
     pub(crate) typical: Vec<f64>,
+    /// By class: how long a call takes by the work that its caller tells.
+    pub(crate) times: Vec<Line>,
+    /// Mean work of the calls whose callers tell it.
+    pub(crate) mean_work: Option<f64>,
     pub(crate) median: f64,
     /// When warm upstreams served a call within the last window of `Settings::fall`, and how many each did.
     pub(crate) served_at: VecDeque<f64>,
@@ -247,6 +312,8 @@
         settings.validate()?;
         Ok(Balancer {
             typical: vec![0.0; settings.classes.len()],
+            times: vec![Line::default(); settings.classes.len()],
+            mean_work: None,
             allowance: settings.tenants.iter().map(|t| (t.allowance_per_s, now)).collect(),
             rng: Rng(seed),
             now,
@@ -271,6 +338,27 @@
         })
     }
 
+    /// Upstreams for each copy: what all copies send together must not grow with their number.
+    pub(crate) fn per_copy(&self) -> f64 {
+        self.upstreams.len() as f64 / self.set.balancers as f64
+    }
+
+    /// Calls in flight as a mean over some typical times, so that a copy's limit may lie under one call.
+    pub(crate) fn load(&self) -> f64 {
+        self.load * (-(self.now - self.load_at) / (SMOOTH * self.median).max(self.set.tick)).exp()
+    }
+
+    /// One more call in flight.
+    pub(crate) fn add_load(&mut self) {
+        (self.load, self.load_at) = (self.load() + 1.0 / SMOOTH, self.now);
+    }
+
+    /// Takes in the work that a caller tells.
+    pub(crate) fn learn_work(&mut self, work: f64) {
+        let mean = self.mean_work.get_or_insert(work);
+        *mean += MEAN_STEP * (work - *mean);
+    }
+
     /// Takes the settings of a later generation. Classes keep their positions, so that requests already
     /// taken keep the rules of their class; a changed class comes under a new position at the end. The
     /// tick stays: the alarms already set count in it.
@@ -284,6 +372,7 @@
             return Err(SettingsError { name: "classes", problem: "may be added to, not taken away" });
         }
         self.typical.resize(settings.classes.len(), 0.0);
+        self.times.resize(settings.classes.len(), Line::default());
         // New classes start their turns at a random place, as those of the start did, and no old tally moves.
         let (classes, start) =
             (settings.classes.len(), self.upstreams.values().map(|u| u.factor).fold(1.0, f64::max));
--- a/crates/lab/src/world.rs
+++ b/crates/lab/src/world.rs
@@ -675,6 +675,7 @@
             class: ClassId(class as usize),
             tenant: (!self.e.tenant.is_empty()).then_some(TenantId(tenant as usize)),
             budget,
+            work: None,
             repeat,
         };
         self.observer.taken(now, id, sidecar, now + nanos(budget), spec.safe);
--- a/crates/passrelay/tests/relay.rs
+++ b/crates/passrelay/tests/relay.rs
@@ -458,3 +458,29 @@
     assert_eq!(lines[0], ("GET /status/load HTTP/1.1".to_owned(), 0));
     assert!(lines.iter().all(|(_, connection)| *connection == 0), "probe and request share a connection");
 }
+
+// Guards against light calls that queue behind a heavy one: calls are spread by the work that their callers
+// expect (X-Call-Cost), not by their number. An expectation that cannot be read costs no call its answer.
+#[test]
+fn light_calls_go_where_no_heavy_one_is_under_way() {
+    let silent = |m: &Message| if m.line.contains("/x?") { Reply::Silence } else { served(m) };
+    let nodes = [Server::start(silent), Server::start(silent)];
+    let (relay, _discovery) = Relay::before(PROGRAM, &[&nodes[0], &nodes[1]]);
+    let call = |cost: &str| {
+        request("look", 4.0, b"").replace("X-Caller", &format!("X-Call-Cost: {cost}\r\nX-Caller"))
+    };
+    for cost in ["soon", "-5", "1e400", "0", "99999999999999999999"] {
+        assert_eq!(relay.caller().ask(&call(cost).replace("/x?", "/y?")).status(), 200, "{cost}");
+    }
+    let seen = || [0, 1].map(|n: usize| nodes[n].seen().iter().filter(|m| m.line.contains("/x?")).count());
+    let mut callers = Vec::new();
+    for n in 0..7 {
+        let mut caller = relay.caller();
+        caller.send(&call(if n == 0 { "2000000" } else { "20000" }));
+        callers.push(caller);
+        until("the call is at a node", || seen().iter().sum::<usize>() == n + 1);
+    }
+    let mut seen = seen();
+    seen.sort_unstable();
+    assert_eq!(seen, [1, 6]);
+}
--- a/crates/sidecar/src/sidecar.rs
+++ b/crates/sidecar/src/sidecar.rs
@@ -40,6 +40,8 @@
 const ASK_AGAIN_S: f64 = 2.0;
 /// Rounds of [`COMERS`] let in before the gate closes for good.
 const LAST_ROUNDS: usize = 16;
+/// More work than any call is for: a guess above it is none.
+const MOST_WORK_S: f64 = 3600.0;
 /// A request that has come in only in part holds up a planned end for so long.
 const PART_S: f64 = 1.0;
 
@@ -488,7 +490,10 @@
             return Err((409, "X-Call-Id is that of a request that waits"));
         }
         let repeat = head.header("x-again") == Some("1");
-        Ok(Arrival { class: passrelay_core::ClassId(class), tenant, budget, repeat })
+        // Only a hint: one that cannot be read, or that no call can take, costs no request its answer.
+        let cost = head.header("x-call-cost").filter(digits).and_then(|c| c.parse::<f64>().ok());
+        let work = cost.map(|micros| micros / 1e6).filter(|w| (1e-6..=MOST_WORK_S).contains(w));
+        Ok(Arrival { class: passrelay_core::ClassId(class), tenant, budget, work, repeat })
     }
 
     // ---- Nodes ----
