Cut the limit for queues and not for long work; own zone first; heavy calls no silence

The limit on requests in flight was cut only at 0.7 of the aim (`learn_time`); with a spread of work this wide most of the slower half is late by then. `silent` took a node with one heavy call for dead after three medians.

So from 0.5 to 0.7 it is cut only where the median has doubled against its best of late. Hopeless calls are tried where nothing waits (from twice the aim on they are refused).

--- a/crates/core/src/rules.rs
+++ b/crates/core/src/rules.rs
@@ -29,8 +29,6 @@
 const COLD_PART: f64 = 0.8;
 /// Trust above which an upstream is taken for one that serves what it gets.
 const SOUND: f64 = 0.5;
-/// Calls that a tenant may save up at a copy, however small the copy's share of its allowance.
-const SAVED: f64 = 6.0;
 /// Part of the requests that may be tried again after they may have run, so that retries stay few.
 const RETRY_PART: f64 = 0.2;
 /// So many bad upstreams make a zone suspect: one or two may be on their own.
@@ -39,9 +37,12 @@
 const OWN_WORK: f64 = 3.0;
 /// Loads this near to the least, in mean calls, are alike.
 const ALIKE: f64 = 0.2;
-/// A call of this many times the usual work is out of reach if this part of its time is past its aim.
+/// A call of this many times the usual work is out of reach if this part of its time is past its aim: where
+/// nothing waits, where it may still be lucky, and where others wait for the core that it would take.
 const FAR: f64 = 2.0;
-const HOPELESS: f64 = 0.9;
+const HOPELESS: [f64; 2] = [0.5, 0.9];
+/// Upstreams of other zones count as so much busier while nothing waits: crossings have a price.
+const CROSSING: f64 = 1.3;
 /// With more than this part of all upstreams bad, the fault is elsewhere; a lost zone of two stays below it.
 const PANIC_PART: f64 = 0.8;
 /// Room over this copy's equal share of all workers: clients do not spread evenly over copies.
@@ -49,8 +50,11 @@
 /// Requests in flight for each upstream, over all copies: at the start (soon corrected) and at the least.
 const START_EACH: f64 = 12.0;
 const FLOOR_EACH: f64 = 3.0;
-/// A median above this part of the aim shrinks the limit on requests in flight: the slower half needs room.
-const CROWDED_PART: f64 = 0.7;
+/// A median above the first part of the aim shrinks the limit on requests in flight, if it is twice what it
+/// has been at best (which is slowly forgotten) or above the second part: the slower half needs room.
+const CROWDED_PART: [f64; 2] = [0.5, 0.7];
+const QUEUED: f64 = 2.0;
+const FADES: f64 = 1.0003;
 
 /// What one pass over the upstreams counts: who is on, probes out, calls out at those not standing aside.
 #[derive(Default)]
@@ -207,10 +211,13 @@
         u.ejected_until = self.now + self.set.connect_timeout * 2.0 * f64::from(1 << u.fails);
     }
 
-    /// Danger: a paused server keeps its factor. It is silent too long for the number of calls it has.
+    /// Danger: a paused server keeps its factor. It is silent too long for the number of calls it has. One
+    /// that is busy with a heavy call is not silent before the call could be over.
     fn silent(&self, u: &Upstream) -> bool {
-        let first = u.out.first().map_or(f64::INFINITY, |(_, _, sent)| *sent);
-        let patience = (1.0 + 4.0 / u.out.len().max(1) as f64).min(STALL) * self.median;
+        let Some((oldest, _, first)) = u.out.first() else { return false };
+        let hinted = self.requests.get(oldest).filter(|r| r.work.is_some());
+        let needs = hinted.map_or(0.0, |r| r.needs).max(self.median);
+        let patience = (1.0 + 4.0 / u.out.len() as f64).min(STALL) * needs;
         self.median > 0.0 && self.now - first.max(u.heard) > patience
     }
 
@@ -292,9 +299,8 @@
             let probing = self.now - u.probing.unwrap_or(f64::NEG_INFINITY) < self.set.connect_timeout;
             !out && !cold && !probing && self.in_group(r, u)
         };
-        // Danger: reports are old and noisy, and a slow one draws as many turns as its spare CPU says. Who
-        // holds more own work, at its own pace, than the least busy stands aside until answers come.
-        // Failing ones are no measure: they are least busy because they fail.
+        // Danger: reports are old, and a slow one draws as many turns as its spare CPU says. Who holds more
+        // own work, at its own pace, than the least busy stands aside. Failing ones are no measure of that.
         let (served, trusts) =
             trusts.get_or_insert_with(|| (self.served(r.class), vec![f64::NAN; self.upstreams.len()]));
         let may_be = self.upstreams.iter().zip(trusts).filter(|((id, u), _)| may(id, u));
@@ -306,7 +312,10 @@
         };
         let may_be: Vec<_> = may_be.map(|((id, u), known)| (*id, u, trust(u, known))).collect();
         let sound = may_be.iter().filter(|(.., trust)| *trust > SOUND);
-        let busy = |u: &Upstream| (u.load + OWN_WORK * r.load()) * u.pace;
+        let crossing =
+            if self.set.price_cross_zone > 0.0 && self.requests.held().len() <= 1 { CROSSING } else { 1.0 };
+        let cost = |u: &Upstream| if u.entry.zone == self.set.zone { 1.0 } else { crossing };
+        let busy = |u: &Upstream| (u.load + OWN_WORK * r.load()) * u.pace * cost(u);
         let least = sound.map(|(_, u, _)| busy(u)).fold(f64::INFINITY, f64::min);
         let least = least + ALIKE * self.mean_work.unwrap_or(1.0);
         let near = may_be.into_iter().filter(|(_, u, _)| busy(u) <= least);
@@ -352,13 +361,6 @@
 
     // ---- 3. Turns ----
 
-    /// The part of the calls of a class that was served, over all upstreams.
-    fn served(&self, class: ClassId) -> f64 {
-        let records = self.upstreams.values().map(|u| u.served(class, self.now));
-        let (served, all) = records.fold((3.0, 3.0), |sum, r| (sum.0 + r.0, sum.1 + r.1));
-        served / all
-    }
-
     /// Danger: some upstreams fail all calls or one class, and fast. Each is trusted with a class by what
     /// became of its last calls of it; where these are few, also by its other classes and by all upstreams.
     fn trust(&self, u: &Upstream, class: ClassId, served: f64) -> f64 {
@@ -393,18 +395,12 @@
     // ---- 4. Request life ----
 
     fn take(&mut self, id: RequestId, class: ClassId, tenant: Option<TenantId>, ttl: f64, work: Option<f64>) {
-        let Some(c) = self.set.classes.get(class.0) else { return };
+        let Some(c) = self.set.classes.get(class.0).cloned() else { return };
         let ttl = if ttl.is_finite() { ttl.max(0.0) } else { c.aim };
         let work = work.filter(|w| w.is_finite() && *w > 0.0);
         let mut worth = c.gain;
         if let Some(t) = tenant.and_then(|t| self.set.tenants.get(t.0).map(|s| (t.0, s.allowance_per_s))) {
-            // A second's allowance may be saved up; past it a tenant's requests are worth less.
-            let rate = t.1 / self.set.balancers as f64;
-            let (left, at) = self.allowance[t.0];
-            let left = (left + rate * (self.now - at)).min(rate.max(SAVED));
-            let inside = left >= 1.0;
-            worth *= if inside { 1.0 } else { self.set.over_share_worth };
-            self.allowance[t.0] = (left - f64::from(u8::from(inside)), self.now);
+            worth *= if self.use_allowance(t.0, t.1) { 1.0 } else { self.set.over_share_worth };
         }
         let (deadline, aim) = (self.now + ttl, self.now + c.aim + c.aim_stretch * work.unwrap_or(0.0));
         let aim_at = if c.late_value > 0.0 { deadline } else { aim.min(deadline) };
@@ -416,7 +412,8 @@
             // Danger: a few calls ask for more than anyone can do in time, and would keep a core from many
             // others. Usual ones always go: only from them can be seen that all is faster again.
             let more = self.times[class.0].usual().is_some_and(|usual| work > FAR * usual);
-            needs = if more && HOPELESS * needs > aim_at - self.now { f64::INFINITY } else { needs };
+            let part = HOPELESS[usize::from(!self.requests.held().is_empty())];
+            needs = if more && part * needs > aim_at - self.now { f64::INFINITY } else { needs };
         }
         let (held, done) = (true, false);
         let r = Request { class, arrived, aim_at, deadline, worth, work, needs, safe, attempts, held, done };
@@ -588,7 +585,6 @@
                     u.health = (u.health * 0.75).max(0.1);
                 }
                 Ending::DialFailed => self.failed(upstream),
-                // What an error says of it stands in its record.
                 Ending::AppError | Ending::Shed | Ending::Revoked | Ending::Unused => {}
             }
         }
@@ -637,7 +633,10 @@
         let in_flight: usize = self.upstreams.values().map(|u| u.out.len()).sum();
         let floor = self.workers.map_or(FLOOR_EACH, |w| w / 2.0) * self.per_copy();
         let in_flight = if self.limit < 1.0 { self.load() } else { in_flight as f64 };
-        if self.typical[class.0] > CROWDED_PART * self.set.classes[class.0].aim {
+        let (typical, aim) = (self.typical[class.0], self.set.classes[class.0].aim);
+        self.quickest[class.0] = (self.quickest[class.0] * FADES).min(typical);
+        let queued = QUEUED * self.quickest[class.0];
+        if typical > queued.clamp(CROWDED_PART[0] * aim, CROWDED_PART[1] * aim) {
             if self.now - self.last_cut > self.median {
                 self.limit = (self.limit.min(in_flight + 1.0) * 0.9).max(floor);
                 self.last_cut = self.now;
--- a/crates/core/src/state.rs
+++ b/crates/core/src/state.rs
@@ -5,6 +5,8 @@
 use std::cmp::Ordering;
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
+/// Calls that a tenant may save up at a copy, however small the copy's share of its allowance.
+const SAVED: f64 = 6.0;
 /// The mean of calls in flight runs over this many typical times.
 const SMOOTH: f64 = 4.0;
 /// Part of the way that an upstream's pace goes to that of its latest call, and the mean work to the latest.
@@ -275,6 +277,8 @@
     pub(crate) workers: Option<f64>,
     /// Median time of a served answer, by class, and over all.
     pub(crate) typical: Vec<f64>,
+    /// The shortest that the median has lately been, by class: it has to grow past that before it tells of queues.
+    pub(crate) quickest: Vec<f64>,
     /// By class: how long a call takes by the work that its caller tells.
     pub(crate) times: Vec<Line>,
     /// Mean work of the calls whose callers tell it.
@@ -312,6 +316,7 @@
         settings.validate()?;
         Ok(Balancer {
             typical: vec![0.0; settings.classes.len()],
+            quickest: vec![f64::INFINITY; settings.classes.len()],
             times: vec![Line::default(); settings.classes.len()],
             mean_work: None,
             allowance: settings.tenants.iter().map(|t| (t.allowance_per_s, now)).collect(),
@@ -348,6 +353,24 @@
         self.load * (-(self.now - self.load_at) / (SMOOTH * self.median).max(self.set.tick)).exp()
     }
 
+    /// The part of the calls of a class that was served, over all upstreams.
+    pub(crate) fn served(&self, class: ClassId) -> f64 {
+        let records = self.upstreams.values().map(|u| u.served(class, self.now));
+        let (served, all) = records.fold((3.0, 3.0), |sum, r| (sum.0 + r.0, sum.1 + r.1));
+        served / all
+    }
+
+    /// Whether a request is inside its tenant's share, of which it then uses up one. A second's allowance may be
+    /// saved up.
+    pub(crate) fn use_allowance(&mut self, tenant: usize, allowance_per_s: f64) -> bool {
+        let rate = allowance_per_s / self.set.balancers as f64;
+        let (left, at) = self.allowance[tenant];
+        let left = (left + rate * (self.now - at)).min(rate.max(SAVED));
+        let inside = left >= 1.0;
+        self.allowance[tenant] = (left - f64::from(u8::from(inside)), self.now);
+        inside
+    }
+
     /// One more call in flight.
     pub(crate) fn add_load(&mut self) {
         (self.load, self.load_at) = (self.load() + 1.0 / SMOOTH, self.now);
@@ -372,6 +395,7 @@
             return Err(SettingsError { name: "classes", problem: "may be added to, not taken away" });
         }
         self.typical.resize(settings.classes.len(), 0.0);
+        self.quickest.resize(settings.classes.len(), f64::INFINITY);
         self.times.resize(settings.classes.len(), Line::default());
         // New classes start their turns at a random place, as those of the start did, and no old tally moves.
         let (classes, start) =
--- a/crates/core/tests/rules.rs
+++ b/crates/core/tests/rules.rs
@@ -4,6 +4,7 @@
 
 use common::*;
 use passrelay_core::*;
+use std::collections::BTreeSet;
 
 fn cpu(value: f64) -> Option<Report> {
     Some(Report { cpu: Some(value), ..Report::default() })
@@ -976,3 +977,58 @@
         assert_eq!((sent(&actions).is_some(), finals(&actions) == 0), (again, again), "at {failed_at}");
     }
 }
+
+/// Guards against an upstream that stands aside because its one call is heavy: it is busy, not silent.
+#[test]
+fn who_is_busy_with_a_heavy_call_is_not_silent() {
+    let set = Settings { classes: vec![Class { aim: 9.0, ..Class::default() }], ..Settings::default() };
+    let mut rig = Rig::new(set, vec![entry(1), entry(2)]);
+    let now = practised(&mut rig, &[0.05, 0.1, 0.15, 0.2], 1.0);
+    // Usual answers take a quarter of a second, this one three.
+    let busy = sent(&hinted(&mut rig, now, 1.5).1).unwrap();
+    let (id, actions) = hinted(&mut rig, now + 1.4, 0.1);
+    let other = sent(&actions).unwrap();
+    assert_ne!(other, busy);
+    rig.end(now + 1.5, id, 0, other, Ending::Delivered);
+    assert_eq!(sent(&hinted(&mut rig, now + 1.5, 2.0).1), Some(other));
+    assert_eq!(sent(&hinted(&mut rig, now + 1.5, 0.1).1), Some(busy), "it holds less than the other");
+}
+
+/// Guards against crossings that are paid for without need; where calls wait, any upstream is taken.
+#[test]
+fn upstreams_of_the_own_zone_come_first_where_crossings_have_a_price() {
+    for (price, own) in [(0.01, 12), (0.0, 8)] {
+        let set = Settings { price_cross_zone: price, ..settings(Effect::Unsafe) };
+        let far = |id| Entry { zone: ZoneId(1), ..entry(id) };
+        let mut rig = Rig::new(set, vec![entry(1), far(2), entry(3), far(4)]);
+        let got = (0..16).filter(|_| one(&mut rig, 0, |_| Ending::Delivered).0 % 2 == 1).count();
+        assert!(if price > 0.0 { got >= own } else { got <= own }, "{got} at price {price}");
+        // Busy ones of the own zone are no place to wait.
+        let used: BTreeSet<_> = (0..8).filter_map(|_| sent(&rig.submit(rig.now).1)).collect();
+        assert_eq!(used.len(), 4);
+    }
+}
+
+/// Calls that go out at once after 100 answers one by one after each of these times.
+fn room_after(times: &[f64]) -> usize {
+    let mut rig = Rig::new(settings(Effect::Unsafe), vec![entry(1)]);
+    for elapsed in times.iter().flat_map(|t| std::iter::repeat_n(*t, 100)) {
+        let (id, actions) = rig.submit(rig.now);
+        let (upstream, last) = (sent(&actions).expect("idle"), true);
+        let (ending, report) = (Ending::Delivered, None);
+        rig.at(
+            rig.now + elapsed,
+            Event::Outcome(Outcome { id, attempt: 0, upstream, ending, elapsed, last, report }),
+        );
+    }
+    (0..40).filter(|_| sent(&rig.submit(rig.now).1).is_some()).count()
+}
+
+/// Guards against a limit that a class shrinks which takes over half of its aim by nature, without a queue
+/// anywhere, and against one that stays wide while a queue grows.
+#[test]
+fn the_limit_shrinks_for_queues_and_not_for_work_that_takes_long() {
+    assert!(room_after(&[0.6]) >= 12, "the median is half of the aim and more, and always was");
+    assert!(room_after(&[0.2, 0.6]) <= 4, "it has tripled");
+    assert!(room_after(&[0.8]) <= 4, "too near to the aim, whatever it was");
+}
