--- a/crates/core/tests/rules.rs
+++ b/crates/core/tests/rules.rs
@@ -911,6 +911,12 @@
     (id, rig.at(now, event))
 }
 
+/// The first attempt of a request is served at `now`, this long after it was sent.
+fn served_after(rig: &mut Rig, now: f64, id: RequestId, upstream: UpstreamId, elapsed: f64) {
+    let (ending, last, report) = (Ending::Delivered, true, None);
+    rig.at(now, Event::Outcome(Outcome { id, attempt: 0, upstream, ending, elapsed, last, report }));
+}
+
 /// 200 calls, each answered after twice its work at upstream 1 and `slower` times that elsewhere; the time
 /// when the last one is over.
 fn practised(rig: &mut Rig, works: &[f64], slower: f64) -> f64 {
@@ -920,8 +926,7 @@
         let to = sent(&actions).expect("a node");
         let elapsed = 2.0 * work * if to == UpstreamId(1) { 1.0 } else { slower };
         now += elapsed;
-        let (ending, last, report) = (Ending::Delivered, true, None);
-        rig.at(now, Event::Outcome(Outcome { id, attempt: 0, upstream: to, ending, elapsed, last, report }));
+        served_after(rig, now, id, to, elapsed);
     }
     now
 }
@@ -1014,12 +1019,8 @@
     let mut rig = Rig::new(settings(Effect::Unsafe), vec![entry(1)]);
     for elapsed in times.iter().flat_map(|t| std::iter::repeat_n(*t, 100)) {
         let (id, actions) = rig.submit(rig.now);
-        let (upstream, last) = (sent(&actions).expect("idle"), true);
-        let (ending, report) = (Ending::Delivered, None);
-        rig.at(
-            rig.now + elapsed,
-            Event::Outcome(Outcome { id, attempt: 0, upstream, ending, elapsed, last, report }),
-        );
+        let (to, now) = (sent(&actions).expect("idle"), rig.now + elapsed);
+        served_after(&mut rig, now, id, to, elapsed);
     }
     (0..40).filter(|_| sent(&rig.submit(rig.now).1).is_some()).count()
 }
