--- /dev/null
+++ b/crates/fleet/src/mutant.rs
@@ -0,0 +1,69 @@
+//! Wrong versions of the parts that the promises rest on. The laboratory turns them on, one at a time, to
+//! see that its checker catches them; without the feature `mutants` none of them is in the program.
+
+/// One wrong version.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub enum Mutant {
+    /// The check of an effect takes any token.
+    TokenUnchecked,
+    /// A holder counts its time from the answer, not from when its renewal left.
+    CountedFromAnswer,
+    /// A voter's messages leave before its records are lasting.
+    SentUnsynced,
+    /// Voters count time on a clock that is set by hand.
+    WallClock,
+    /// A client stays with a voter that cannot serve it.
+    NeverLeaves,
+    /// A lease whose holder vanished goes on at once.
+    NoLockDelay,
+    /// A voter that lost its disk, or has an older copy, votes.
+    LostDiskVotes,
+    /// A session that expires leaves its leases behind.
+    ExpiryForgets,
+    /// A session is ended though it renewed meanwhile.
+    ExpiresRenewed,
+    /// A released lease is believed in again when an older list arrives.
+    BelievesReleased,
+    /// A granted wish is believed in without a renewal.
+    GrantBelieved,
+}
+
+impl Mutant {
+    /// All of them.
+    pub const ALL: [Mutant; 11] = [
+        Mutant::TokenUnchecked,
+        Mutant::CountedFromAnswer,
+        Mutant::SentUnsynced,
+        Mutant::WallClock,
+        Mutant::NeverLeaves,
+        Mutant::NoLockDelay,
+        Mutant::LostDiskVotes,
+        Mutant::ExpiryForgets,
+        Mutant::ExpiresRenewed,
+        Mutant::BelievesReleased,
+        Mutant::GrantBelieved,
+    ];
+}
+
+#[cfg(feature = "mutants")]
+thread_local! {
+    static ON: std::cell::Cell<Option<Mutant>> = const { std::cell::Cell::new(None) };
+}
+
+/// Turns a mutant on for this thread, or all off.
+#[cfg(feature = "mutants")]
+pub fn turn_on(mutant: Option<Mutant>) {
+    ON.with(|on| on.set(mutant));
+}
+
+/// Whether a mutant is on.
+#[cfg(feature = "mutants")]
+pub fn is(mutant: Mutant) -> bool {
+    ON.with(|on| on.get() == Some(mutant))
+}
+
+/// Whether a mutant is on: none is.
+#[cfg(not(feature = "mutants"))]
+pub const fn is(_: Mutant) -> bool {
+    false
+}
--- /dev/null
+++ b/crates/fleet/src/replica.rs
@@ -0,0 +1,387 @@
+//! The table kept the same on all voters, by the consensus library `raft`.
+//!
+//! The library reads a [`Mirror`], which is no disk: what it wants kept becomes [`Write`]s that the driver
+//! brings to the disk before anything of the same turn leaves. If the disk says no, the driver drops the
+//! whole replica with its messages and builds it anew from what is lasting. So nothing that left was ever
+//! promised by a disk that failed half way.
+
+use crate::table::{Entry, Table};
+use crate::VoterId;
+use protobuf::Message as _;
+use raft::eraftpb::{ConfState, Entry as LogEntry, EntryType, HardState, Message, MessageType, Snapshot};
+use raft::{Config, GetEntriesContext, RaftState, RawNode, SnapshotStatus, Storage, StorageError};
+use serde::{Deserialize, Serialize};
+use std::cell::RefCell;
+use std::rc::Rc;
+
+/// One change of what a voter has to remember.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub enum Write {
+    /// The term, the vote in it, and up to where the log is agreed on.
+    Hard {
+        /// The term.
+        term: u64,
+        /// Whom it voted for; 0 for nobody.
+        vote: VoterId,
+        /// Agreed on.
+        commit: u64,
+    },
+    /// Entries, in the library's own form, in the place of all from the first one's index on.
+    Append(Vec<Vec<u8>>),
+    /// The table as of an entry. Older entries may be forgotten.
+    Table {
+        /// The entry's index.
+        index: u64,
+        /// The entry's term.
+        term: u64,
+        /// The voters as of it.
+        voters: Vec<VoterId>,
+        /// The table as of it.
+        table: Box<Table>,
+    },
+    /// Entries up to this index are forgotten.
+    Forget {
+        /// The index.
+        index: u64,
+        /// That entry's term.
+        term: u64,
+    },
+}
+
+/// What a voter remembers, and what of it is not on its disk yet.
+#[derive(Clone, Debug, Default)]
+pub struct Mirror {
+    hard: HardState,
+    voters: Vec<VoterId>,
+    /// Index and term of the last entry that is forgotten.
+    base: (u64, u64),
+    log: Vec<LogEntry>,
+    /// Index, term, voters and table of the last snapshot.
+    snapshot: (u64, u64, Vec<VoterId>, Table),
+    fresh: Vec<Write>,
+}
+
+impl Mirror {
+    /// What a voter of a new fleet remembers.
+    pub fn new(voters: &[VoterId]) -> Mirror {
+        let snapshot = (0, 0, voters.to_vec(), Table::default());
+        Mirror { voters: voters.to_vec(), snapshot, ..Mirror::default() }
+    }
+
+    /// Takes in a write, at the start from the disk.
+    pub fn take(&mut self, write: Write) {
+        match write {
+            Write::Hard { term, vote, commit } => {
+                (self.hard.term, self.hard.vote, self.hard.commit) = (term, vote, commit);
+            }
+            Write::Append(entries) => {
+                let read = |bytes: &Vec<u8>| LogEntry::parse_from_bytes(bytes).ok();
+                let entries: Vec<LogEntry> = entries.iter().filter_map(read).collect();
+                let Some(first) = entries.first() else { return };
+                self.log.truncate(first.index.saturating_sub(self.base.0 + 1) as usize);
+                self.log.extend(entries);
+            }
+            Write::Table { index, term, voters, table } => {
+                if self.term_of(index) != Some(term) {
+                    // What is there of the log doesn't lead to the table: it is of no use behind it either.
+                    self.log.clear();
+                    self.base = (index, term);
+                }
+                self.hard.commit = self.hard.commit.max(index);
+                self.voters.clone_from(&voters);
+                self.snapshot = (index, term, voters, *table);
+            }
+            Write::Forget { index, term } => {
+                if index > self.base.0 {
+                    self.log.drain(..((index - self.base.0) as usize).min(self.log.len()));
+                    self.base = (index, term);
+                }
+            }
+        }
+    }
+
+    /// All of it as the fewest writes.
+    pub fn whole(&self) -> Vec<Write> {
+        let (index, term, voters, table) = self.snapshot.clone();
+        let (term_now, vote, commit) = (self.hard.term, self.hard.vote, self.hard.commit);
+        vec![
+            Write::Table { index: self.base.0, term: self.base.1, voters: voters.clone(), table: Box::default() },
+            Write::Append(self.log.iter().map(bytes_of).collect()),
+            Write::Table { index, term, voters, table: Box::new(table) },
+            Write::Hard { term: term_now, vote, commit },
+        ]
+    }
+
+    fn write(&mut self, write: Write) {
+        self.fresh.push(write.clone());
+        self.take(write);
+    }
+
+    fn last(&self) -> u64 {
+        self.base.0 + self.log.len() as u64
+    }
+
+    fn term_of(&self, index: u64) -> Option<u64> {
+        if index == self.base.0 {
+            return Some(self.base.1);
+        }
+        self.log.get(index.checked_sub(self.base.0 + 1)? as usize).map(|e| e.term)
+    }
+}
+
+fn bytes_of(entry: &LogEntry) -> Vec<u8> {
+    entry.write_to_bytes().expect("an entry is plain data")
+}
+
+/// The mirror as the library gets it.
+#[derive(Clone)]
+struct Shared(Rc<RefCell<Mirror>>);
+
+impl Storage for Shared {
+    fn initial_state(&self) -> raft::Result<RaftState> {
+        let mirror = self.0.borrow();
+        Ok(RaftState { hard_state: mirror.hard.clone(), conf_state: ConfState::from((mirror.voters.clone(), vec![])) })
+    }
+
+    fn entries(
+        &self,
+        low: u64,
+        high: u64,
+        most: impl Into<Option<u64>>,
+        _: GetEntriesContext,
+    ) -> raft::Result<Vec<LogEntry>> {
+        let mirror = self.0.borrow();
+        if low <= mirror.base.0 {
+            return Err(StorageError::Compacted.into());
+        }
+        let from = (low - mirror.base.0 - 1) as usize;
+        let to = (high - mirror.base.0 - 1) as usize;
+        let mut entries = mirror.log.get(from..to).ok_or(StorageError::Unavailable)?.to_vec();
+        raft::util::limit_size(&mut entries, most.into());
+        Ok(entries)
+    }
+
+    fn term(&self, index: u64) -> raft::Result<u64> {
+        let mirror = self.0.borrow();
+        if index < mirror.base.0 {
+            return Err(StorageError::Compacted.into());
+        }
+        mirror.term_of(index).ok_or_else(|| StorageError::Unavailable.into())
+    }
+
+    fn first_index(&self) -> raft::Result<u64> {
+        Ok(self.0.borrow().base.0 + 1)
+    }
+
+    fn last_index(&self) -> raft::Result<u64> {
+        Ok(self.0.borrow().last())
+    }
+
+    fn snapshot(&self, wanted: u64, _: u64) -> raft::Result<Snapshot> {
+        let mirror = self.0.borrow();
+        let (index, term, voters, table) = &mirror.snapshot;
+        if *index < wanted {
+            return Err(StorageError::SnapshotTemporarilyUnavailable.into());
+        }
+        let mut snapshot = Snapshot::default();
+        snapshot.data = postcard::to_stdvec(table).expect("a table is plain data").into();
+        let meta = snapshot.mut_metadata();
+        (meta.index, meta.term) = (*index, *term);
+        meta.set_conf_state(ConfState::from((voters.clone(), vec![])));
+        Ok(snapshot)
+    }
+}
+
+/// Turns of the library's clock between a leader's signs of life.
+const HEARTBEAT_TICKS: usize = 3;
+/// Turns without a sign of life until the first voter stands for leader; each next one waits longer by
+/// [`STAGGER_TICKS`]. Fixed instead of drawn, so that the same seed gives the same history.
+const ELECTION_TICKS: usize = 15;
+const STAGGER_TICKS: usize = 4;
+/// Entries taken in since the last snapshot until the next is made.
+const SNAPSHOT_EVERY: u64 = 2048;
+/// Entries kept behind a snapshot, for voters that lag a little.
+const KEPT: u64 = 256;
+/// Bytes of proposals that wait for agreement; more are dropped, and asked for again.
+const MOST_WAITING: u64 = 4 << 20;
+
+/// One step of the agreed order.
+pub enum Step {
+    /// The table as of a snapshot: whatever was known before is part of it.
+    Table(Table),
+    /// An entry.
+    Entry(Entry),
+}
+
+/// The agreed order of entries, as one voter has it.
+pub struct Replica {
+    node: RawNode<Shared>,
+    mirror: Rc<RefCell<Mirror>>,
+    taken: u64,
+    messages: Vec<Message>,
+}
+
+impl Replica {
+    /// A voter which remembers this. The first steps it gives lead from the empty table to where it was.
+    ///
+    /// # Errors
+    ///
+    /// Says what the library finds wrong.
+    pub fn new(voter: VoterId, mirror: Mirror) -> Result<Replica, String> {
+        let place = mirror.voters.iter().position(|v| *v == voter).unwrap_or(mirror.voters.len());
+        let wait = ELECTION_TICKS + STAGGER_TICKS * place;
+        let taken = mirror.snapshot.0;
+        let config = Config {
+            id: voter,
+            election_tick: ELECTION_TICKS,
+            heartbeat_tick: HEARTBEAT_TICKS,
+            min_election_tick: wait,
+            max_election_tick: wait + 1,
+            applied: taken,
+            max_size_per_msg: 1 << 20,
+            max_inflight_msgs: 64,
+            max_uncommitted_size: MOST_WAITING,
+            check_quorum: true,
+            pre_vote: true,
+            ..Config::default()
+        };
+        let mirror = Rc::new(RefCell::new(mirror));
+        let silent = slog::Logger::root(slog::Discard, slog::o!());
+        let node = RawNode::new(&config, Shared(mirror.clone()), &silent).map_err(|e| e.to_string())?;
+        Ok(Replica { node, mirror, taken, messages: Vec::new() })
+    }
+
+    /// The table as of the last snapshot: where the steps begin.
+    pub fn first(&self) -> Table {
+        self.mirror.borrow().snapshot.3.clone()
+    }
+
+    /// One turn of the library's clock.
+    pub fn tick(&mut self) {
+        self.node.tick();
+    }
+
+    /// Takes in another voter's message; one that can't be read or doesn't fit changes nothing.
+    pub fn receive(&mut self, from: VoterId, bytes: &[u8]) -> bool {
+        let Ok(message) = Message::parse_from_bytes(bytes) else { return false };
+        message.from == from && message.to == self.node.raft.id && self.node.step(message).is_ok()
+    }
+
+    /// The link to a voter is down: nothing of what is under way to it counts as sent.
+    pub fn unreachable(&mut self, voter: VoterId) {
+        self.node.report_unreachable(voter);
+    }
+
+    /// The leader, if this voter knows one.
+    pub fn leader(&self) -> Option<VoterId> {
+        Some(self.node.raft.leader_id).filter(|leader| *leader != raft::INVALID_ID)
+    }
+
+    /// Whether this voter leads.
+    pub fn leads(&self) -> bool {
+        self.node.raft.state == raft::StateRole::Leader
+    }
+
+    /// Puts an entry forward. `false` where no leader is known or too many wait: then nothing was done.
+    pub fn propose(&mut self, entry: &Entry) -> bool {
+        let bytes = postcard::to_stdvec(entry).expect("an entry is plain data");
+        self.leader().is_some() && self.node.propose(Vec::new(), bytes).is_ok()
+    }
+
+    /// What was agreed on since the last call, in order.
+    pub fn agreed(&mut self) -> Vec<Step> {
+        let mut steps = Vec::new();
+        while self.node.has_ready() {
+            let mut ready = self.node.ready();
+            let write = |write| self.mirror.borrow_mut().write(write);
+            if *ready.snapshot() != Snapshot::default() {
+                let snapshot = ready.snapshot().clone();
+                let (index, term) = (snapshot.get_metadata().index, snapshot.get_metadata().term);
+                let voters = snapshot.get_metadata().get_conf_state().voters.clone();
+                if let Ok(table) = postcard::from_bytes::<Table>(&snapshot.data) {
+                    write(Write::Table { index, term, voters, table: Box::new(table.clone()) });
+                    self.taken = index;
+                    steps.push(Step::Table(table));
+                }
+            }
+            if !ready.entries().is_empty() {
+                write(Write::Append(ready.entries().iter().map(bytes_of).collect()));
+            }
+            if let Some(hard) = ready.hs() {
+                write(Write::Hard { term: hard.term, vote: hard.vote, commit: hard.commit });
+            }
+            let mut messages = ready.take_messages();
+            messages.extend(ready.take_persisted_messages());
+            let committed = ready.take_committed_entries();
+            self.take(committed, &mut steps);
+            // The library may go on: nothing of this turn leaves before all of its writes are lasting.
+            let mut light = self.node.advance(ready);
+            if let Some(commit) = light.commit_index() {
+                let hard = self.mirror.borrow().hard.clone();
+                self.mirror.borrow_mut().write(Write::Hard { term: hard.term, vote: hard.vote, commit });
+            }
+            messages.extend(light.take_messages());
+            let committed = light.take_committed_entries();
+            self.take(committed, &mut steps);
+            self.node.advance_apply();
+            for message in &messages {
+                if message.get_msg_type() == MessageType::MsgSnapshot {
+                    // A snapshot that gets lost is found out like any other message that does.
+                    self.node.report_snapshot(message.to, SnapshotStatus::Finish);
+                }
+            }
+            self.messages.extend(messages);
+        }
+        steps
+    }
+
+    fn take(&mut self, committed: Vec<LogEntry>, steps: &mut Vec<Step>) {
+        for entry in committed {
+            self.taken = entry.index;
+            if entry.get_entry_type() == EntryType::EntryNormal && !entry.data.is_empty() {
+                // An entry that this version can't read changes nothing, on any voter of this version.
+                if let Ok(entry) = postcard::from_bytes(&entry.data) {
+                    steps.push(Step::Entry(entry));
+                }
+            }
+        }
+    }
+
+    /// The table as of now, for a snapshot, if one is due.
+    pub fn snapshot_due(&self) -> bool {
+        self.taken >= self.mirror.borrow().snapshot.0 + SNAPSHOT_EVERY
+    }
+
+    /// Takes a snapshot and forgets what lies well before it.
+    pub fn snapshot(&mut self, table: &Table) {
+        let mut mirror = self.mirror.borrow_mut();
+        let Some(term) = mirror.term_of(self.taken) else { return };
+        let voters = mirror.voters.clone();
+        mirror.write(Write::Table { index: self.taken, term, voters, table: Box::new(table.clone()) });
+        let index = self.taken.saturating_sub(KEPT);
+        if let Some(term) = mirror.term_of(index) {
+            mirror.write(Write::Forget { index, term });
+        }
+    }
+
+    /// Entries taken in.
+    pub fn taken(&self) -> u64 {
+        self.taken
+    }
+
+    /// What has to be lasting before any of the messages of [`Replica::messages`] leaves.
+    pub fn writes(&mut self) -> Vec<Write> {
+        std::mem::take(&mut self.mirror.borrow_mut().fresh)
+    }
+
+    /// All that has to be remembered, as the fewest writes.
+    pub fn whole(&self) -> Vec<Write> {
+        self.mirror.borrow().whole()
+    }
+
+    /// Messages for other voters.
+    pub fn messages(&mut self) -> Vec<(VoterId, Vec<u8>)> {
+        let write = |m: Message| (m.to, m.write_to_bytes().expect("a message is plain data"));
+        std::mem::take(&mut self.messages).into_iter().map(write).collect()
+    }
+}
--- /dev/null
+++ b/crates/fleet/src/table.rs
@@ -0,0 +1,626 @@
+//! Sessions, leases and tokens: what the voters agree on.
+//!
+//! The table reads no clock. That time has passed comes in as an entry like any other ([`Entry::Expire`],
+//! [`Entry::Lapse`], [`Entry::Unlock`]), and each of them names what its proposer had seen: if anything
+//! happened since, a renewal above all, the entry changes nothing. So it doesn't matter who proposes it, how
+//! late it comes, or how often.
+
+use crate::mutant::{is, Mutant};
+use crate::{SessionId, Token, VoterId};
+use serde::{Deserialize, Serialize};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
+
+/// Most bytes of a name, of a lease or a session.
+pub const MOST_NAME: usize = 128;
+/// Most bytes of an effect's note.
+pub const MOST_NOTE: usize = 1024;
+/// Most sessions at a time.
+pub const MOST_SESSIONS: usize = 4096;
+/// Most leases that are held, waited for, locked or remembered for their last effect.
+pub const MOST_LEASES: usize = 65_536;
+/// Most that wait for one lease.
+pub const MOST_WAITING: usize = 1024;
+/// The shortest and the longest time to live, in ms.
+pub const TTL_MS: std::ops::RangeInclusive<u64> = 500..=3_600_000;
+
+/// One thing that the voters agreed on.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Entry {
+    /// A process begins a session under a name. `nonce` tells one process from another.
+    Open {
+        /// The process's name.
+        name: String,
+        /// Drawn by the process at its start.
+        nonce: u64,
+        /// A session that falls silent for so long ends.
+        ttl_ms: u64,
+    },
+    /// The session is alive, with all of its leases. `count` grows by one with each renewal.
+    Renew {
+        /// Whose.
+        session: SessionId,
+        /// The renewal's number.
+        count: u64,
+    },
+    /// A session wants something. `seq` grows by one with each new wish; the same again is answered as the
+    /// first time.
+    Ask {
+        /// Whose.
+        session: SessionId,
+        /// The wish's number.
+        seq: u64,
+        /// The wish.
+        op: Op,
+    },
+    /// The session ends of its own will: its leases are free at once.
+    Close {
+        /// Whose.
+        session: SessionId,
+    },
+    /// The session has not renewed for its time to live since this renewal was seen.
+    Expire {
+        /// Whose.
+        session: SessionId,
+        /// Its last renewal that the proposer had seen.
+        renewals: u64,
+    },
+    /// The holder of a lease has not renewed for the lease's time to live.
+    Lapse {
+        /// The lease.
+        lease: String,
+        /// The grant that is to end.
+        token: Token,
+        /// The holder's last renewal that the proposer had seen.
+        renewals: u64,
+    },
+    /// The lock delay after a holder that vanished is over.
+    Unlock {
+        /// The lease.
+        lease: String,
+        /// The grant whose holder vanished.
+        token: Token,
+    },
+    /// Nothing but a mark in the order of things: a voter that wants to read what is true now proposes it
+    /// and reads when it comes by.
+    Mark {
+        /// The voter that reads.
+        by: VoterId,
+        /// Its number for this read.
+        ticket: u64,
+    },
+}
+
+/// What a session may want.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Op {
+    /// To hold a lease; to stand in line for it where `wait` says so.
+    Acquire {
+        /// The lease.
+        lease: String,
+        /// The grant ends when its holder has not renewed for so long.
+        ttl_ms: u64,
+        /// Stand in line if it isn't free.
+        wait: bool,
+    },
+    /// To let a lease go, or to leave its line.
+    Release {
+        /// The lease.
+        lease: String,
+    },
+    /// To hand a lease on to the session of this name, past the line.
+    Transfer {
+        /// The lease.
+        lease: String,
+        /// The name of the session that gets it.
+        to: String,
+    },
+    /// To take a lease from whoever holds it, without its consent: renewals no longer count for it, and it
+    /// goes on when the holder's last belief is over.
+    Evict {
+        /// The lease.
+        lease: String,
+    },
+    /// To have an effect noted under a grant: the check of effects that take place inside the fleet.
+    Effect {
+        /// The lease.
+        lease: String,
+        /// The grant.
+        token: Token,
+        /// What is noted.
+        note: String,
+    },
+}
+
+/// Why a wish was refused.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Refusal {
+    /// The session ended, or never was.
+    NoSession,
+    /// A session of this name lives, of another process.
+    NameTaken,
+    /// Another session holds the lease, or it is locked after a holder that vanished.
+    Held {
+        /// The holder's name; none while locked.
+        by: Option<String>,
+    },
+    /// The asker does not hold the lease, or no longer under this token.
+    NotHeld,
+    /// No session of this name is alive.
+    NoSuchName,
+    /// A name is empty, too long or holds control characters, a time to live or a note is out of bounds.
+    BadWish {
+        /// What is wrong.
+        problem: String,
+    },
+    /// A bound of the table is reached.
+    TooMany,
+    /// An older wish than one already answered.
+    Stale,
+}
+
+/// An answer.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Reply {
+    /// The session is open.
+    Opened {
+        /// Its number.
+        session: SessionId,
+    },
+    /// The renewal counts; these are the session's leases and grants.
+    Renewed {
+        /// The renewal's number.
+        count: u64,
+        /// Leases that the session holds, with token and time to live.
+        holds: Vec<Grant>,
+    },
+    /// The lease is the asker's.
+    Granted(Grant),
+    /// The asker stands in line.
+    Waiting,
+    /// Done: released, transferred or noted.
+    Done,
+    /// Refused.
+    Refused(Refusal),
+}
+
+/// A lease that was granted.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Grant {
+    /// The lease.
+    pub lease: String,
+    /// The grant's number.
+    pub token: Token,
+    /// Its time to live.
+    pub ttl_ms: u64,
+}
+
+/// A session as the voters know it.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Session {
+    /// The process's name.
+    pub name: String,
+    nonce: u64,
+    /// Its time to live.
+    pub ttl_ms: u64,
+    /// Its last renewal.
+    pub renewals: u64,
+    last: Option<(u64, Reply)>,
+    /// The leases that it holds, is to lose or stands in line for.
+    leases: BTreeSet<String>,
+}
+
+/// Who has a lease.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Holder {
+    /// Nobody.
+    Free,
+    /// A session.
+    Held {
+        /// Whose.
+        session: SessionId,
+        /// The grant's number.
+        token: Token,
+        /// The grant's time to live.
+        ttl_ms: u64,
+    },
+    /// A session that is to lose it: it no longer renews, and may believe until its time to live is over.
+    Leaving {
+        /// Whose.
+        session: SessionId,
+        /// The grant's number.
+        token: Token,
+        /// The grant's time to live.
+        ttl_ms: u64,
+    },
+    /// Nobody yet: the holder vanished, and what it had sent out may still arrive.
+    Locked {
+        /// The grant whose holder vanished.
+        token: Token,
+    },
+}
+
+/// A lease as the voters know it.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Lease {
+    /// Who has it.
+    pub holder: Holder,
+    /// Who stands in line, with the time to live each asked for, in order of asking.
+    pub line: VecDeque<(SessionId, u64)>,
+    /// The token of the last effect that was noted.
+    pub effect: Token,
+    /// What was noted last.
+    pub note: String,
+}
+
+impl Default for Lease {
+    fn default() -> Self {
+        Lease { holder: Holder::Free, line: VecDeque::new(), effect: 0, note: String::new() }
+    }
+}
+
+impl Lease {
+    /// Nothing worth remembering.
+    fn idle(&self) -> bool {
+        self.holder == Holder::Free && self.line.is_empty() && self.effect == 0
+    }
+}
+
+/// What an entry brought about, for those who watch.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Event {
+    /// A session began.
+    Opened(SessionId),
+    /// A session renewed.
+    Renewed(SessionId),
+    /// A session ended.
+    Ended(SessionId),
+    /// A lease was granted.
+    Granted {
+        /// To whom.
+        session: SessionId,
+        /// What.
+        grant: Grant,
+        /// By an entry of another session, so that nobody's answer says it.
+        unasked: bool,
+    },
+    /// A lease was taken from its holder, who may believe in it for its time to live.
+    Evicted {
+        /// The lease.
+        lease: String,
+        /// The grant.
+        token: Token,
+    },
+    /// A lease's holder vanished; the lock delay begins.
+    Locked {
+        /// The lease.
+        lease: String,
+        /// The grant.
+        token: Token,
+    },
+    /// A lease has no holder and nobody in line.
+    Freed(String),
+}
+
+/// What the voters agree on.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Table {
+    sessions: BTreeMap<SessionId, Session>,
+    leases: BTreeMap<String, Lease>,
+    last_session: SessionId,
+    last_token: Token,
+}
+
+fn name_problem(what: &str, name: &str) -> Option<Refusal> {
+    let problem = match name {
+        "" => "is empty",
+        _ if name.len() > MOST_NAME => "is longer than 128 bytes",
+        _ if name.chars().any(char::is_control) => "holds a control character",
+        _ => return None,
+    };
+    Some(Refusal::BadWish { problem: format!("the {what}'s name {problem}") })
+}
+
+fn ttl_problem(ttl_ms: u64) -> Option<Refusal> {
+    let problem = format!("a time to live of {ttl_ms} ms is not between 0.5 s and an hour");
+    (!TTL_MS.contains(&ttl_ms)).then_some(Refusal::BadWish { problem })
+}
+
+impl Table {
+    /// All sessions.
+    pub fn sessions(&self) -> &BTreeMap<SessionId, Session> {
+        &self.sessions
+    }
+
+    /// All leases that are held, waited for, locked, or under which an effect was noted.
+    pub fn leases(&self) -> &BTreeMap<String, Lease> {
+        &self.leases
+    }
+
+    /// Takes in one entry. Gives the answer for the session it came from, and what it brought about.
+    pub fn apply(&mut self, entry: &Entry) -> (Option<Reply>, Vec<Event>) {
+        let mut events = Vec::new();
+        let reply = match entry {
+            Entry::Open { name, nonce, ttl_ms } => Some(self.open(name, *nonce, *ttl_ms, &mut events)),
+            Entry::Renew { session, count } => Some(self.renew(*session, *count, &mut events)),
+            Entry::Ask { session, seq, op } => Some(self.ask(*session, *seq, op, &mut events)),
+            Entry::Close { session } => {
+                self.end(*session, false, &mut events);
+                None
+            }
+            Entry::Expire { session, renewals } => {
+                let seen = |s: &Session| s.renewals == *renewals || is(Mutant::ExpiresRenewed);
+                if self.sessions.get(session).is_some_and(seen) {
+                    self.end(*session, true, &mut events);
+                }
+                None
+            }
+            Entry::Lapse { lease, token, renewals } => {
+                let over = match self.leases.get(lease).map(|l| l.holder) {
+                    Some(Holder::Held { session, token: held, .. }) => {
+                        held == *token && self.sessions.get(&session).is_some_and(|s| s.renewals == *renewals)
+                    }
+                    Some(Holder::Leaving { token: held, .. }) => held == *token,
+                    _ => false,
+                };
+                if over {
+                    self.vacate(lease, true, &mut events);
+                }
+                None
+            }
+            Entry::Unlock { lease, token } => {
+                let locked = Holder::Locked { token: *token };
+                if let Some(known) = self.leases.get_mut(lease).filter(|l| l.holder == locked) {
+                    known.holder = Holder::Free;
+                    self.next_in_line(lease, &mut events);
+                }
+                None
+            }
+            Entry::Mark { .. } => None,
+        };
+        (reply, events)
+    }
+
+    fn open(&mut self, name: &str, nonce: u64, ttl_ms: u64, events: &mut Vec<Event>) -> Reply {
+        if let Some(refusal) = name_problem("session", name).or_else(|| ttl_problem(ttl_ms)) {
+            return Reply::Refused(refusal);
+        }
+        if let Some((&session, known)) = self.sessions.iter().find(|(_, s)| s.name == name) {
+            // The same process again, which missed the first answer, gets it again. Guards against two
+            // processes under one name holding the same leases.
+            return match known.nonce == nonce {
+                true => Reply::Opened { session },
+                false => Reply::Refused(Refusal::NameTaken),
+            };
+        }
+        if self.sessions.len() >= MOST_SESSIONS {
+            return Reply::Refused(Refusal::TooMany);
+        }
+        self.last_session += 1;
+        let session = Session { name: name.to_owned(), nonce, ttl_ms, renewals: 0, last: None, leases: BTreeSet::new() };
+        self.sessions.insert(self.last_session, session);
+        events.push(Event::Opened(self.last_session));
+        Reply::Opened { session: self.last_session }
+    }
+
+    fn renew(&mut self, session: SessionId, count: u64, events: &mut Vec<Event>) -> Reply {
+        let Some(known) = self.sessions.get_mut(&session) else {
+            return Reply::Refused(Refusal::NoSession);
+        };
+        if count <= known.renewals {
+            return Reply::Refused(Refusal::Stale);
+        }
+        known.renewals = count;
+        events.push(Event::Renewed(session));
+        Reply::Renewed { count, holds: self.holds(session) }
+    }
+
+    /// The leases that a session holds.
+    pub fn holds(&self, session: SessionId) -> Vec<Grant> {
+        let held = |name: &String| match self.leases.get(name)?.holder {
+            Holder::Held { session: by, token, ttl_ms } if by == session => {
+                Some(Grant { lease: name.clone(), token, ttl_ms })
+            }
+            _ => None,
+        };
+        self.sessions.get(&session).map(|s| s.leases.iter().filter_map(held).collect()).unwrap_or_default()
+    }
+
+    fn ask(&mut self, session: SessionId, seq: u64, op: &Op, events: &mut Vec<Event>) -> Reply {
+        let Some(known) = self.sessions.get(&session) else { return Reply::Refused(Refusal::NoSession) };
+        // Guards against a wish that was held up on its way and arrives again behind its own undoing.
+        match &known.last {
+            Some((last, reply)) if *last == seq => return reply.clone(),
+            Some((last, _)) if *last > seq => return Reply::Refused(Refusal::Stale),
+            _ => {}
+        }
+        let reply = self.grant_wish(session, op, events).unwrap_or_else(Reply::Refused);
+        if let Some(known) = self.sessions.get_mut(&session) {
+            known.last = Some((seq, reply.clone()));
+        }
+        reply
+    }
+
+    fn grant_wish(
+        &mut self,
+        session: SessionId,
+        op: &Op,
+        events: &mut Vec<Event>,
+    ) -> Result<Reply, Refusal> {
+        match op {
+            Op::Acquire { lease, ttl_ms, wait } => self.acquire(session, lease, *ttl_ms, *wait, events),
+            Op::Release { lease } => {
+                let known = self.leases.get_mut(lease).ok_or(Refusal::NotHeld)?;
+                let waiting = known.line.len();
+                known.line.retain(|(s, _)| *s != session);
+                let left = known.line.len() < waiting;
+                match known.holder {
+                    Holder::Held { session: by, .. } | Holder::Leaving { session: by, .. } if by == session => {
+                        self.vacate(lease, false, events);
+                    }
+                    _ if left => self.forget(lease),
+                    _ => return Err(Refusal::NotHeld),
+                }
+                self.unbind(session, lease);
+                Ok(Reply::Done)
+            }
+            Op::Transfer { lease, to } => {
+                let other = self.sessions.iter().find(|(_, s)| s.name == *to).map(|(id, _)| *id);
+                let ttl_ms = match self.leases.get(lease).map(|l| l.holder) {
+                    Some(Holder::Held { session: by, ttl_ms, .. }) if by == session => ttl_ms,
+                    _ => return Err(Refusal::NotHeld),
+                };
+                let other = other.ok_or(Refusal::NoSuchName)?;
+                if let Some(known) = self.leases.get_mut(lease) {
+                    known.line.retain(|(s, _)| *s != other);
+                }
+                self.unbind(session, lease);
+                self.give(lease, other, ttl_ms, true, events);
+                Ok(Reply::Done)
+            }
+            Op::Evict { lease } => {
+                let known = self.leases.get_mut(lease).ok_or(Refusal::NotHeld)?;
+                let Holder::Held { session, token, ttl_ms } = known.holder else { return Err(Refusal::NotHeld) };
+                known.holder = Holder::Leaving { session, token, ttl_ms };
+                events.push(Event::Evicted { lease: lease.clone(), token });
+                Ok(Reply::Done)
+            }
+            Op::Effect { lease, token, note } => {
+                if note.len() > MOST_NOTE {
+                    return Err(Refusal::BadWish { problem: "the note is longer than 1024 bytes".to_owned() });
+                }
+                let known = self.leases.get_mut(lease).ok_or(Refusal::NotHeld)?;
+                match known.holder {
+                    Holder::Held { session: by, token: held, .. } if (by == session && held == *token) || is(Mutant::TokenUnchecked) => {
+                        (known.effect, known.note) = (*token, note.clone());
+                        Ok(Reply::Done)
+                    }
+                    _ => Err(Refusal::NotHeld),
+                }
+            }
+        }
+    }
+
+    fn acquire(
+        &mut self,
+        session: SessionId,
+        lease: &str,
+        ttl_ms: u64,
+        wait: bool,
+        events: &mut Vec<Event>,
+    ) -> Result<Reply, Refusal> {
+        if let Some(refusal) = name_problem("lease", lease).or_else(|| ttl_problem(ttl_ms)) {
+            return Err(refusal);
+        }
+        if self.leases.len() >= MOST_LEASES && !self.leases.contains_key(lease) {
+            return Err(Refusal::TooMany);
+        }
+        let known = self.leases.entry(lease.to_owned()).or_default();
+        match known.holder {
+            Holder::Free => Ok(Reply::Granted(self.give(lease, session, ttl_ms, false, events))),
+            Holder::Held { session: by, token, ttl_ms } if by == session => {
+                Ok(Reply::Granted(Grant { lease: lease.to_owned(), token, ttl_ms }))
+            }
+            _ if wait && known.line.iter().any(|(s, _)| *s == session) => Ok(Reply::Waiting),
+            _ if wait && known.line.len() >= MOST_WAITING => Err(Refusal::TooMany),
+            _ if wait => {
+                known.line.push_back((session, ttl_ms));
+                self.bind(session, lease);
+                Ok(Reply::Waiting)
+            }
+            Holder::Held { session: by, .. } | Holder::Leaving { session: by, .. } => {
+                Err(Refusal::Held { by: self.sessions.get(&by).map(|s| s.name.clone()) })
+            }
+            Holder::Locked { .. } => Err(Refusal::Held { by: None }),
+        }
+    }
+
+    /// Makes a session the holder, under a new token.
+    fn give(
+        &mut self,
+        lease: &str,
+        session: SessionId,
+        ttl_ms: u64,
+        unasked: bool,
+        events: &mut Vec<Event>,
+    ) -> Grant {
+        self.last_token += 1;
+        let token = self.last_token;
+        let known = self.leases.entry(lease.to_owned()).or_default();
+        known.holder = Holder::Held { session, token, ttl_ms };
+        self.bind(session, lease);
+        let grant = Grant { lease: lease.to_owned(), token, ttl_ms };
+        events.push(Event::Granted { session, grant: grant.clone(), unasked });
+        grant
+    }
+
+    fn bind(&mut self, session: SessionId, lease: &str) {
+        if let Some(known) = self.sessions.get_mut(&session) {
+            known.leases.insert(lease.to_owned());
+        }
+    }
+
+    fn unbind(&mut self, session: SessionId, lease: &str) {
+        if let Some(known) = self.sessions.get_mut(&session) {
+            known.leases.remove(lease);
+        }
+    }
+
+    /// Takes a lease from its holder: locked where the holder vanished, else to the next in line.
+    fn vacate(&mut self, lease: &str, vanished: bool, events: &mut Vec<Event>) {
+        let Some(known) = self.leases.get_mut(lease) else { return };
+        let (Holder::Held { token, session, .. } | Holder::Leaving { token, session, .. }) = known.holder else {
+            return;
+        };
+        let waits = known.line.iter().any(|(s, _)| *s == session);
+        if !waits {
+            self.unbind(session, lease);
+        }
+        let Some(known) = self.leases.get_mut(lease) else { return };
+        if vanished && !is(Mutant::NoLockDelay) {
+            known.holder = Holder::Locked { token };
+            events.push(Event::Locked { lease: lease.to_owned(), token });
+        } else {
+            known.holder = Holder::Free;
+            self.next_in_line(lease, events);
+        }
+    }
+
+    fn next_in_line(&mut self, lease: &str, events: &mut Vec<Event>) {
+        let Some(known) = self.leases.get_mut(lease) else { return };
+        match known.line.pop_front() {
+            Some((session, ttl_ms)) => {
+                self.give(lease, session, ttl_ms, true, events);
+            }
+            None => {
+                events.push(Event::Freed(lease.to_owned()));
+                self.forget(lease);
+            }
+        }
+    }
+
+    /// Drops a lease of which nothing is worth remembering.
+    fn forget(&mut self, lease: &str) {
+        if self.leases.get(lease).is_some_and(Lease::idle) {
+            self.leases.remove(lease);
+        }
+    }
+
+    /// Ends a session: it leaves every line, and every lease it holds goes on.
+    fn end(&mut self, session: SessionId, vanished: bool, events: &mut Vec<Event>) {
+        let Some(ended) = self.sessions.remove(&session) else { return };
+        events.push(Event::Ended(session));
+        for name in &ended.leases {
+            let Some(lease) = self.leases.get_mut(name) else { continue };
+            lease.line.retain(|(s, _)| *s != session);
+            match lease.holder {
+                Holder::Held { session: by, .. } | Holder::Leaving { session: by, .. } if by == session => {
+                    if is(Mutant::ExpiryForgets) && vanished {
+                        continue;
+                    }
+                    self.vacate(name, vanished, events);
+                }
+                _ => self.forget(name),
+            }
+        }
+    }
+}
--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod random;
 pub mod results;
 pub mod rivals;
+pub mod siege;
 pub mod sockets;
 pub mod stats;
 pub mod tables;
--- /dev/null
+++ b/crates/lab/src/siege/timed.rs
@@ -0,0 +1,974 @@
+//! A siege in simulated time: the real voters with their journals, the real clients and frames, on links,
+//! disks and clocks that fail as the seed says.
+
+use super::clock::Clock;
+use super::history::{check, Act, Belief, History, Noted, Violation};
+use crate::random::{Stream, Streams};
+use passrelay_fleet::client::{Client, News};
+use passrelay_fleet::mutant::{is, turn_on, Mutant};
+use passrelay_fleet::table::{Op, Reply};
+use passrelay_fleet::voter::{Rank, To};
+use passrelay_fleet::wire::{decode, encode, Frame};
+use passrelay_links::seat::Seat;
+use passrelay_store::{Fault, MemoryDisk};
+use rand::Rng;
+use std::cmp::Reverse;
+use std::collections::{BTreeMap, BinaryHeap, HashMap, VecDeque};
+use std::time::Duration;
+
+/// The fleet's number in frames.
+const FLEET: u64 = 7;
+/// The lock delay of these fleets, in seconds.
+const LOCK_DELAY: f64 = 0.2;
+/// Faults begin here: the first start needs all voters.
+const CALM_UNTIL: f64 = 2.0;
+/// After the last fault, so long for everyone to get on.
+const HEALING: f64 = 14.0;
+/// A session's time to live.
+const SESSION: Duration = Duration::from_millis(2000);
+/// How long a process waits in line before it leaves it.
+const PATIENCE: f64 = 8.0;
+
+/// What is played.
+#[derive(Clone, Copy, Debug)]
+pub struct Plan {
+    /// Voters.
+    pub voters: usize,
+    /// Clients.
+    pub clients: usize,
+    /// Seconds with faults.
+    pub seconds: f64,
+    /// The seed.
+    pub seed: u64,
+    /// A wrong version of a part, to see that it is caught.
+    pub mutant: Option<Mutant>,
+}
+
+/// What a history came to.
+#[derive(Clone, Debug, Default)]
+pub struct Outcome {
+    /// What is wrong.
+    pub violations: Vec<Violation>,
+    /// The faults, in order.
+    pub faults: Vec<String>,
+    /// Grants that somebody believed in.
+    pub grants: usize,
+    /// Acts outside and effects inside.
+    pub effects: usize,
+}
+
+type ProcId = usize;
+type ConnId = usize;
+
+#[derive(Clone, Debug)]
+enum Item {
+    Open,
+    Bytes(Vec<u8>),
+    Close,
+}
+
+struct Conn {
+    ends: [ProcId; 2],
+    open: [bool; 2],
+    /// When the last item arrives in each direction: links keep the order.
+    last: [f64; 2],
+    held: [VecDeque<Item>; 2],
+}
+
+enum Event {
+    Arrive { conn: ConnId, to: usize, item: Item },
+    Tick { proc: ProcId, life: u32 },
+    Fault,
+    Undo(Undo),
+    Land(Act),
+}
+
+#[derive(Clone, Debug)]
+enum Undo {
+    Heal(ProcId, ProcId),
+    Go(ProcId),
+    Start(ProcId),
+    Disk(ProcId),
+}
+
+struct Due(f64, u64, Event);
+
+impl PartialEq for Due {
+    fn eq(&self, other: &Due) -> bool {
+        (self.0, self.1) == (other.0, other.1)
+    }
+}
+impl Eq for Due {}
+impl PartialOrd for Due {
+    fn partial_cmp(&self, other: &Due) -> Option<std::cmp::Ordering> {
+        Some(self.cmp(other))
+    }
+}
+impl Ord for Due {
+    fn cmp(&self, other: &Due) -> std::cmp::Ordering {
+        self.0.total_cmp(&other.0).then(self.1.cmp(&other.1))
+    }
+}
+
+/// What a client process is about.
+#[derive(Clone, Debug)]
+enum Doing {
+    Idle { until: f64 },
+    Wanting { lease: String, since: f64, ttl_ms: u64, wait: bool },
+    Acting { lease: String, next: f64, end: f64, busy: f64 },
+    Leaving { seq: u64 },
+}
+
+struct Member {
+    client: Client,
+    conn: Option<ConnId>,
+    voter: usize,
+    call_at: f64,
+    doing: Doing,
+    /// Effects asked of the fleet: lease, token, when.
+    asked: BTreeMap<u64, (String, u64, f64)>,
+    beliefs: HashMap<(String, u64), (f64, Duration)>,
+    served: u32,
+    calm: bool,
+}
+
+struct Desk {
+    seat: Option<Seat<MemoryDisk>>,
+    disk: MemoryDisk,
+    old: Option<MemoryDisk>,
+    called: Vec<Option<ConnId>>,
+    call_at: Vec<f64>,
+    /// Its disk was lost or is an older copy: it is out until it is removed and added anew.
+    out: bool,
+}
+
+enum Role {
+    Voter(Box<Desk>),
+    Client(Box<Member>),
+}
+
+struct Proc {
+    name: String,
+    clock: Clock,
+    /// What somebody set the wall clock ahead by.
+    wall: f64,
+    up: bool,
+    stopped: bool,
+    inbox: VecDeque<(ConnId, usize, Item)>,
+    life: u32,
+    role: Role,
+}
+
+struct World {
+    plan: Plan,
+    now: f64,
+    number: u64,
+    due: BinaryHeap<Reverse<Due>>,
+    procs: Vec<Proc>,
+    conns: Vec<Conn>,
+    cut: Vec<Vec<bool>>,
+    delay: f64,
+    random: Stream,
+    faults: Vec<String>,
+    history: History,
+    targets: BTreeMap<String, u64>,
+    healing: bool,
+}
+
+/// Plays one history.
+pub fn play(plan: Plan) -> Outcome {
+    turn_on(plan.mutant);
+    let mut world = World::new(plan);
+    world.run();
+    turn_on(None);
+    let History { beliefs, acts, noted, .. } = &world.history;
+    Outcome {
+        grants: beliefs.iter().map(|b| b.token).collect::<std::collections::BTreeSet<_>>().len(),
+        effects: acts.len() + noted.len(),
+        violations: check(&world.history),
+        faults: world.faults,
+    }
+}
+
+impl World {
+    fn new(plan: Plan) -> World {
+        let mut random = Streams::new(plan.seed).of("siege", 0);
+        let size = plan.voters + plan.clients;
+        let mut procs = Vec::new();
+        for at in 0..size {
+            let clock = Clock::new(random.random_range(0.0..86_400.0), random.random_range(0.91..1.09));
+            let voter = at < plan.voters;
+            let name = if voter { format!("voter-{}", at + 1) } else { format!("client-{}", at - plan.voters) };
+            let role = if voter {
+                Role::Voter(Box::new(Desk {
+                    seat: None,
+                    disk: MemoryDisk::default(),
+                    old: None,
+                    called: vec![None; plan.voters],
+                    call_at: vec![0.0; plan.voters],
+                    out: false,
+                }))
+            } else {
+                Role::Client(Box::new(Member::new(&name, random.random(), random.random_range(0..plan.voters))))
+            };
+            let inbox = VecDeque::new();
+            procs.push(Proc { name, clock, wall: 0.0, up: false, stopped: false, inbox, life: 0, role });
+        }
+        let mut world = World {
+            plan,
+            now: 0.0,
+            number: 0,
+            due: BinaryHeap::new(),
+            procs,
+            conns: Vec::new(),
+            cut: vec![vec![false; size]; size],
+            delay: 0.001,
+            random,
+            faults: Vec::new(),
+            history: History { grace: LOCK_DELAY / 1.1, ..History::default() },
+            targets: BTreeMap::new(),
+            healing: false,
+        };
+        (0..size).for_each(|p| world.start(p));
+        world.at(CALM_UNTIL, Event::Fault);
+        world
+    }
+
+    fn at(&mut self, time: f64, event: Event) {
+        self.number += 1;
+        self.due.push(Reverse(Due(time, self.number, event)));
+    }
+
+    fn run(&mut self) {
+        let end = CALM_UNTIL + self.plan.seconds;
+        while let Some(Reverse(Due(time, _, event))) = self.due.pop() {
+            if time >= end && !self.healing {
+                self.heal_all();
+            }
+            if time >= end + HEALING {
+                break;
+            }
+            self.now = time;
+            match event {
+                Event::Arrive { conn, to, item } => self.arrive(conn, to, item),
+                Event::Tick { proc, life } => self.tick(proc, life),
+                Event::Fault if !self.healing => {
+                    self.fault();
+                    let next = self.now + self.random.random_range(0.05..1.2);
+                    self.at(next, Event::Fault);
+                }
+                Event::Fault => {}
+                Event::Undo(undo) => self.undo(&undo),
+                Event::Land(act) => self.land(act),
+            }
+        }
+        self.conclude();
+    }
+
+    fn local(&self, proc: ProcId) -> Duration {
+        let wall = if is(Mutant::WallClock) { self.procs[proc].wall } else { 0.0 };
+        self.procs[proc].clock.shows(self.now) + Duration::from_secs_f64(wall)
+    }
+
+    // Processes.
+
+    fn start(&mut self, proc: ProcId) {
+        let now = self.local(proc);
+        let fresh = self.random.random();
+        let voters = self.plan.voters;
+        let p = &mut self.procs[proc];
+        (p.up, p.stopped, p.life) = (true, false, p.life + 1);
+        p.inbox.clear();
+        match &mut p.role {
+            Role::Voter(desk) => {
+                let rank = Rank {
+                    voter: proc as u64 + 1,
+                    voters: (1..=voters as u64).collect(),
+                    lock_delay: Duration::from_secs_f64(LOCK_DELAY),
+                    new_disk: fresh,
+                };
+                let disk = desk.disk.clone();
+                let open = Box::new(move || Ok(disk.clone()));
+                // A disk that is full at the start: the seat is tried again with the next tick.
+                desk.seat = Seat::open(rank, open, now).ok();
+                desk.called = vec![None; voters];
+                desk.call_at = vec![0.0; voters];
+            }
+            Role::Client(member) => {
+                let (voter, calm, served) = (member.voter, member.calm, member.served);
+                **member = Member::new(&p.name.clone(), fresh, voter);
+                (member.calm, member.served) = (calm, served);
+            }
+        }
+        let life = p.life;
+        self.at(self.now, Event::Tick { proc, life });
+    }
+
+    fn kill(&mut self, proc: ProcId) {
+        if !self.procs[proc].up {
+            return;
+        }
+        self.end_beliefs(proc);
+        let p = &mut self.procs[proc];
+        (p.up, p.stopped) = (false, false);
+        p.inbox.clear();
+        if let Role::Voter(desk) = &mut p.role {
+            desk.seat = None;
+        }
+        for conn in 0..self.conns.len() {
+            for end in 0..2 {
+                if self.conns[conn].ends[end] == proc {
+                    self.close(conn, end);
+                }
+            }
+        }
+    }
+
+    // Links.
+
+    fn call(&mut self, from: ProcId, to: ProcId) -> ConnId {
+        self.conns.push(Conn {
+            ends: [from, to],
+            open: [true, true],
+            last: [self.now; 2],
+            held: [VecDeque::new(), VecDeque::new()],
+        });
+        let conn = self.conns.len() - 1;
+        self.send(conn, 0, Item::Open);
+        conn
+    }
+
+    /// Sends from an end of a connection.
+    fn send(&mut self, conn: ConnId, end: usize, item: Item) {
+        let c = &mut self.conns[conn];
+        let (from, to) = (c.ends[end], c.ends[1 - end]);
+        if self.cut[from][to] || !c.held[end].is_empty() {
+            c.held[end].push_back(item);
+            return;
+        }
+        let delay = self.delay * self.random.random_range(0.2..2.0);
+        let c = &mut self.conns[conn];
+        let time = (self.now + delay).max(c.last[end] + 1e-7);
+        c.last[end] = time;
+        self.at(time, Event::Arrive { conn, to: 1 - end, item });
+    }
+
+    fn close(&mut self, conn: ConnId, end: usize) {
+        if std::mem::replace(&mut self.conns[conn].open[end], false) {
+            self.send(conn, end, Item::Close);
+        }
+    }
+
+    fn heal(&mut self, from: ProcId, to: ProcId) {
+        self.cut[from][to] = false;
+        for conn in 0..self.conns.len() {
+            for end in 0..2 {
+                let c = &mut self.conns[conn];
+                if c.ends[end] == from && c.ends[1 - end] == to && !c.held[end].is_empty() {
+                    for item in std::mem::take(&mut c.held[end]) {
+                        self.send(conn, end, item);
+                    }
+                }
+            }
+        }
+    }
+
+    fn arrive(&mut self, conn: ConnId, end: usize, item: Item) {
+        let proc = self.conns[conn].ends[end];
+        let p = &mut self.procs[proc];
+        if p.stopped {
+            p.inbox.push_back((conn, end, item));
+        } else if !p.up || matches!(&p.role, Role::Voter(desk) if desk.seat.is_none()) {
+            self.close(conn, end);
+        } else if self.conns[conn].open[end] {
+            self.take(proc, conn, end, item);
+        }
+    }
+
+    fn take(&mut self, proc: ProcId, conn: ConnId, end: usize, item: Item) {
+        let now = self.local(proc);
+        let frame = match &item {
+            Item::Bytes(bytes) => match decode(FLEET, bytes) {
+                Ok(Some((frame, _))) => Some(frame),
+                _ => return self.close(conn, end),
+            },
+            _ => None,
+        };
+        if matches!(item, Item::Close) {
+            self.conns[conn].open[end] = false;
+        }
+        let other = self.conns[conn].ends[1 - end];
+        match &mut self.procs[proc].role {
+            Role::Voter(desk) => {
+                let Some(seat) = &mut desk.seat else { return };
+                match (frame, end) {
+                    (Some(frame), 0) if desk.called[other] == Some(conn) => {
+                        seat.called_back(other as u64 + 1, frame);
+                    }
+                    (Some(frame), 1) => {
+                        if !seat.receive(conn as u64, frame, now) {
+                            seat.gone(conn as u64);
+                            self.close(conn, end);
+                        }
+                    }
+                    (None, 0) if desk.called[other] == Some(conn) => {
+                        desk.called[other] = None;
+                        seat.unlinked(other as u64 + 1);
+                    }
+                    (None, 1) if matches!(item, Item::Close) => seat.gone(conn as u64),
+                    _ => {}
+                }
+                self.turn(proc);
+            }
+            Role::Client(member) => {
+                if member.conn != Some(conn) {
+                    return;
+                }
+                match frame {
+                    Some(Frame::Answer(answer)) => member.client.receive(answer, now),
+                    Some(_) => {}
+                    None => {
+                        member.conn = None;
+                        member.client.down();
+                    }
+                }
+                self.serve(proc);
+            }
+        }
+    }
+
+    // Time.
+
+    fn tick(&mut self, proc: ProcId, life: u32) {
+        if self.procs[proc].life != life || !self.procs[proc].up {
+            return;
+        }
+        if !self.procs[proc].stopped {
+            match self.procs[proc].role {
+                Role::Voter(_) => self.tick_voter(proc),
+                Role::Client(_) => self.tick_client(proc),
+            }
+        }
+        let next = self.now + self.random.random_range(0.015..0.025);
+        self.at(next, Event::Tick { proc, life });
+    }
+
+    fn tick_voter(&mut self, proc: ProcId) {
+        let now = self.local(proc);
+        let Role::Voter(desk) = &mut self.procs[proc].role else { return };
+        let Some(seat) = &mut desk.seat else {
+            // A new life has a tick of its own.
+            return self.start(proc);
+        };
+        let reset = seat.tick(now).reset;
+        if reset {
+            self.reset(proc);
+        }
+        for other in 0..self.plan.voters {
+            let Role::Voter(desk) = &mut self.procs[proc].role else { return };
+            if other == proc || desk.called[other].is_some() || self.now < desk.call_at[other] {
+                continue;
+            }
+            let wait = self.random.random_range(0.05..0.3);
+            let conn = self.call(proc, other);
+            let Role::Voter(desk) = &mut self.procs[proc].role else { return };
+            desk.called[other] = Some(conn);
+            desk.call_at[other] = self.now + wait;
+            if let Some(seat) = &mut desk.seat {
+                seat.linked(other as u64 + 1);
+            }
+        }
+        self.turn(proc);
+    }
+
+    /// Closes all of a voter's links.
+    fn reset(&mut self, proc: ProcId) {
+        for conn in 0..self.conns.len() {
+            for end in 0..2 {
+                if self.conns[conn].ends[end] == proc {
+                    self.close(conn, end);
+                }
+            }
+        }
+        if let Role::Voter(desk) = &mut self.procs[proc].role {
+            desk.called.fill(None);
+        }
+    }
+
+    fn turn(&mut self, proc: ProcId) {
+        let now = self.local(proc);
+        let Role::Voter(desk) = &mut self.procs[proc].role else { return };
+        let Some(seat) = &mut desk.seat else { return };
+        let outcome = seat.turn(now);
+        let called = desk.called.clone();
+        if outcome.reset {
+            return self.reset(proc);
+        }
+        for (to, frame) in outcome.frames {
+            let (conn, end) = match to {
+                To::Voter(voter) => (called[voter as usize - 1], 0),
+                To::Link(link) => (Some(link as usize), 1),
+            };
+            if let Some(conn) = conn.filter(|c| self.conns[*c].open[end]) {
+                self.send(conn, end, Item::Bytes(encode(FLEET, &frame)));
+            }
+        }
+    }
+
+    fn tick_client(&mut self, proc: ProcId) {
+        let now = self.local(proc);
+        let voters = self.plan.voters;
+        let Role::Client(member) = &mut self.procs[proc].role else { return };
+        if member.client.wants_another(now) {
+            if let Some(conn) = member.conn.take() {
+                member.client.down();
+                self.close(conn, 0);
+            }
+        }
+        let Role::Client(member) = &mut self.procs[proc].role else { return };
+        if member.conn.is_none() && self.now >= member.call_at {
+            if !is(Mutant::NeverLeaves) {
+                member.voter = (member.voter + 1) % voters;
+            }
+            let voter = member.voter;
+            let conn = self.call(proc, voter);
+            let wait = self.random.random_range(0.02..0.15);
+            let Role::Client(member) = &mut self.procs[proc].role else { return };
+            member.conn = Some(conn);
+            member.call_at = self.now + wait;
+            member.client.up(now);
+        }
+        let Role::Client(member) = &mut self.procs[proc].role else { return };
+        member.client.tick(now);
+        self.serve(proc);
+    }
+
+    /// Lets a client's process act on what it heard, and sends what it says.
+    fn serve(&mut self, proc: ProcId) {
+        let (local, now) = (self.local(proc), self.now);
+        let p = &mut self.procs[proc];
+        let Role::Client(member) = &mut p.role else { return };
+        for news in member.client.news() {
+            if let Some(noted) = member.hear(news, now, &p.name) {
+                self.history.noted.push(noted);
+            }
+        }
+        let others = self.plan.clients as u64;
+        let landing = member.act(local, now, &p.name, self.healing, others, &mut self.random);
+        let (says, conn) = (member.client.says(), member.conn);
+        if let Some(act) = landing {
+            self.at(act.arrived, Event::Land(act));
+        }
+        self.note_beliefs(proc);
+        if let Some(conn) = conn.filter(|c| self.conns[*c].open[0]) {
+            for say in says {
+                self.send(conn, 0, Item::Bytes(encode(FLEET, &Frame::Client(say))));
+            }
+        }
+    }
+
+    /// An act reaches its target, which keeps the highest token it has seen.
+    fn land(&mut self, act: Act) {
+        let highest = self.targets.entry(act.lease.clone()).or_default();
+        let accepted = act.token >= *highest;
+        *highest = act.token.max(*highest);
+        self.history.acts.push(Act { accepted, ..act });
+    }
+
+    // Beliefs.
+
+    fn note_beliefs(&mut self, proc: ProcId) {
+        let (local, now) = (self.local(proc), self.now);
+        let Role::Client(member) = &mut self.procs[proc].role else { return };
+        let guards = member.client.guards(local);
+        let believed = |key: &(String, u64)| guards.iter().any(|g| g.lease() == key.0 && g.token() == key.1);
+        // What was let go ended now; what merely ran out ended when it said it would.
+        let ended: Vec<_> =
+            member.beliefs.iter().filter(|(key, _)| !believed(key)).map(|(k, v)| (k.clone(), *v)).collect();
+        for guard in &guards {
+            let key = (guard.lease().to_owned(), guard.token());
+            let (_, until) = member.beliefs.entry(key).or_insert((now, guard.until()));
+            *until = guard.until();
+        }
+        for (key, _) in &ended {
+            member.beliefs.remove(key);
+        }
+        for (key, (from, until)) in ended {
+            self.keep_belief(proc, key, from, until);
+        }
+    }
+
+    fn keep_belief(&mut self, proc: ProcId, (lease, token): (String, u64), from: f64, until: Duration) {
+        let p = &self.procs[proc];
+        let wall = if is(Mutant::WallClock) { p.wall } else { 0.0 };
+        let to = p.clock.when(until.saturating_sub(Duration::from_secs_f64(wall)));
+        let process = format!("{}.{}", p.name, p.life);
+        self.history.beliefs.push(Belief { process, lease, token, from, to: to.min(self.now).max(from) });
+    }
+
+    /// Its beliefs end now, at the latest.
+    fn end_beliefs(&mut self, proc: ProcId) {
+        self.note_beliefs(proc);
+        let Role::Client(member) = &mut self.procs[proc].role else { return };
+        for (key, (from, until)) in std::mem::take(&mut member.beliefs) {
+            self.keep_belief(proc, key, from, until);
+        }
+    }
+
+    // Faults.
+
+    fn say(&mut self, what: String) {
+        self.faults.push(format!("{:.3} {what}", self.now));
+    }
+
+    fn undo_in(&mut self, from: f64, to: f64, undo: Undo) {
+        let time = self.now + self.random.random_range(from..to);
+        self.at(time, Event::Undo(undo));
+    }
+
+    fn cut_link(&mut self, from: ProcId, to: ProcId, longest: f64) {
+        if from != to && !self.cut[from][to] {
+            self.cut[from][to] = true;
+            self.undo_in(0.1, longest, Undo::Heal(from, to));
+        }
+    }
+
+    fn fault(&mut self) {
+        let (voters, size) = (self.plan.voters, self.procs.len());
+        let voter = self.random.random_range(0..voters);
+        let client = self.random.random_range(voters..size);
+        let any = self.random.random_range(0..size);
+        let name = |w: &World, p: ProcId| w.procs[p].name.clone();
+        match self.random.random_range(0..100) {
+            0..18 => {
+                let other = self.random.random_range(0..voters);
+                let both = self.random.random_bool(0.4);
+                self.say(format!("link cut from {} to {}, both ways: {both}", name(self, any), name(self, other)));
+                self.cut_link(any, other, 3.0);
+                if both || self.random.random_bool(0.2) {
+                    self.cut_link(other, any, 3.0);
+                }
+            }
+            18..30 => {
+                let (out, back) = [(true, true), (true, false), (false, true)][self.random.random_range(0..3)];
+                let p = if self.random.random_bool(0.7) { voter } else { client };
+                self.say(format!("{} alone: not heard {out}, hears nothing {back}", name(self, p)));
+                for other in 0..size {
+                    if out {
+                        self.cut_link(p, other, 3.0);
+                    }
+                    if back {
+                        self.cut_link(other, p, 3.0);
+                    }
+                }
+            }
+            30..40 => {
+                let open: Vec<ConnId> = (0..self.conns.len()).filter(|c| self.conns[*c].open[0]).collect();
+                let conn = open[self.random.random_range(0..open.len())];
+                let [a, b] = self.conns[conn].ends;
+                self.say(format!("connection from {} to {} lost", name(self, a), name(self, b)));
+                self.break_conn(conn);
+            }
+            40..56 => {
+                let p = if self.random.random_bool(0.5) { voter } else { client };
+                self.say(format!("{} stopped", name(self, p)));
+                if self.procs[p].up && !self.procs[p].stopped {
+                    self.procs[p].stopped = true;
+                    self.undo_in(0.05, 4.0, Undo::Go(p));
+                }
+            }
+            56..66 => {
+                let power = self.random.random_bool(0.5);
+                self.say(format!("{} killed, power lost: {power}", name(self, voter)));
+                self.kill_voter(voter, power);
+                self.undo_in(0.05, 3.0, Undo::Start(voter));
+            }
+            66..69 => {
+                self.say("all voters killed".to_owned());
+                for v in 0..voters {
+                    self.kill_voter(v, true);
+                    self.undo_in(0.05, 1.5, Undo::Start(v));
+                }
+            }
+            69..80 => {
+                self.say(format!("{} killed", name(self, client)));
+                self.kill(client);
+                self.undo_in(0.02, 2.0, Undo::Start(client));
+            }
+            80..86 => {
+                let fault = if self.random.random_bool(0.6) { Fault::Full } else { Fault::SyncFails };
+                let count = self.random.random_range(1..=2);
+                self.say(format!("disk of {} (and {} more): {fault:?}", name(self, voter), count - 1));
+                for v in (0..count).map(|n| (voter + n) % voters) {
+                    if let Role::Voter(desk) = &self.procs[v].role {
+                        desk.disk.fail(fault);
+                    }
+                    self.undo_in(0.2, 3.0, Undo::Disk(v));
+                }
+            }
+            86..89 => self.lose_disk(voter),
+            89..93 => {
+                let rate = self.random.random_range(0.901..1.099);
+                self.say(format!("clock of {} runs at {rate:.3}", name(self, any)));
+                let now = self.now;
+                self.procs[any].clock.run_at(now, rate);
+            }
+            93..97 => {
+                let jump = self.random.random_range(0.0..3600.0);
+                self.say(format!("wall clock of {} set ahead by {jump:.0} s", name(self, voter)));
+                self.procs[voter].wall += jump;
+            }
+            _ => {
+                self.delay = if self.delay > 0.01 { 0.001 } else { self.random.random_range(0.02..0.2) };
+                self.say(format!("delays of {:.0} ms", self.delay * 1000.0));
+            }
+        }
+    }
+
+    fn break_conn(&mut self, conn: ConnId) {
+        for end in 0..2 {
+            if self.conns[conn].open[end] {
+                self.arrive(conn, end, Item::Close);
+            }
+        }
+    }
+
+    fn kill_voter(&mut self, voter: ProcId, power: bool) {
+        self.kill(voter);
+        let keep = self.random.random_range(0..200);
+        if let Role::Voter(desk) = &self.procs[voter].role {
+            if power {
+                desk.disk.power_lost(keep);
+            }
+        }
+    }
+
+    /// A voter comes back with an empty disk or an older copy. No more than a minority may in one history.
+    fn lose_disk(&mut self, voter: ProcId) {
+        let out = |p: &Proc| matches!(&p.role, Role::Voter(desk) if desk.out);
+        let lost = self.procs.iter().filter(|p| out(p)).count();
+        let empty = self.random.random_bool(0.5);
+        let Role::Voter(desk) = &mut self.procs[voter].role else { return };
+        if desk.out || lost >= (self.plan.voters - 1) / 2 {
+            return;
+        }
+        if !empty {
+            let Some(old) = desk.old.take() else {
+                desk.old = Some(desk.disk.copy());
+                return;
+            };
+            desk.disk = old;
+        } else {
+            desk.disk = MemoryDisk::default();
+        }
+        desk.out = true;
+        let name = self.procs[voter].name.clone();
+        self.say(format!("{name} killed, its disk {}", if empty { "lost" } else { "an older copy" }));
+        self.kill(voter);
+        self.undo_in(0.05, 1.0, Undo::Start(voter));
+    }
+
+    fn undo(&mut self, undo: &Undo) {
+        match *undo {
+            Undo::Heal(from, to) => self.heal(from, to),
+            Undo::Go(proc) => {
+                if std::mem::replace(&mut self.procs[proc].stopped, false) {
+                    let waiting: Vec<_> = self.procs[proc].inbox.drain(..).collect();
+                    for (conn, end, item) in waiting {
+                        self.arrive(conn, end, item);
+                    }
+                }
+            }
+            Undo::Start(proc) => {
+                if !self.procs[proc].up {
+                    self.start(proc);
+                }
+            }
+            Undo::Disk(proc) => {
+                if let Role::Voter(desk) = &self.procs[proc].role {
+                    desk.disk.fail(Fault::None);
+                }
+            }
+        }
+    }
+
+    fn heal_all(&mut self) {
+        self.healing = true;
+        self.delay = 0.001;
+        for from in 0..self.procs.len() {
+            for to in 0..self.procs.len() {
+                self.heal(from, to);
+            }
+            self.undo(&Undo::Disk(from));
+            self.undo(&Undo::Go(from));
+            self.undo(&Undo::Start(from));
+            if let Role::Client(member) = &mut self.procs[from].role {
+                member.calm = true;
+            }
+        }
+    }
+
+    fn conclude(&mut self) {
+        for proc in 0..self.plan.voters {
+            if let Role::Voter(desk) = &self.procs[proc].role {
+                let seat = desk.seat.as_ref();
+                let how = seat.map_or_else(|| "no seat".to_owned(), |s| format!("{:?}", s.status()));
+                self.say(how);
+            }
+        }
+        for proc in self.plan.voters..self.procs.len() {
+            self.end_beliefs(proc);
+            let p = &self.procs[proc];
+            if let Role::Client(member) = &p.role {
+                if member.served == 0 {
+                    self.history.stuck.push(format!("{}: {:?}", p.name, member.doing));
+                }
+            }
+        }
+        let seats = self.procs.iter().filter_map(|p| match &p.role {
+            Role::Voter(desk) => desk.seat.as_ref()?.voter().filter(|v| v.votes()),
+            Role::Client(_) => None,
+        });
+        if let Some(voter) = seats.max_by_key(|v| v.status().applied) {
+            let leases = voter.table().leases().iter();
+            self.history.remembered = leases.map(|(name, lease)| (name.clone(), lease.effect)).collect();
+        }
+    }
+}
+
+impl Member {
+    fn new(name: &str, nonce: u64, voter: usize) -> Member {
+        Member {
+            client: Client::new(name, nonce, SESSION),
+            conn: None,
+            voter,
+            call_at: 0.0,
+            doing: Doing::Idle { until: 0.0 },
+            asked: BTreeMap::new(),
+            beliefs: HashMap::new(),
+            served: 0,
+            calm: false,
+        }
+    }
+
+    /// Takes in news; an effect that was acknowledged goes to the history.
+    fn hear(&mut self, news: News, now: f64, name: &str) -> Option<Noted> {
+        match news {
+            News::Answered(seq, reply) => {
+                if let Some((lease, token, asked)) = self.asked.remove(&seq) {
+                    let process = name.to_owned();
+                    return (reply == Reply::Done)
+                        .then_some(Noted { process, lease, token, asked, answered: now });
+                }
+                match &self.doing {
+                    Doing::Leaving { seq: leaving } if *leaving == seq => {
+                        self.doing = Doing::Idle { until: now + 0.05 };
+                    }
+                    Doing::Wanting { .. } if matches!(reply, Reply::Refused(_)) => {
+                        self.doing = Doing::Idle { until: now + 0.1 };
+                    }
+                    _ => {}
+                }
+            }
+            News::Ended => {
+                if let Doing::Wanting { lease, ttl_ms, wait, .. } = self.doing.clone() {
+                    let op = Op::Acquire { lease, ttl_ms, wait };
+                    self.client.ask(op, Duration::ZERO);
+                }
+            }
+            _ => {}
+        }
+        None
+    }
+
+    /// Does the next thing; gives an act that is to reach a target.
+    fn act(
+        &mut self,
+        local: Duration,
+        now: f64,
+        name: &str,
+        healing: bool,
+        others: u64,
+        random: &mut Stream,
+    ) -> Option<Act> {
+        match self.doing.clone() {
+            Doing::Idle { until } if now >= until => {
+                let lease = ["a", "b"][random.random_range(0..2)].to_owned();
+                let ttl_ms = [600, 1000, 2000][random.random_range(0..3)];
+                let wait = healing || random.random_bool(0.7);
+                self.client.ask(Op::Acquire { lease: lease.clone(), ttl_ms, wait }, local);
+                self.doing = Doing::Wanting { lease, since: now, ttl_ms, wait };
+            }
+            Doing::Wanting { lease, since, .. } => {
+                if self.client.guard(&lease, local).is_some() {
+                    self.served += u32::from(self.calm);
+                    let hold = if healing { 0.2 } else { random.random_range(0.05..2.5) };
+                    self.doing = Doing::Acting { lease, next: now, end: now + hold, busy: now };
+                } else if now > since + PATIENCE && !healing {
+                    self.doing = Doing::Leaving { seq: self.client.ask(Op::Release { lease }, local) };
+                }
+            }
+            Doing::Acting { lease, next, end, busy } => {
+                let Some(guard) = self.client.guard(&lease, local) else {
+                    // What is still under way has to arrive before the lease is let go, else nothing would
+                    // keep it from the next holder's.
+                    if now < busy {
+                        return None;
+                    }
+                    self.doing = Doing::Leaving { seq: self.client.ask(Op::Release { lease }, local) };
+                    return None;
+                };
+                if now >= end {
+                    // A well-behaved holder lets go when all that it did has arrived.
+                    if now >= busy && self.asked.is_empty() {
+                        let to = format!("client-{}", random.random_range(0..others));
+                        let op = match random.random_range(0..10) {
+                            0 | 1 if !healing => Op::Transfer { lease, to },
+                            _ => Op::Release { lease },
+                        };
+                        self.doing = Doing::Leaving { seq: self.client.ask(op, local) };
+                    }
+                } else if now >= next {
+                    let next = now + random.random_range(0.03..0.3);
+                    if random.random_bool(0.4) && self.asked.is_empty() {
+                        let seq = self.client.ask(guard.effect(name), local);
+                        self.asked.insert(seq, (lease.clone(), guard.token(), now));
+                        self.doing = Doing::Acting { lease, next, end, busy };
+                        return None;
+                    }
+                    let slow = random.random_bool(0.1);
+                    let delay = random.random_range(0.0..if slow { 5.0 } else { LOCK_DELAY * 0.9 });
+                    let busy = busy.max(now + delay);
+                    self.doing = Doing::Acting { lease: lease.clone(), next, end, busy };
+                    let (process, token) = (name.to_owned(), guard.token());
+                    return Some(Act { process, lease, token, checked: now, arrived: now + delay, accepted: false });
+                }
+            }
+            _ => {}
+        }
+        None
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    fn plan(seed: u64, mutant: Option<Mutant>) -> Plan {
+        let voters = if seed.is_multiple_of(2) { 3 } else { 5 };
+        Plan { voters, clients: 4, seconds: 15.0, seed, mutant }
+    }
+
+    #[test]
+    fn many_histories_hold() {
+        for seed in 0..400 {
+            let outcome = play(plan(seed, None));
+            let wrong: Vec<String> = outcome.violations.iter().map(ToString::to_string).collect();
+            assert!(wrong.is_empty(), "seed {seed}: {}
+{}", wrong.join("
+"), outcome.faults.join("
+"));
+            println!("seed {seed}: {} grants, {} effects, {} faults", outcome.grants, outcome.effects, outcome.faults.len());
+        }
+    }
+}
