Add voters, leases and their command line over real processes

Need: a lease has to be had by real processes. Change: crate links (bounded links over mio, the voter's and the client's loops on CLOCK_BOOTTIME, the fleet's file with errors by key and line) and the commands voter, lease run|list|show|release and fleet status. 'lease run' ends its command by SIGTERM at 2/5 and SIGKILL at 1/8 of the belief's time left, and with itself.

--- /dev/null
+++ b/crates/links/src/member.rs
@@ -0,0 +1,136 @@
+//! A client's links: one voter at a time, another when that one says nothing.
+
+use crate::net::{Happened, LinkNumber, Net};
+use crate::plan::Plan;
+use crate::{drawn, now};
+use passrelay_fleet::client::{Client, News};
+use passrelay_fleet::wire::{Frame, Say};
+use std::io;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+/// A link that doesn't come up is given up after so long.
+const COMES_UP: Duration = Duration::from_millis(500);
+
+/// A process of the fleet that votes not.
+pub struct Member {
+    /// Its session.
+    pub client: Client,
+    net: Net,
+    voters: Vec<SocketAddr>,
+    at: usize,
+    link: Option<(LinkNumber, bool)>,
+    call_at: Duration,
+    called_at: Duration,
+    /// Failed calls in a row: each makes the next wait longer, up to two seconds.
+    failed: u32,
+    /// Asked without a session, and again at each new voter.
+    questions: Vec<Say>,
+}
+
+impl Member {
+    /// A process of this name.
+    ///
+    /// # Errors
+    ///
+    /// Fails where the system gives no poller.
+    pub fn new(plan: &Plan, name: &str, ttl: Duration) -> io::Result<Member> {
+        let voters: Vec<SocketAddr> = plan.voters.values().copied().collect();
+        let at = drawn() as usize % voters.len();
+        Ok(Member {
+            client: Client::new(name, drawn(), ttl),
+            net: Net::open(&plan.fleet, None)?,
+            voters,
+            at,
+            link: None,
+            call_at: Duration::ZERO,
+            called_at: Duration::ZERO,
+            failed: 0,
+            questions: Vec::new(),
+        })
+    }
+
+    /// A question that needs no session; it is asked at each voter until an answer comes.
+    pub fn question(&mut self, say: Say) {
+        if let Some((link, true)) = self.link {
+            self.net.send(link, &Frame::Client(say.clone()));
+        }
+        self.questions.push(say);
+    }
+
+    /// Whether a session is wanted; a question alone needs none.
+    fn only_asks(&self) -> bool {
+        !self.questions.is_empty()
+    }
+
+    /// Lets up to this time pass, and gives what happened.
+    ///
+    /// # Errors
+    ///
+    /// Fails where the poller does.
+    pub fn step(&mut self, longest: Duration) -> io::Result<Vec<News>> {
+        let time = now();
+        let silent = self.link.is_some_and(|(_, up)| !up) && time >= self.called_at + COMES_UP;
+        if silent || self.client.wants_another(time) {
+            self.leave(time);
+        }
+        if self.link.is_none() && time >= self.call_at {
+            self.called_at = time;
+            match self.net.call(self.voters[self.at]) {
+                Ok(link) => self.link = Some((link, false)),
+                Err(_) => self.leave(time),
+            }
+        }
+        if !self.only_asks() {
+            self.client.tick(time);
+        }
+        self.speak();
+        for (link, happened) in self.net.wait(longest)? {
+            if self.link.map(|(l, _)| l) != Some(link) {
+                continue;
+            }
+            match happened {
+                Happened::Up => {
+                    self.link = Some((link, true));
+                    for say in &self.questions {
+                        self.net.send(link, &Frame::Client(say.clone()));
+                    }
+                    if !self.only_asks() {
+                        self.client.up(now());
+                    }
+                }
+                Happened::Frame(Frame::Answer(answer)) => {
+                    self.failed = 0;
+                    self.client.receive(answer, now());
+                }
+                Happened::Gone => self.leave(now()),
+                Happened::Frame(_) | Happened::Came => {}
+            }
+        }
+        self.speak();
+        Ok(self.client.news())
+    }
+
+    fn speak(&mut self) {
+        let says = self.client.says();
+        if let Some((link, true)) = self.link {
+            for say in says {
+                self.net.send(link, &Frame::Client(say));
+            }
+        }
+    }
+
+    /// Leaves this voter for the next.
+    fn leave(&mut self, time: Duration) {
+        if let Some((link, _)) = self.link.take() {
+            self.net.close(link);
+        }
+        self.client.down();
+        self.at = (self.at + 1) % self.voters.len();
+        // The first few at once, so that a lost voter costs no lease; then spread, so that a returning one
+        // isn't called by all.
+        self.failed += 1;
+        let most = (20u64 << self.failed.min(7)).min(2000);
+        self.call_at = time + Duration::from_millis(drawn() % most);
+    }
+}
--- /dev/null
+++ b/crates/links/src/plan.rs
@@ -0,0 +1,152 @@
+//! The fleet's file: who votes, and where. One file serves all processes of a fleet.
+
+use passrelay_fleet::table::MOST_NAME;
+use passrelay_fleet::VoterId;
+use serde::Deserialize;
+use std::collections::BTreeMap;
+use std::fmt;
+use std::net::SocketAddr;
+use std::path::{Path, PathBuf};
+use std::time::Duration;
+use toml::Spanned;
+
+/// What is wrong with a fleet's file, and where.
+#[derive(Debug, PartialEq, Eq)]
+pub struct PlanError {
+    /// The file.
+    pub file: PathBuf,
+    /// The line, where one can be told.
+    pub line: Option<usize>,
+    /// What is wrong, with the key.
+    pub problem: String,
+}
+
+impl fmt::Display for PlanError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}", self.file.display())?;
+        if let Some(line) = self.line {
+            write!(f, ":{line}")?;
+        }
+        write!(f, ": {}", self.problem)
+    }
+}
+
+impl std::error::Error for PlanError {}
+
+#[derive(Deserialize)]
+#[serde(deny_unknown_fields)]
+struct Written {
+    fleet: Spanned<String>,
+    data: Option<PathBuf>,
+    lock_delay_ms: Option<Spanned<u64>>,
+    #[serde(rename = "voter")]
+    voters: Spanned<Vec<WrittenVoter>>,
+}
+
+#[derive(Deserialize)]
+#[serde(deny_unknown_fields)]
+struct WrittenVoter {
+    id: Spanned<u64>,
+    address: Spanned<String>,
+}
+
+/// A fleet as its file says.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Plan {
+    /// The fleet's name, which every frame carries.
+    pub fleet: String,
+    /// Where each voter listens.
+    pub voters: BTreeMap<VoterId, SocketAddr>,
+    /// A voter keeps its journal in a folder below this one.
+    pub data: PathBuf,
+    /// A lease whose holder vanished is given to nobody for so long.
+    pub lock_delay: Duration,
+}
+
+impl Plan {
+    /// Reads a fleet's file.
+    ///
+    /// # Errors
+    ///
+    /// Names the line and the key that is wrong.
+    pub fn read(file: &Path) -> Result<Plan, PlanError> {
+        let wrong = |line, problem| PlanError { file: file.to_owned(), line, problem };
+        let text = std::fs::read_to_string(file).map_err(|e| wrong(None, e.to_string()))?;
+        Plan::parse(&text, file.parent()).map_err(|(line, problem)| wrong(line, problem))
+    }
+
+    fn parse(text: &str, beside: Option<&Path>) -> Result<Plan, (Option<usize>, String)> {
+        let line = |at: usize| Some(text[..at].matches('\n').count() + 1);
+        let written: Written = toml::from_str(text)
+            .map_err(|e| (e.span().and_then(|s| line(s.start)), e.message().to_owned()))?;
+        let fleet = written.fleet.get_ref().clone();
+        if fleet.is_empty() || fleet.len() > MOST_NAME {
+            let at = line(written.fleet.span().start);
+            return Err((at, "fleet: should be a name of 1 to 128 bytes".to_owned()));
+        }
+        let mut voters: BTreeMap<VoterId, SocketAddr> = BTreeMap::new();
+        for voter in written.voters.get_ref() {
+            let (id, address) = (*voter.id.get_ref(), voter.address.get_ref());
+            let at = line(voter.id.span().start);
+            if id == 0 {
+                return Err((at, "voter.id: should be 1 or more".to_owned()));
+            }
+            let parsed = address.parse().map_err(|_| {
+                let problem = format!("voter.address: should be address:port, is '{address}'");
+                (line(voter.address.span().start), problem)
+            })?;
+            if voters.values().any(|known| *known == parsed) {
+                let at = line(voter.address.span().start);
+                return Err((at, format!("voter.address: {address} stands there twice")));
+            }
+            if voters.insert(id, parsed).is_some() {
+                return Err((at, format!("voter.id: {id} stands there twice")));
+            }
+        }
+        if ![1, 3, 5, 7].contains(&voters.len()) {
+            let problem = format!("voter: there should be 1, 3, 5 or 7 voters, there are {}", voters.len());
+            return Err((line(written.voters.span().start), problem));
+        }
+        let lock_delay_ms = match &written.lock_delay_ms {
+            None => 1000,
+            Some(ms) if *ms.get_ref() <= 60_000 => *ms.get_ref(),
+            Some(ms) => {
+                return Err((line(ms.span().start), "lock_delay_ms: should be 60000 or less".to_owned()))
+            }
+        };
+        let data = written.data.unwrap_or_else(|| PathBuf::from("fleet-data"));
+        let data = beside.map_or_else(|| data.clone(), |b| b.join(&data));
+        Ok(Plan { fleet, voters, data, lock_delay: Duration::from_millis(lock_delay_ms) })
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    fn voters(lines: &[(u64, &str)]) -> String {
+        let voter = |(id, at): &(u64, &str)| format!("[[voter]]\nid = {id}\naddress = \"{at}\"\n");
+        format!("fleet = \"f\"\n{}", lines.iter().map(voter).collect::<String>())
+    }
+
+    // Guards against a fleet that begins with voters that can't agree or aren't who they seem.
+    #[test]
+    fn a_file_with_2_or_4_voters_or_one_twice_is_refused_with_its_line() {
+        let (a, b, c) = ((1, "127.0.0.1:1"), (2, "127.0.0.1:2"), (3, "127.0.0.1:3"));
+        assert_eq!(Plan::parse(&voters(&[a, b, c]), None).unwrap().voters.len(), 3);
+        let refused = |text: &str| {
+            let (line, problem) = Plan::parse(text, None).unwrap_err();
+            (line.unwrap_or(0), problem)
+        };
+        assert!(refused(&voters(&[a, b])).1.contains("there are 2"));
+        assert!(refused(&voters(&[a, b, c, (4, "127.0.0.1:4")])).1.contains("there are 4"));
+        assert_eq!(
+            refused(&voters(&[a, b, (2, "127.0.0.1:3")])),
+            (9, "voter.id: 2 stands there twice".into())
+        );
+        assert_eq!(refused(&voters(&[a, b, (3, "127.0.0.1:2")])).0, 10);
+        assert_eq!(refused(&voters(&[a, (0, "127.0.0.1:2"), c])).0, 6);
+        assert_eq!(refused(&voters(&[a, b, (3, "here")])).0, 10);
+        assert_eq!(refused("fleet = \"f\"\nvoters = 3\n").0, 2);
+    }
+}
--- /dev/null
+++ b/crates/links/src/voting.rs
@@ -0,0 +1,149 @@
+//! A voter's loop: its seat and its links.
+
+use crate::net::{Happened, LinkNumber, Net};
+use crate::plan::Plan;
+use crate::seat::Seat;
+use crate::{drawn, now};
+use passrelay_fleet::voter::{Rank, To};
+use passrelay_fleet::wire::{Answer, Frame, Say};
+use passrelay_fleet::VoterId;
+use passrelay_store::RealDisk;
+use std::collections::BTreeMap;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::time::Duration;
+
+/// The longest wait for something to happen.
+const LONGEST: Duration = Duration::from_millis(10);
+/// A voter that can't be reached is called again after so long, and something beside, so that voters that
+/// come back together don't call together.
+const CALL_AGAIN: Duration = Duration::from_millis(100);
+
+/// One voter.
+pub struct Voting {
+    voter: VoterId,
+    plan: Plan,
+    seat: Seat<RealDisk>,
+    net: Net,
+    called: BTreeMap<VoterId, (LinkNumber, bool)>,
+    call_at: BTreeMap<VoterId, Duration>,
+}
+
+impl Voting {
+    /// Opens the voter's disk and listens.
+    ///
+    /// # Errors
+    ///
+    /// Says what is wrong with the disk or the address.
+    pub fn open(plan: &Plan, voter: VoterId) -> Result<Voting, String> {
+        let listen = *plan.voters.get(&voter).ok_or_else(|| {
+            let known: Vec<VoterId> = plan.voters.keys().copied().collect();
+            format!("voter {voter} is not in the fleet's file, which has {known:?}")
+        })?;
+        let folder = plan.data.join(format!("voter-{voter}"));
+        let rank = Rank {
+            voter,
+            voters: plan.voters.keys().copied().collect(),
+            lock_delay: plan.lock_delay,
+            new_disk: drawn(),
+        };
+        let disk = Box::new(move || RealDisk::open(&folder));
+        let seat = Seat::open(rank, disk, now())?;
+        let net = Net::open(&plan.fleet, Some(listen)).map_err(|e| format!("{listen}: {e}"))?;
+        let (called, call_at) = (BTreeMap::new(), BTreeMap::new());
+        Ok(Voting { voter, plan: plan.clone(), seat, net, called, call_at })
+    }
+
+    /// Votes until told to end. `say` gets an event's name and its values for the log.
+    ///
+    /// # Errors
+    ///
+    /// Fails where the poller does.
+    pub fn run(&mut self, end: &AtomicBool, say: &mut dyn FnMut(&str, &str)) -> Result<(), String> {
+        let mut state = String::new();
+        while !end.load(Ordering::Relaxed) {
+            for (link, happened) in self.net.wait(LONGEST).map_err(|e| e.to_string())? {
+                self.take(link, happened);
+            }
+            if self.seat.tick(now()).reset {
+                self.reset();
+            }
+            self.call_others();
+            self.turn();
+            let status = self.seat.status();
+            let leader = status.leader.map_or_else(|| "-".to_owned(), |l| l.to_string());
+            let fresh = format!("state={:?} leader={leader}", status.state);
+            if fresh != state {
+                say("voter", &fresh);
+                state = fresh;
+            }
+        }
+        Ok(())
+    }
+
+    fn take(&mut self, link: LinkNumber, happened: Happened) {
+        let called = self.called.iter().find(|(_, (l, _))| *l == link).map(|(v, _)| *v);
+        match (called, happened) {
+            (Some(voter), Happened::Up) => {
+                self.called.insert(voter, (link, true));
+                self.seat.linked(voter);
+            }
+            (Some(voter), Happened::Frame(frame)) => self.seat.called_back(voter, frame),
+            (Some(voter), Happened::Gone) => {
+                self.called.remove(&voter);
+                self.seat.unlinked(voter);
+            }
+            (None, Happened::Frame(Frame::Client(Say::Status { ticket }))) => {
+                // A voter without a disk answers this, and nothing else.
+                let status = self.seat.status();
+                self.net.send(link, &Frame::Answer(Answer::Status { ticket, status }));
+            }
+            (None, Happened::Frame(frame)) => {
+                if !self.seat.receive(link as u64, frame, now()) {
+                    self.seat.gone(link as u64);
+                    self.net.close(link);
+                }
+            }
+            (None, Happened::Gone) => self.seat.gone(link as u64),
+            (Some(_), Happened::Came) | (None, Happened::Came | Happened::Up) => {}
+        }
+    }
+
+    fn call_others(&mut self) {
+        let time = now();
+        for (voter, address) in &self.plan.voters {
+            let due = self.call_at.get(voter).is_none_or(|at| time >= *at);
+            if *voter == self.voter || self.called.contains_key(voter) || !due {
+                continue;
+            }
+            let spread = Duration::from_millis(drawn() % 100);
+            self.call_at.insert(*voter, time + CALL_AGAIN + spread);
+            if let Ok(link) = self.net.call(*address) {
+                self.called.insert(*voter, (link, false));
+            }
+        }
+    }
+
+    fn turn(&mut self) {
+        let outcome = self.seat.turn(now());
+        if outcome.reset {
+            return self.reset();
+        }
+        for (to, frame) in outcome.frames {
+            let link = match to {
+                To::Voter(voter) => self.called.get(&voter).filter(|(_, up)| *up).map(|(link, _)| *link),
+                To::Link(link) => Some(link as usize),
+            };
+            if let Some(link) = link {
+                self.net.send(link, &frame);
+            }
+        }
+    }
+
+    /// Closes all links: whoever was promised something asks again.
+    fn reset(&mut self) {
+        for link in self.net.numbers() {
+            self.net.close(link);
+        }
+        self.called.clear();
+    }
+}
--- a/crates/passrelay/src/cli.rs
+++ b/crates/passrelay/src/cli.rs
@@ -1,42 +1,84 @@
 //! The command line: a word for what to do, `run` if there is none.
 
+use crate::{fleet, lease};
+use clap::{Parser, Subcommand, ValueEnum};
 use passrelay_settings::Config;
 use passrelay_sidecar::Sidecar;
 use std::error::Error;
+use std::path::PathBuf;
 use std::process::ExitCode;
 
-const USAGE: &str = "usage: passrelay [run | help | version]
+/// A load-balancing sidecar, and what its fleets agree on.
+///
+/// Without any word it serves as a sidecar: RELAY_CONFIG names the file with the settings; RELAY_NAME, RELAY_LISTEN,
+/// RELAY_DISCOVERY and RELAY_OPERATOR go before what it says.
+#[derive(Parser)]
+#[command(name = "passrelay", version, max_term_width = 110)]
+struct Cli {
+    #[command(subcommand)]
+    command: Option<Command>,
+}
+
+#[derive(Subcommand)]
+enum Command {
+    /// Serves as a sidecar (also without any word).
+    Run,
+    /// Prints the version.
+    Version,
+    /// Votes on the fleet's leases until SIGTERM. Exit code 1 where the disk or the address can't be used.
+    Voter {
+        /// The fleet's file.
+        #[arg(long, value_name = "FILE")]
+        fleet: PathBuf,
+        /// Which of the file's voters this is.
+        #[arg(long)]
+        id: u64,
+    },
+    /// Leases: what one process of the fleet may do at a time.
+    #[command(subcommand)]
+    Lease(lease::Command),
+    /// The fleet's voters.
+    #[command(subcommand)]
+    Fleet(fleet::Command),
+}
 
-run      serve as a sidecar (also without any word); RELAY_CONFIG names the file with the settings,
-         RELAY_NAME, RELAY_LISTEN and RELAY_DISCOVERY go before what it says
-help     print this
-version  print the version
-";
+/// How results are printed.
+#[derive(Clone, Copy, PartialEq, ValueEnum)]
+pub enum Output {
+    /// For people.
+    Text,
+    /// For programs.
+    Json,
+}
 
 /// Does what the arguments say.
 pub fn main(arguments: impl Iterator<Item = String>) -> ExitCode {
     let words: Vec<String> = arguments.collect();
-    match words.iter().map(String::as_str).collect::<Vec<_>>()[..] {
-        [] | ["run"] => match run() {
-            Ok(()) => ExitCode::SUCCESS,
+    let command = match words.as_slice() {
+        [] => Command::Run,
+        _ => match Cli::try_parse_from(std::iter::once("passrelay".to_owned()).chain(words)) {
+            Ok(cli) => cli.command.unwrap_or(Command::Run),
             Err(e) => {
-                eprintln!("passrelay: {e}");
-                ExitCode::FAILURE
+                let _ = e.print();
+                return ExitCode::from(if e.use_stderr() { 2 } else { 0 });
             }
         },
-        ["help" | "--help" | "-h"] => {
-            print!("{USAGE}");
-            ExitCode::SUCCESS
-        }
-        ["version" | "--version" | "-V"] => {
+    };
+    let done = match command {
+        Command::Run => run().map(|()| ExitCode::SUCCESS),
+        Command::Version => {
             println!("passrelay {}", env!("CARGO_PKG_VERSION"));
-            ExitCode::SUCCESS
-        }
-        _ => {
-            eprint!("passrelay: cannot make sense of '{}'\n{USAGE}", words.join(" "));
-            ExitCode::from(2)
+            Ok(ExitCode::SUCCESS)
         }
-    }
+        Command::Voter { fleet, id } => fleet::vote(&fleet, id),
+        Command::Lease(command) => lease::run(command),
+        Command::Fleet(command) => fleet::run(command),
+    };
+    done.unwrap_or_else(|e| {
+        eprintln!("passrelay: {e}");
+        // A file or an address that is wrong is the caller's to mend.
+        ExitCode::from(if e.is::<passrelay_links::plan::PlanError>() { 2 } else { 1 })
+    })
 }
 
 fn run() -> Result<(), Box<dyn Error>> {
--- /dev/null
+++ b/crates/passrelay/src/lease.rs
@@ -0,0 +1,345 @@
+//! Leases from the command line.
+
+use crate::cli::Output;
+use crate::fleet::{ask, NO_MAJORITY, UNANSWERED};
+use clap::Subcommand;
+use passrelay_fleet::client::{belief, Guard, News};
+use passrelay_fleet::table::{Op, Refusal, Reply, TTL_MS};
+use passrelay_fleet::wire::{Answer, LeaseRow, Say};
+use passrelay_links::member::Member;
+use passrelay_links::plan::Plan;
+use passrelay_links::{drawn, now};
+use rustix::process::{kill_process_group, Pid, Signal};
+use serde_json::{json, Value};
+use std::error::Error;
+use std::os::unix::process::{CommandExt, ExitStatusExt};
+use std::path::PathBuf;
+use std::process::{Child, ExitCode, ExitStatus};
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::Arc;
+use std::time::Duration;
+
+/// The lease was lost while the command ran; the command was ended before.
+const LOST: u8 = 123;
+/// The lease was not to be had.
+const NOT_GRANTED: u8 = 124;
+/// The shortest step.
+const STEP: Duration = Duration::from_millis(20);
+
+/// What can be done with leases.
+#[derive(Subcommand)]
+pub enum Command {
+    /// Runs a command while this process holds a lease, and ends it before the lease could pass to another.
+    ///
+    /// The command finds the lease's name in PASSRELAY_LEASE and the token in PASSRELAY_LEASE_TOKEN: whatever it acts
+    /// on should keep the highest token it has seen and refuse older ones. Without a renewal it gets SIGTERM in good
+    /// time, then SIGKILL, with all processes that it started in its group. Exit code: the command's own, 128 and the
+    /// signal's number where a signal ended it; 123 lease lost; 124 not granted; 125 no majority of voters.
+    Run {
+        /// The lease.
+        name: String,
+        /// The fleet's file.
+        #[arg(long, value_name = "FILE")]
+        fleet: PathBuf,
+        /// Time to live: without a renewal for so long the lease passes on. In s or ms, as in 10s or 800ms.
+        #[arg(long, default_value = "10s", value_parser = span)]
+        ttl: Duration,
+        /// Waits in line for so long; 0s asks once.
+        #[arg(long, default_value = "1h", value_parser = span)]
+        wait: Duration,
+        /// This process's name in the fleet; drawn if it is not given. No two processes can have one name.
+        #[arg(long)]
+        process: Option<String>,
+        /// The command and its arguments.
+        #[arg(last = true, required = true)]
+        command: Vec<String>,
+    },
+    /// Lists all leases. Exit code 125 where no majority answers.
+    List {
+        /// The fleet's file.
+        #[arg(long, value_name = "FILE")]
+        fleet: PathBuf,
+        /// How to print it.
+        #[arg(long, value_enum, default_value = "text")]
+        output: Output,
+    },
+    /// Shows one lease. Exit code 1 where it is free and nothing is known of it.
+    Show {
+        /// The lease.
+        name: String,
+        /// The fleet's file.
+        #[arg(long, value_name = "FILE")]
+        fleet: PathBuf,
+        /// How to print it.
+        #[arg(long, value_enum, default_value = "text")]
+        output: Output,
+    },
+    /// Takes a lease from whoever holds it. It passes on when its holder can no longer believe in it, at the latest
+    /// after its time to live and the lock delay. Exit code 1 where nobody holds it.
+    Release {
+        /// The lease.
+        name: String,
+        /// The fleet's file.
+        #[arg(long, value_name = "FILE")]
+        fleet: PathBuf,
+    },
+    /// Becomes the command, which is ended with the process that started this.
+    #[command(hide = true)]
+    Become {
+        /// The process that must be alive.
+        #[arg(long)]
+        child_of: u32,
+        /// The command and its arguments.
+        #[arg(last = true, required = true)]
+        command: Vec<String>,
+    },
+}
+
+/// Reads a span of time.
+fn span(text: &str) -> Result<Duration, String> {
+    let wrong = || format!("'{text}' should be a number with ms, s, m or h, as in 10s");
+    let at = text.find(|c: char| !c.is_ascii_digit() && c != '.').ok_or_else(wrong)?;
+    let number: f64 = text[..at].parse().map_err(|_| wrong())?;
+    let unit = match &text[at..] {
+        "ms" => 0.001,
+        "s" => 1.0,
+        "m" => 60.0,
+        "h" => 3600.0,
+        _ => return Err(wrong()),
+    };
+    Duration::try_from_secs_f64(number * unit).map_err(|_| wrong())
+}
+
+/// Does what was asked.
+pub fn run(command: Command) -> Result<ExitCode, Box<dyn Error>> {
+    match command {
+        Command::Run { name, fleet, ttl, wait, process, command } => {
+            if !TTL_MS.contains(&(ttl.as_millis() as u64)) {
+                return Err(format!("--ttl: {ttl:?} is not between 500ms and 1h").into());
+            }
+            let plan = Plan::read(&fleet)?;
+            let process = process.unwrap_or_else(|| format!("lease-run-{:016x}", drawn()));
+            hold(&plan, &name, ttl, wait, &process, &command)
+        }
+        Command::List { fleet, output } => list(&Plan::read(&fleet)?, None, output),
+        Command::Show { name, fleet, output } => list(&Plan::read(&fleet)?, Some(&name), output),
+        Command::Release { name, fleet } => release(&Plan::read(&fleet)?, &name),
+        Command::Become { child_of, command } => {
+            rustix::process::set_parent_process_death_signal(Some(Signal::KILL))?;
+            // Guards against a parent that died before the line above.
+            if rustix::process::getppid().map(Pid::as_raw_nonzero).map(|p| p.get() as u32) != Some(child_of) {
+                return Err("the process that holds the lease is gone".into());
+            }
+            let (program, arguments) = command.split_first().ok_or("no command")?;
+            let error = std::process::Command::new(program).args(arguments).exec();
+            eprintln!("passrelay: {program}: {error}");
+            Ok(ExitCode::from(127))
+        }
+    }
+}
+
+fn row(lease: &LeaseRow) -> Value {
+    json!({
+        "lease": lease.lease, "state": lease.state, "holder": lease.holder, "token": lease.token,
+        "ttl_ms": lease.ttl_ms, "waiting": lease.waiting, "last_effect_token": lease.effect,
+    })
+}
+
+fn list(plan: &Plan, only: Option<&str>, output: Output) -> Result<ExitCode, Box<dyn Error>> {
+    let Some(Answer::List { leases, sessions, .. }) = ask(plan, Say::List { ticket: 1 }, UNANSWERED)? else {
+        eprintln!("passrelay: no majority of voters answered within {} s", UNANSWERED.as_secs());
+        return Ok(ExitCode::from(NO_MAJORITY));
+    };
+    let leases: Vec<LeaseRow> =
+        leases.into_iter().filter(|l| only.is_none_or(|name| l.lease == name)).collect();
+    let missing = only.is_some() && leases.is_empty();
+    match output {
+        Output::Json if only.is_some() => println!("{}", leases.first().map_or(Value::Null, row)),
+        Output::Json => {
+            let rows: Vec<Value> = leases.iter().map(row).collect();
+            let session = |(id, name, held): &(u64, String, usize)| json!({"session": id, "process": name, "leases": held});
+            let sessions: Vec<Value> = sessions.iter().map(session).collect();
+            println!("{}", json!({ "leases": rows, "sessions": sessions }));
+        }
+        Output::Text if missing => println!("{} is free", only.unwrap_or("")),
+        Output::Text => {
+            println!("{:<32} {:<8} {:>10} {:>8}  holder", "lease", "state", "token", "waiting");
+            for lease in &leases {
+                let holder = lease.holder.as_deref().unwrap_or("-");
+                println!(
+                    "{:<32} {:<8} {:>10} {:>8}  {holder}",
+                    lease.lease, lease.state, lease.token, lease.waiting
+                );
+            }
+        }
+    }
+    Ok(ExitCode::from(u8::from(missing)))
+}
+
+fn release(plan: &Plan, name: &str) -> Result<ExitCode, Box<dyn Error>> {
+    let mut member = Member::new(plan, &format!("release-{:016x}", drawn()), Duration::from_secs(5))?;
+    let wish = member.client.ask(Op::Evict { lease: name.to_owned() }, now());
+    let end = now() + UNANSWERED;
+    while now() < end {
+        for news in member.step(STEP)? {
+            match news {
+                News::Answered(seq, Reply::Refused(refusal)) if seq == wish => {
+                    eprintln!("passrelay: {name}: {refusal}");
+                    return Ok(ExitCode::FAILURE);
+                }
+                News::Answered(seq, _) if seq == wish => {
+                    member.client.close();
+                    member.step(STEP)?;
+                    return Ok(ExitCode::SUCCESS);
+                }
+                _ => {}
+            }
+        }
+    }
+    eprintln!("passrelay: no majority of voters answered within {} s", UNANSWERED.as_secs());
+    Ok(ExitCode::from(NO_MAJORITY))
+}
+
+/// A command under a lease.
+struct Held {
+    child: Child,
+    group: Option<Pid>,
+    termed: bool,
+}
+
+impl Held {
+    fn start(guard: &Guard, command: &[String]) -> Result<Held, Box<dyn Error>> {
+        // Through this program again, which asks the system to end the command with us.
+        let child = std::process::Command::new(std::env::current_exe()?)
+            .args(["lease", "become", "--child-of", &std::process::id().to_string(), "--"])
+            .args(command)
+            .env("PASSRELAY_LEASE", guard.lease())
+            .env(Guard::VARIABLE, guard.token().to_string())
+            .process_group(0)
+            .spawn()?;
+        let group = Pid::from_raw(child.id() as i32);
+        Ok(Held { child, group, termed: false })
+    }
+
+    fn signal(&self, signal: Signal) {
+        if let Some(group) = self.group {
+            // A group that has ended has nothing left to be told.
+            let _ = kill_process_group(group, signal);
+        }
+    }
+
+    /// Ends it in time: SIGTERM when over half of the belief's time passed without a renewal, SIGKILL so long
+    /// before its end that the command is gone by then.
+    fn mind(&mut self, left: Duration, ttl: Duration) {
+        let whole = belief(ttl);
+        if left < whole / 8 {
+            self.signal(Signal::KILL);
+        } else if left < whole * 2 / 5 && !self.termed {
+            self.termed = true;
+            self.signal(Signal::TERM);
+        }
+    }
+}
+
+fn code(status: ExitStatus) -> u8 {
+    let code = status.code().or_else(|| status.signal().map(|s| 128 + s)).unwrap_or(1);
+    u8::try_from(code).unwrap_or(1)
+}
+
+fn hold(
+    plan: &Plan,
+    name: &str,
+    ttl: Duration,
+    wait: Duration,
+    process: &str,
+    command: &[String],
+) -> Result<ExitCode, Box<dyn Error>> {
+    let told = Arc::new(AtomicBool::new(false));
+    for signal in [signal_hook::consts::SIGTERM, signal_hook::consts::SIGINT] {
+        signal_hook::flag::register(signal, told.clone())?;
+    }
+    let mut member = Member::new(plan, process, ttl.max(Duration::from_secs(2)))?;
+    let acquire =
+        || Op::Acquire { lease: name.to_owned(), ttl_ms: ttl.as_millis() as u64, wait: !wait.is_zero() };
+    member.client.ask(acquire(), now());
+    let (mut end, mut answered) = (now() + wait.max(Duration::from_secs(5)), false);
+    let guard = loop {
+        for news in member.step(STEP)? {
+            match news {
+                News::Answered(_, Reply::Refused(Refusal::NoSession)) => {}
+                News::Answered(_, Reply::Refused(refusal)) => {
+                    eprintln!("passrelay: {name}: {refusal}");
+                    leave(&mut member, name)?;
+                    return Ok(ExitCode::from(NOT_GRANTED));
+                }
+                News::Answered(..) => answered = true,
+                News::Ended | News::LeftOut(_) | News::Lost(_) => {
+                    member.client.ask(acquire(), now());
+                }
+                _ => {}
+            }
+        }
+        if let Some(guard) = member.client.guard(name, now()) {
+            break guard;
+        }
+        if told.load(Ordering::Relaxed) {
+            end = Duration::ZERO;
+        }
+        if now() >= end {
+            let why = if answered { "not granted in time" } else { "no majority of voters answered" };
+            eprintln!("passrelay: {name}: {why}");
+            leave(&mut member, name)?;
+            return Ok(ExitCode::from(if answered { NOT_GRANTED } else { NO_MAJORITY }));
+        }
+    };
+    let token = guard.token();
+    let mut held = Held::start(&guard, command)?;
+    let mut lost = false;
+    let status = loop {
+        member.step(STEP)?;
+        let time = now();
+        // Under another token it would be another's turn that went by in between: not ours any more.
+        let guard = member.client.guard(name, time).filter(|g| g.token() == token);
+        match guard {
+            Some(guard) => {
+                let until = guard.until();
+                held.mind(until.saturating_sub(time), ttl);
+            }
+            None => held.signal(Signal::KILL),
+        }
+        lost |= held.termed || guard_is_gone(&member, name, token);
+        if told.swap(false, Ordering::Relaxed) {
+            held.signal(Signal::TERM);
+        }
+        if let Some(status) = held.child.try_wait()? {
+            // What it left behind in its group must not outlive the lease either.
+            held.signal(Signal::KILL);
+            break status;
+        }
+    };
+    leave(&mut member, name)?;
+    if lost {
+        eprintln!("passrelay: {name}: lost while the command ran, which was ended");
+        return Ok(ExitCode::from(LOST));
+    }
+    Ok(ExitCode::from(code(status)))
+}
+
+fn guard_is_gone(member: &Member, name: &str, token: u64) -> bool {
+    member.client.guard(name, now()).is_none_or(|g| g.token() != token)
+}
+
+/// Lets the lease go and ends the session, for a second at most: without that both end by themselves.
+fn leave(member: &mut Member, name: &str) -> Result<(), Box<dyn Error>> {
+    let wish = member.client.ask(Op::Release { lease: name.to_owned() }, now());
+    let end = now() + Duration::from_secs(1);
+    while now() < end {
+        let news = member.step(STEP)?;
+        if news.iter().any(|n| matches!(n, News::Answered(seq, _) if *seq == wish)) {
+            break;
+        }
+    }
+    member.client.close();
+    member.step(Duration::ZERO)?;
+    Ok(())
+}
--- a/crates/passrelay/src/main.rs
+++ b/crates/passrelay/src/main.rs
@@ -1,6 +1,8 @@
 //! One sidecar. Its settings come from the environment and the file that it names.
 
 mod cli;
+mod fleet;
+mod lease;
 
 use std::process::ExitCode;
 
