Prove leases with real processes: tests by hand and a siege through relays

Need: two holders never at once, proven with processes of the program and faults between them.

Change: passrelay-lab siege leases (relays for each direction of each link: held back and released late, stopped in mid-frame, dropped, delayed; voters and holders killed, stopped, continued, restarted with their disks; a target that keeps the highest token and writes the history for the checker) and crates/passrelay/tests/lease.rs.

After SIGKILL of a holder with a time to live of 1 s the next one holds within 2.2 s (test).

--- a/crates/lab/src/cli.rs
+++ b/crates/lab/src/cli.rs
@@ -4,7 +4,7 @@
 use crate::plot;
 use crate::results::{self, series, Job, Keep, Row};
 use crate::rivals::Policy;
-use crate::siege::timed;
+use crate::siege::{processes, timed};
 use crate::sockets::fleet::Fleet;
 use crate::sockets::load::{Live, Load};
 use crate::sockets::program::free_address;
@@ -33,6 +33,28 @@
 
 #[derive(Subcommand)]
 enum Siege {
+    /// With real processes of the program, relays between all of them, and faults. Exit code 1 where the history that
+    /// the target saw shows a violation. Ctrl-C ends it, with all of its processes.
+    Leases {
+        /// The seed of the faults.
+        #[arg(long, default_value_t = 0)]
+        seed: u64,
+        /// Seconds of faults.
+        #[arg(long, default_value_t = 60.0)]
+        seconds: f64,
+        /// Voters.
+        #[arg(long, default_value_t = 5)]
+        voters: usize,
+        /// Holders of leases.
+        #[arg(long, default_value_t = 8)]
+        holders: usize,
+        /// The program; by default the one beside this.
+        #[arg(long)]
+        program: Option<PathBuf>,
+    },
+    /// The holders' command in a siege.
+    #[command(hide = true)]
+    Act,
     /// In simulated time: many histories, each drawn from a seed. Exit code 1 where one shows a violation.
     Timed {
         /// The first seed.
@@ -339,6 +361,10 @@
         Command::List { folder } => list(&folder),
         Command::Check { files } => check(&files),
         Command::Demo { program } => demo(program),
+        Command::Siege(Siege::Act) => processes::act().map_err(|e| Failure(1, e)),
+        Command::Siege(Siege::Leases { seed, seconds, voters, holders, program: named }) => {
+            siege_leases(seed, seconds, voters, holders, named)
+        }
         Command::Siege(Siege::Timed { seed, histories, mutant }) => {
             siege_timed(seed, histories, mutant.as_deref())
         }
@@ -359,6 +385,32 @@
     }
 }
 
+fn siege_leases(
+    seed: u64,
+    seconds: f64,
+    voters: usize,
+    holders: usize,
+    named: Option<PathBuf>,
+) -> Result<(), Failure> {
+    let laboratory = std::env::current_exe().map_err(|e| Failure(1, e.to_string()))?;
+    let command = [&laboratory.to_string_lossy(), "siege", "act"].map(str::to_owned).to_vec();
+    let plan = processes::Plan { program: program(named)?, command, voters, holders, seconds, seed };
+    let outcome = processes::play(&plan, &*stop_flag()?).map_err(|e| Failure(1, e))?;
+    let (acts, refused) = outcome.acts;
+    print(&format!(
+        "seed={seed} voters={voters} holders={holders} seconds={seconds} faults={} grants={} acts={acts} \
+         refused_as_older={refused} violations={}\n",
+        outcome.faults.len(),
+        outcome.grants,
+        outcome.violations.len()
+    ))?;
+    if outcome.violations.is_empty() {
+        return Ok(());
+    }
+    let wrong: Vec<String> = outcome.violations.iter().take(5).map(ToString::to_string).collect();
+    Err(Failure(1, format!("{}\nfaults:\n{}", wrong.join("\n"), outcome.faults.join("\n"))))
+}
+
 fn siege_timed(seed: u64, histories: u64, mutant: Option<&str>) -> Result<(), Failure> {
     let named = |name: &str| Mutant::ALL.into_iter().find(|m| format!("{m:?}").eq_ignore_ascii_case(name));
     let known = || Mutant::ALL.map(|m| format!("{m:?}")).join(", ");
--- a/crates/lab/src/siege/mod.rs
+++ b/crates/lab/src/siege/mod.rs
@@ -3,4 +3,6 @@
 
 pub mod clock;
 pub mod history;
+pub mod processes;
+pub mod relay;
 pub mod timed;
--- /dev/null
+++ b/crates/lab/src/siege/processes.rs
@@ -0,0 +1,439 @@
+//! A siege of real processes: voters and holders of leases are the program itself, links go through relays,
+//! and faults are drawn from a seed. The holders' commands act on a target here, which writes the history.
+
+use super::history::{check, Act, Belief, History, Violation};
+use super::relay::Relay;
+use crate::random::Streams;
+use crate::sockets::program::free_address;
+use passrelay_links::now;
+use rand::Rng;
+use std::collections::BTreeMap;
+use std::fmt::Write as _;
+use std::io::{BufRead, BufReader, Write};
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::path::{Path, PathBuf};
+use std::process::{Child, Command, Stdio};
+use std::sync::atomic::{AtomicBool, AtomicU32, Ordering};
+use std::sync::{Arc, Mutex};
+use std::thread;
+use std::time::Duration;
+
+/// What is besieged.
+#[derive(Clone, Debug)]
+pub struct Plan {
+    /// The program.
+    pub program: PathBuf,
+    /// The holders' command: a program that calls [`act`], with its arguments.
+    pub command: Vec<String>,
+    /// Voters.
+    pub voters: usize,
+    /// Holders, on half as many leases.
+    pub holders: usize,
+    /// Seconds of faults.
+    pub seconds: f64,
+    /// The seed.
+    pub seed: u64,
+}
+
+/// What a siege came to.
+#[derive(Clone, Debug, Default)]
+pub struct Outcome {
+    /// What is wrong.
+    pub violations: Vec<Violation>,
+    /// The faults, in order.
+    pub faults: Vec<String>,
+    /// Grants under which something was done.
+    pub grants: usize,
+    /// Acts that reached the target, and those of them that it refused as too old.
+    pub acts: (usize, usize),
+}
+
+/// The time to live of the leases, and what a wait for one takes at most.
+const TTL: &str = "1500ms";
+/// The lock delay, in ms.
+const LOCK_DELAY_MS: u64 = 300;
+/// After the last fault everyone gets a lease within this time.
+const HEALING: Duration = Duration::from_secs(25);
+/// What a holder's command finds in its environment: where it acts, in whose name, for how long.
+const TARGET: &str = "SIEGE_TARGET";
+const PROCESS: &str = "SIEGE_PROCESS";
+const HOLD_MS: &str = "SIEGE_HOLD_MS";
+/// How often a holder's command acts.
+const ACT_EVERY: Duration = Duration::from_millis(10);
+
+/// Acts in a process's name on a target until its time is over: the holders' command. What it needs is in the
+/// environment.
+///
+/// # Errors
+///
+/// Fails where the target can't be reached or something is not in the environment.
+pub fn act() -> Result<(), String> {
+    let variable = |name: &str| std::env::var(name).map_err(|_| format!("{name} is not set"));
+    let (target, process) = (variable(TARGET)?, variable(PROCESS)?);
+    let longest =
+        Duration::from_millis(variable(HOLD_MS)?.parse().map_err(|_| format!("{HOLD_MS}: no number"))?);
+    let (lease, token) = (variable("PASSRELAY_LEASE")?, variable("PASSRELAY_LEASE_TOKEN")?);
+    let mut socket = TcpStream::connect(target).map_err(|e| e.to_string())?;
+    let _ = socket.set_nodelay(true);
+    let end = now() + longest;
+    while now() < end {
+        let line = format!("{process} {lease} {token} {}\n", now().as_secs_f64());
+        socket.write_all(line.as_bytes()).map_err(|e| e.to_string())?;
+        thread::sleep(ACT_EVERY);
+    }
+    Ok(())
+}
+
+/// The target: it keeps the highest token of each lease, and writes down every act.
+struct Target {
+    address: SocketAddr,
+    acts: Arc<Mutex<(BTreeMap<String, u64>, Vec<Act>)>>,
+}
+
+impl Target {
+    fn start() -> std::io::Result<Target> {
+        let door = TcpListener::bind("127.0.0.1:0")?;
+        let target = Target { address: door.local_addr()?, acts: Arc::default() };
+        let acts = target.acts.clone();
+        thread::spawn(move || {
+            for socket in door.incoming().map_while(Result::ok) {
+                let acts = acts.clone();
+                thread::spawn(move || {
+                    for line in BufReader::new(socket).lines().map_while(Result::ok) {
+                        let words: Vec<&str> = line.split(' ').collect();
+                        let [process, lease, token, sent] = words[..] else { return };
+                        let (Ok(token), Ok(sent)) = (token.parse::<u64>(), sent.parse()) else { return };
+                        let (highest, seen) = &mut *acts.lock().expect("nobody panics with it");
+                        let known = highest.entry(lease.to_owned()).or_insert(0);
+                        let accepted = token >= *known;
+                        *known = token.max(*known);
+                        let (process, lease) = (process.to_owned(), lease.to_owned());
+                        let arrived = now().as_secs_f64();
+                        seen.push(Act { process, lease, token, checked: sent, arrived, accepted });
+                    }
+                });
+            }
+        });
+        Ok(target)
+    }
+}
+
+fn signal(child: u32, name: &str) {
+    // A process that has ended meanwhile has nothing to be told.
+    let _ =
+        Command::new("kill").args([&format!("-{name}"), &child.to_string()]).stderr(Stdio::null()).status();
+}
+
+/// A process of the siege; it ends with this.
+struct Process(Child);
+
+impl Drop for Process {
+    fn drop(&mut self) {
+        let _ = self.0.kill();
+        let _ = self.0.wait();
+    }
+}
+
+/// Everything on one machine that a siege uses; gone when dropped.
+struct Field {
+    folder: PathBuf,
+    relays: BTreeMap<(usize, usize), Relay>,
+    files: Vec<PathBuf>,
+}
+
+impl Drop for Field {
+    fn drop(&mut self) {
+        let _ = std::fs::remove_dir_all(&self.folder);
+    }
+}
+
+impl Field {
+    /// A file for each process, in which the others stand behind relays of that process's own.
+    fn new(plan: &Plan) -> std::io::Result<Field> {
+        let folder =
+            std::env::temp_dir().join(format!("passrelay-siege-{}-{}", std::process::id(), plan.seed));
+        std::fs::create_dir_all(&folder)?;
+        let real: Vec<SocketAddr> = (0..plan.voters).map(|_| free_address()).collect::<Result<_, _>>()?;
+        let (mut relays, mut files) = (BTreeMap::new(), Vec::new());
+        for from in 0..plan.voters + plan.holders {
+            let mut text = format!("fleet = \"siege\"\nlock_delay_ms = {LOCK_DELAY_MS}\n");
+            for (to, address) in real.iter().enumerate() {
+                let mut address = *address;
+                if to != from {
+                    let relay = Relay::start(address)?;
+                    address = relay.address;
+                    relays.insert((from, to), relay);
+                }
+                let _ = write!(text, "[[voter]]\nid = {}\naddress = \"{address}\"\n", to + 1);
+            }
+            let file = folder.join(format!("{from}.toml"));
+            std::fs::write(&file, text)?;
+            files.push(file);
+        }
+        Ok(Field { folder, relays, files })
+    }
+
+    fn voter(&self, plan: &Plan, voter: usize) -> std::io::Result<Process> {
+        let mut command = Command::new(&plan.program);
+        command.args(["voter", "--id", &(voter + 1).to_string(), "--fleet"]).arg(&self.files[voter]);
+        Ok(Process(command.stdin(Stdio::null()).stdout(Stdio::null()).stderr(Stdio::null()).spawn()?))
+    }
+}
+
+/// What is known of a holder while the siege goes on.
+#[derive(Default)]
+struct Holder {
+    /// Its process, 0 between two.
+    pid: AtomicU32,
+    /// Runs so far.
+    run: AtomicU32,
+}
+
+/// Holds leases, one run of the program after another, until told to end.
+fn keep_holding(
+    plan: &Plan,
+    file: &Path,
+    number: usize,
+    target: SocketAddr,
+    holder: &Holder,
+    end: &AtomicBool,
+) {
+    let mut random = Streams::new(plan.seed).of("holder", number as u64);
+    let lease = format!("lease-{}", number / 2);
+    while !end.load(Ordering::Relaxed) {
+        let run = holder.run.fetch_add(1, Ordering::Relaxed) + 1;
+        let longest = if random.random_bool(0.3) { 7000 } else { 1500 };
+        let hold = random.random_range(50..longest).to_string();
+        let mut command = Command::new(&plan.program);
+        command.args(["lease", "run", &lease, "--ttl", TTL, "--wait", "20s", "--fleet"]).arg(file).arg("--");
+        command.args(&plan.command).env(TARGET, target.to_string()).env(HOLD_MS, hold);
+        command.env(PROCESS, format!("holder-{number}.{run}"));
+        let started = command.stdin(Stdio::null()).stdout(Stdio::null()).stderr(Stdio::null()).spawn();
+        let Ok(mut child) = started else { return };
+        holder.pid.store(child.id(), Ordering::Relaxed);
+        loop {
+            match child.try_wait() {
+                Ok(None) if end.load(Ordering::Relaxed) => {
+                    let _ = child.kill();
+                    let _ = child.wait();
+                    break;
+                }
+                Ok(None) => thread::sleep(Duration::from_millis(5)),
+                _ => break,
+            }
+        }
+        holder.pid.store(0, Ordering::Relaxed);
+    }
+}
+
+/// Plays a siege; `stop` ends it early.
+///
+/// # Errors
+///
+/// Says what can't be started.
+pub fn play(plan: &Plan, stop: &AtomicBool) -> Result<Outcome, String> {
+    let field = Field::new(plan).map_err(|e| e.to_string())?;
+    let target = Target::start().map_err(|e| e.to_string())?;
+    let mut voters: Vec<Option<Process>> = Vec::new();
+    for voter in 0..plan.voters {
+        voters.push(Some(field.voter(plan, voter).map_err(|e| format!("{}: {e}", plan.program.display()))?));
+    }
+    let holders: Vec<Holder> = (0..plan.holders).map(|_| Holder::default()).collect();
+    let (end, mut faults, mut stops) = (AtomicBool::new(false), Vec::new(), Vec::new());
+    let mut stuck = Vec::new();
+    thread::scope(|scope| {
+        for (number, holder) in holders.iter().enumerate() {
+            let (file, end, address) = (&field.files[plan.voters + number], &end, target.address);
+            scope.spawn(move || keep_holding(plan, file, number, address, holder, end));
+        }
+        rage(plan, &field, &mut voters, &holders, stop, &mut faults, &mut stops);
+        let healed = now().as_secs_f64();
+        let unserved = || {
+            let (_, acts) = &*target.acts.lock().expect("nobody panics with it");
+            let served = |number: &usize| {
+                let name = format!("holder-{number}.");
+                acts.iter().any(|a| a.process.starts_with(&name) && a.checked > healed)
+            };
+            (0..plan.holders).filter(|n| !served(n)).collect::<Vec<_>>()
+        };
+        let last = now() + HEALING;
+        while now() < last && !unserved().is_empty() && !stop.load(Ordering::Relaxed) {
+            thread::sleep(Duration::from_millis(50));
+        }
+        if !stop.load(Ordering::Relaxed) {
+            stuck = unserved()
+                .iter()
+                .map(|n| format!("holder-{n}, within {HEALING:?} after the faults"))
+                .collect();
+        }
+        end.store(true, Ordering::Relaxed);
+    });
+    drop(voters);
+    let (_, acts) = std::mem::take(&mut *target.acts.lock().expect("nobody panics with it"));
+    let refused = acts.iter().filter(|a| !a.accepted).count();
+    let history = observed(acts, &stops, stuck);
+    Ok(Outcome {
+        grants: history.beliefs.len(),
+        acts: (history.acts.len(), refused),
+        violations: check(&history),
+        faults,
+    })
+}
+
+/// The faults.
+fn rage(
+    plan: &Plan,
+    field: &Field,
+    voters: &mut [Option<Process>],
+    holders: &[Holder],
+    stop: &AtomicBool,
+    faults: &mut Vec<String>,
+    stops: &mut Vec<(String, f64)>,
+) {
+    let mut random = Streams::new(plan.seed).of("faults", 0);
+    let began = now();
+    let mut undo: Vec<(Duration, Undo)> = Vec::new();
+    let until = began + Duration::from_secs_f64(plan.seconds);
+    let mut next = began + Duration::from_secs(3);
+    while now() < until && !stop.load(Ordering::Relaxed) {
+        let due: Vec<Undo>;
+        (due, undo) = split(undo, now());
+        due.into_iter().for_each(|u| u.carry_out(plan, field, voters));
+        if now() >= next {
+            next = now() + Duration::from_millis(random.random_range(50..900));
+            let voter = random.random_range(0..plan.voters);
+            let holder = random.random_range(0..plan.holders);
+            let after = now() + Duration::from_millis(random.random_range(50..2500));
+            let what = match random.random_range(0..100) {
+                0..35 => {
+                    let from = random.random_range(0..plan.voters + plan.holders);
+                    let ways = [[true, false], [false, true], [true, true]][random.random_range(0..3)];
+                    let alone = random.random_bool(0.3);
+                    for (link, relay) in &field.relays {
+                        let between =
+                            if alone { link.0 == voter || link.1 == voter } else { *link == (from, voter) };
+                        if between {
+                            // For a link that others called, the way there is the way back.
+                            let turned = alone && link.1 == voter;
+                            for (way, cut) in ways.iter().enumerate() {
+                                let way = if turned { 1 - way } else { way };
+                                relay.wrong.cut[way].store(*cut, Ordering::Relaxed);
+                            }
+                        }
+                    }
+                    undo.push((after, Undo::Heal(if alone { None } else { Some(from) }, voter)));
+                    let of = if alone { "all links".to_owned() } else { format!("link from {from}") };
+                    format!("{of} of voter {} cut, out and in: {ways:?}", voter + 1)
+                }
+                35..45 => {
+                    field.relays.iter().filter(|(l, _)| l.0 == voter || l.1 == voter).for_each(|(_, r)| {
+                        r.wrong.dropped.fetch_add(1, Ordering::Relaxed);
+                    });
+                    format!("connections of voter {} dropped", voter + 1)
+                }
+                45..60 => {
+                    voters[voter] = None;
+                    undo.push((after, Undo::Start(voter)));
+                    format!("voter {} killed", voter + 1)
+                }
+                60..63 => {
+                    voters.iter_mut().for_each(|v| *v = None);
+                    (0..plan.voters).for_each(|v| undo.push((after, Undo::Start(v))));
+                    "all voters killed".to_owned()
+                }
+                63..75 => {
+                    let Some(pid) = voters[voter].as_ref().map(|v| v.0.id()) else { continue };
+                    signal(pid, "STOP");
+                    undo.push((after, Undo::Go(pid)));
+                    format!("voter {} stopped", voter + 1)
+                }
+                75..87 => {
+                    let pid = holders[holder].pid.load(Ordering::Relaxed);
+                    if pid == 0 {
+                        continue;
+                    }
+                    let run = holders[holder].run.load(Ordering::Relaxed);
+                    stops.push((format!("holder-{holder}.{run}"), now().as_secs_f64()));
+                    signal(pid, "STOP");
+                    undo.push((after + Duration::from_millis(random.random_range(0..3000)), Undo::Go(pid)));
+                    format!("holder {holder} stopped, its command goes on")
+                }
+                87..95 => {
+                    let pid = holders[holder].pid.load(Ordering::Relaxed);
+                    if pid == 0 {
+                        continue;
+                    }
+                    signal(pid, "KILL");
+                    format!("holder {holder} killed")
+                }
+                _ => {
+                    let delay = random.random_range(1..40);
+                    field.relays.values().for_each(|r| r.wrong.delay_ms.store(delay, Ordering::Relaxed));
+                    undo.push((after, Undo::Delay));
+                    format!("delays of {delay} ms for each 64 bytes")
+                }
+            };
+            faults.push(format!("{:.3} {what}", now().as_secs_f64()));
+        }
+        thread::sleep(Duration::from_millis(5));
+    }
+    undo.extend((0..plan.voters).flat_map(|v| [Undo::Heal(None, v), Undo::Start(v)]).map(|u| (until, u)));
+    undo.into_iter().for_each(|(_, u)| u.carry_out(plan, field, voters));
+}
+
+enum Undo {
+    Heal(Option<usize>, usize),
+    Start(usize),
+    Go(u32),
+    Delay,
+}
+
+fn split(undo: Vec<(Duration, Undo)>, time: Duration) -> (Vec<Undo>, Vec<(Duration, Undo)>) {
+    let (due, later): (Vec<_>, Vec<_>) = undo.into_iter().partition(|(at, _)| *at <= time);
+    (due.into_iter().map(|(_, u)| u).collect(), later)
+}
+
+impl Undo {
+    fn carry_out(self, plan: &Plan, field: &Field, voters: &mut [Option<Process>]) {
+        match self {
+            Undo::Heal(from, voter) => {
+                for (link, relay) in &field.relays {
+                    if from.map_or(link.0 == voter || link.1 == voter, |from| *link == (from, voter)) {
+                        relay.wrong.cut.iter().for_each(|c| c.store(false, Ordering::Relaxed));
+                    }
+                }
+            }
+            // One that can't be started now is missing, which the end of the siege shows.
+            Undo::Start(voter) if voters[voter].is_none() => voters[voter] = field.voter(plan, voter).ok(),
+            Undo::Start(_) => {}
+            Undo::Go(pid) => signal(pid, "CONT"),
+            Undo::Delay => {
+                field.relays.values().for_each(|r| r.wrong.delay_ms.store(0, Ordering::Relaxed));
+            }
+        }
+    }
+}
+
+/// The history that the target saw. A run of a holder that was stopped could check nothing from then on: only
+/// the fence holds for what its command did later.
+fn observed(mut acts: Vec<Act>, stops: &[(String, f64)], stuck: Vec<String>) -> History {
+    let mut beliefs: BTreeMap<(String, u64), Belief> = BTreeMap::new();
+    for act in &mut acts {
+        let stopped =
+            stops.iter().filter(|(p, _)| *p == act.process).map(|(_, at)| *at).fold(f64::MAX, f64::min);
+        if act.checked >= stopped {
+            act.checked = f64::MIN;
+            continue;
+        }
+        let belief = beliefs.entry((act.process.clone(), act.token)).or_insert_with(|| Belief {
+            process: act.process.clone(),
+            lease: act.lease.clone(),
+            token: act.token,
+            from: act.checked,
+            to: act.checked,
+        });
+        belief.to = belief.to.max(act.checked);
+    }
+    let beliefs = beliefs.into_values().collect();
+    History { beliefs, acts, stuck, grace: LOCK_DELAY_MS as f64 / 1000.0, ..History::default() }
+}
--- /dev/null
+++ b/crates/passrelay/tests/lease.rs
@@ -0,0 +1,224 @@
+//! Voters and holders of leases as processes of the program, with faults between them.
+
+use passrelay_lab::siege::processes::{act, play, Plan};
+use passrelay_lab::sockets::program::free_address;
+use passrelay_standin::until;
+use serde_json::Value;
+use std::path::{Path, PathBuf};
+use std::process::{Child, Command, Output, Stdio};
+use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
+use std::time::{Duration, Instant};
+
+const PROGRAM: &str = env!("CARGO_BIN_EXE_passrelay");
+
+/// A fleet of three voters in a folder of its own.
+struct Fleet {
+    folder: PathBuf,
+    voters: Vec<Option<Child>>,
+}
+
+impl Fleet {
+    fn start() -> Fleet {
+        static NUMBER: AtomicUsize = AtomicUsize::new(0);
+        let number = NUMBER.fetch_add(1, Ordering::SeqCst);
+        let folder = std::env::temp_dir().join(format!("passrelay-lease-{}-{number}", std::process::id()));
+        std::fs::create_dir_all(&folder).unwrap();
+        let voter = |id| format!("[[voter]]\nid = {id}\naddress = \"{}\"\n", free_address().unwrap());
+        let voters: String = (1..=3).map(voter).collect();
+        let text = format!("fleet = \"test\"\nlock_delay_ms = 200\n{voters}");
+        std::fs::write(folder.join("fleet.toml"), text).unwrap();
+        let mut fleet = Fleet { folder, voters: vec![None, None, None] };
+        (1..=3).for_each(|id| fleet.vote(id));
+        fleet.until_whole();
+        fleet
+    }
+
+    fn file(&self) -> PathBuf {
+        self.folder.join("fleet.toml")
+    }
+
+    fn vote(&mut self, id: usize) {
+        let mut command = Command::new(PROGRAM);
+        command.args(["voter", "--id", &id.to_string(), "--fleet"]).arg(self.file()).stderr(Stdio::null());
+        self.voters[id - 1] = Some(command.spawn().unwrap());
+    }
+
+    fn kill(&mut self, id: usize) {
+        if let Some(mut voter) = self.voters[id - 1].take() {
+            voter.kill().unwrap();
+            voter.wait().unwrap();
+        }
+    }
+
+    fn command(&self, words: &[&str]) -> Command {
+        let mut command = Command::new(PROGRAM);
+        let (before, after) = match words.iter().position(|w| *w == "--") {
+            Some(at) => words.split_at(at),
+            None => (words, &[][..]),
+        };
+        command.args(before).arg("--fleet").arg(self.file()).args(after);
+        command.stdout(Stdio::piped()).stderr(Stdio::piped());
+        command
+    }
+
+    fn ask(&self, words: &[&str]) -> Output {
+        self.command(words).output().unwrap()
+    }
+
+    fn status(&self) -> Value {
+        serde_json::from_slice(&self.ask(&["fleet", "status", "--output", "json"]).stdout).unwrap()
+    }
+
+    fn until_whole(&self) {
+        until("a majority votes", || self.status()["majority"] == true);
+    }
+
+    /// The token that a command sees under a lease.
+    fn token(&self, lease: &str) -> u64 {
+        let said = self.ask(&["lease", "run", lease, "--", "sh", "-c", "echo $PASSRELAY_LEASE_TOKEN"]);
+        String::from_utf8(said.stdout).unwrap().trim().parse().unwrap()
+    }
+
+    fn shown(&self, lease: &str) -> Value {
+        let said = self.ask(&["lease", "show", lease, "--output", "json"]);
+        serde_json::from_slice(&said.stdout).unwrap_or(Value::Null)
+    }
+}
+
+impl Drop for Fleet {
+    fn drop(&mut self) {
+        (1..=3).for_each(|id| self.kill(id));
+        let _ = std::fs::remove_dir_all(&self.folder);
+    }
+}
+
+fn signal(child: &Child, name: &str) {
+    assert!(Command::new("kill")
+        .args([&format!("-{name}"), &child.id().to_string()])
+        .status()
+        .unwrap()
+        .success());
+}
+
+fn exists(pid: &str) -> bool {
+    // A zombie has no command line any more.
+    std::fs::read(Path::new("/proc").join(pid).join("cmdline")).is_ok_and(|c| !c.is_empty())
+}
+
+#[test]
+fn a_command_runs_under_a_growing_token_and_its_code_is_the_programs() {
+    let fleet = Fleet::start();
+    let first = fleet.token("nightly");
+    assert!(fleet.token("nightly") > first);
+    assert_eq!(fleet.ask(&["lease", "run", "nightly", "--", "sh", "-c", "exit 7"]).status.code(), Some(7));
+    let mut holder = fleet.command(&["lease", "run", "nightly", "--", "sleep", "60"]).spawn().unwrap();
+    until("the lease is held", || fleet.shown("nightly")["state"] == "held");
+    let refused = fleet.ask(&["lease", "run", "nightly", "--wait", "0s", "--", "true"]);
+    assert_eq!(refused.status.code(), Some(124));
+    assert!(String::from_utf8(refused.stderr).unwrap().contains("held by lease-run-"));
+    // Let go at SIGTERM, which the command gets too.
+    signal(&holder, "TERM");
+    assert_eq!(holder.wait().unwrap().code(), Some(128 + 15));
+    until("it is free", || fleet.shown("nightly").is_null());
+    assert_eq!(fleet.ask(&["lease", "release", "nightly"]).status.code(), Some(1), "nobody holds it");
+}
+
+// Guards against a lease that a dead process keeps, and a command that outlives the process that held it.
+#[test]
+fn after_a_holders_death_the_next_one_holds_and_the_dead_ones_command_is_gone() {
+    let fleet = Fleet::start();
+    let pid_file = fleet.folder.join("pid");
+    let script = format!("echo $$ > {}; exec sleep 60", pid_file.display());
+    let words = ["lease", "run", "job", "--ttl", "1s", "--", "sh", "-c", &script];
+    let mut holder = fleet.command(&words).spawn().unwrap();
+    until("the command runs", || std::fs::read_to_string(&pid_file).is_ok_and(|p| p.ends_with('\n')));
+    let pid = std::fs::read_to_string(&pid_file).unwrap().trim().to_owned();
+    holder.kill().unwrap();
+    let began = Instant::now();
+    assert!(fleet.token("job") > 1);
+    // Time to live, lock delay, and a second.
+    assert!(began.elapsed() < Duration::from_millis(1000 + 200 + 1000), "{:?}", began.elapsed());
+    assert!(!exists(&pid), "the dead holder's command goes on");
+    holder.wait().unwrap();
+}
+
+// Guards against a holder that was stopped for longer than its lease and goes on as if it still held it.
+#[test]
+fn a_holder_that_was_stopped_past_its_lease_ends_its_command_when_it_goes_on() {
+    let fleet = Fleet::start();
+    let words = ["lease", "run", "job", "--ttl", "1s", "--", "sleep", "60"];
+    let mut holder = fleet.command(&words).spawn().unwrap();
+    until("the lease is held", || fleet.shown("job")["state"] == "held");
+    signal(&holder, "STOP");
+    let next = fleet.token("job");
+    signal(&holder, "CONT");
+    assert_eq!(holder.wait().unwrap().code(), Some(123));
+    assert!(next > 1);
+}
+
+// Guards against a grant forgotten, or a token given twice, when all voters go down together; and against a
+// voter that lost its disk taking part again, by which two majorities could be had.
+#[test]
+fn tokens_grow_through_the_death_of_all_voters_and_a_lost_disk_is_refused_by_name() {
+    let mut fleet = Fleet::start();
+    let before = fleet.token("job");
+    (1..=3).for_each(|id| fleet.kill(id));
+    (1..=3).for_each(|id| fleet.vote(id));
+    fleet.until_whole();
+    assert!(fleet.token("job") > before);
+    fleet.kill(2);
+    std::fs::remove_dir_all(fleet.folder.join("fleet-data/voter-2")).unwrap();
+    fleet.vote(2);
+    let state = |fleet: &Fleet| fleet.status()["voters"][1]["state"].as_str().unwrap_or("").to_owned();
+    until("voter 2 is refused", || {
+        state(&fleet).contains("voter 2 had another disk; remove it and add it anew")
+    });
+    assert!(fleet.token("job") > before + 1, "the two others go on");
+    // Without one of them there is no majority, and nothing is granted.
+    fleet.kill(3);
+    let refused = fleet.ask(&["lease", "run", "job", "--wait", "0s", "--", "true"]);
+    assert_eq!(refused.status.code(), Some(125));
+    fleet.vote(3);
+    fleet.until_whole();
+    assert!(fleet.token("job") > before + 2);
+}
+
+#[test]
+fn a_fleets_file_that_is_wrong_is_named_with_its_line() {
+    let fleet = Fleet::start();
+    std::fs::write(fleet.file(), "fleet = \"f\"\n[[voter]]\nid = 1\naddress = \"here\"\n").unwrap();
+    let said = fleet.ask(&["lease", "list"]);
+    assert_eq!(said.status.code(), Some(2));
+    let text = String::from_utf8(said.stderr).unwrap();
+    assert!(text.contains("fleet.toml:4: voter.address: should be address:port, is 'here'"), "{text}");
+}
+
+/// The holders' command of the siege below: this test program again.
+#[test]
+fn holders_act() {
+    if std::env::var_os("SIEGE_TARGET").is_some() {
+        act().unwrap();
+    }
+}
+
+// Guards the promises with real processes, links and disks: faults by fixed seeds, and a checker that knows
+// only what the target saw.
+#[test]
+fn a_siege_shows_no_two_holders_and_nobody_stuck() {
+    let this = std::env::current_exe().unwrap().to_string_lossy().into_owned();
+    let command = [this.as_str(), "--exact", "holders_act"].map(str::to_owned).to_vec();
+    for seed in [1, 2] {
+        let plan = Plan {
+            program: PROGRAM.into(),
+            command: command.clone(),
+            voters: 3,
+            holders: 4,
+            seconds: 12.0,
+            seed,
+        };
+        let outcome = play(&plan, &AtomicBool::new(false)).unwrap();
+        let wrong: Vec<String> = outcome.violations.iter().map(ToString::to_string).collect();
+        assert!(wrong.is_empty(), "seed {seed}: {}\n{}", wrong.join("\n"), outcome.faults.join("\n"));
+        assert!(outcome.grants > 4 && outcome.acts.0 > 100, "too little happened: {outcome:?}");
+    }
+}
