--- a/crates/fleet/src/client.rs
+++ b/crates/fleet/src/client.rs
@@ -154,7 +154,8 @@
     /// Leave to act under a lease now, if it is held beyond doubt.
     pub fn guard(&self, lease: &str, now: Duration) -> Option<Guard> {
         let grant = self.held.get(lease)?;
-        let until = self.base + belief(Duration::from_millis(grant.ttl_ms));
+        // Guards against a belief that outlives the session, which takes all its leases along when it expires.
+        let until = self.base + belief(Duration::from_millis(grant.ttl_ms).min(self.ttl));
         let (lease, token) = (grant.lease.clone(), grant.token);
         (now < until).then_some(Guard { lease, token, until })
     }
--- a/crates/lab/src/siege/processes.rs
+++ b/crates/lab/src/siege/processes.rs
@@ -84,10 +84,13 @@
     Ok(())
 }
 
+/// The highest token of each lease, and every act.
+type Seen = (BTreeMap<String, u64>, Vec<Act>);
+
 /// The target: it keeps the highest token of each lease, and writes down every act.
 struct Target {
     address: SocketAddr,
-    acts: Arc<Mutex<(BTreeMap<String, u64>, Vec<Act>)>>,
+    acts: Arc<Mutex<Seen>>,
 }
 
 impl Target {
--- a/crates/store/src/memory.rs
+++ b/crates/store/src/memory.rs
@@ -90,7 +90,7 @@
         let file = state.files.entry(name.to_owned()).or_default();
         if state.fault == Fault::Full {
             state.refused += 1;
-            if state.refused.is_multiple_of(2) {
+            if state.refused % 2 == 0 {
                 file.extend_from_slice(&bytes[..bytes.len() / 2]);
             }
             return Err(io::Error::new(io::ErrorKind::StorageFull, "no room left"));
