--- a/crates/fleet/src/client.rs
+++ b/crates/fleet/src/client.rs
@@ -212,12 +212,6 @@
             && (self.not_now || self.waiting.is_some_and(|since| now >= since + PATIENCE))
     }
 
-    /// When [`Client::tick`] has something to do.
-    pub fn wake(&self) -> Duration {
-        let next = if self.session.is_none() { self.open_at } else { self.renew_at };
-        self.waiting.map_or(next, |since| next.min(since + PATIENCE))
-    }
-
     fn open(&mut self, now: Duration) {
         if self.linked {
             let ttl_ms = self.ttl.as_millis() as u64;
--- a/crates/fleet/src/voter.rs
+++ b/crates/fleet/src/voter.rs
@@ -6,7 +6,7 @@
 
 use crate::mutant::{is, Mutant};
 use crate::replica::{Mirror, Replica, Step, Write};
-use crate::table::{Entry, Event, Refusal, Reply, Table};
+use crate::table::{Entry, Event, Reply, Table};
 use crate::warden::Warden;
 use crate::wire::{Answer, Frame, LeaseRow, Say, Status};
 use crate::{SessionId, VoterId};
@@ -197,11 +197,6 @@
         self.unwelcome.is_none() && self.welcomed.len() >= needed
     }
 
-    /// Why it may not vote, as another voter said.
-    pub fn unwelcome(&self) -> Option<&str> {
-        self.unwelcome.as_deref()
-    }
-
     /// The leader, if it knows one.
     pub fn leader(&self) -> Option<VoterId> {
         self.replica.leader().filter(|_| self.votes())
@@ -519,11 +514,3 @@
         encode(&records)
     }
 }
-
-/// The refusal in an answer, if it is one.
-pub fn refusal(reply: &Reply) -> Option<&Refusal> {
-    match reply {
-        Reply::Refused(refusal) => Some(refusal),
-        _ => None,
-    }
-}
--- a/crates/passrelay/src/lease.rs
+++ b/crates/passrelay/src/lease.rs
@@ -300,14 +300,11 @@
         let time = now();
         // Under another token it would be another's turn that went by in between: not ours any more.
         let guard = member.client.guard(name, time).filter(|g| g.token() == token);
-        match guard {
-            Some(guard) => {
-                let until = guard.until();
-                held.mind(until.saturating_sub(time), ttl);
-            }
+        match &guard {
+            Some(guard) => held.mind(guard.until().saturating_sub(time), ttl),
             None => held.signal(Signal::KILL),
         }
-        lost |= held.termed || guard_is_gone(&member, name, token);
+        lost |= held.termed || guard.is_none();
         if told.swap(false, Ordering::Relaxed) {
             held.signal(Signal::TERM);
         }
@@ -325,10 +322,6 @@
     Ok(ExitCode::from(code(status)))
 }
 
-fn guard_is_gone(member: &Member, name: &str, token: u64) -> bool {
-    member.client.guard(name, now()).is_none_or(|g| g.token() != token)
-}
-
 /// Lets the lease go and ends the session, for a second at most: without that both end by themselves.
 fn leave(member: &mut Member, name: &str) -> Result<(), Box<dyn Error>> {
     let wish = member.client.ask(Op::Release { lease: name.to_owned() }, now());
