Let a voter outlive the system's signal of a full disk; fill real disks in the siege

Now the signal is taken in and the write fails like on any full disk. A test fills the disks of one and two of three real voters; the siege of real processes fills one or two, in the middle of a record too, and stops holders for longer.

--- a/crates/lab/src/siege/processes.rs
+++ b/crates/lab/src/siege/processes.rs
@@ -183,6 +183,24 @@
     }
 }
 
+impl Field {
+    /// Lets the files of a voter's process grow by so many bytes more and then no further, as on a full disk.
+    fn limit(&self, voter: usize, voters: &[Option<Process>], room: Option<u64>) {
+        let Some(process) = &voters[voter] else { return };
+        let folder = self.folder.join(format!("fleet-data/voter-{}", voter + 1));
+        let length = |entry: std::fs::DirEntry| entry.metadata().map_or(0, |m| m.len());
+        let longest = std::fs::read_dir(folder).into_iter().flatten().flatten().map(length).max();
+        let current = room.map(|room| longest.unwrap_or(0) + room);
+        let pid = rustix::process::Pid::from_raw(process.0.id() as i32);
+        // One that has ended meanwhile has no files that could grow.
+        let _ = rustix::process::prlimit(
+            pid,
+            rustix::process::Resource::Fsize,
+            rustix::process::Rlimit { current, maximum: None },
+        );
+    }
+}
+
 /// What is known of a holder while the siege goes on.
 #[derive(Default)]
 struct Holder {
@@ -205,7 +223,7 @@
     let lease = format!("lease-{}", number / 2);
     while !end.load(Ordering::Relaxed) {
         let run = holder.run.fetch_add(1, Ordering::Relaxed) + 1;
-        let longest = if random.random_bool(0.3) { 7000 } else { 1500 };
+        let longest = if random.random_bool(0.4) { 9000 } else { 1500 };
         let hold = random.random_range(50..longest).to_string();
         let mut command = Command::new(&plan.program);
         command.args(["lease", "run", &lease, "--ttl", TTL, "--wait", "20s", "--fleet"]).arg(file).arg("--");
@@ -344,13 +362,24 @@
                     (0..plan.voters).for_each(|v| undo.push((after, Undo::Start(v))));
                     "all voters killed".to_owned()
                 }
-                63..75 => {
+                63..69 => {
+                    // The disks of one or two, at once or in the middle of the next record.
+                    let two = random.random_bool(0.4);
+                    let room = if random.random_bool(0.5) { 0 } else { random.random_range(1..4096) };
+                    let full = [Some(voter), two.then_some((voter + 1) % plan.voters)];
+                    for voter in full.into_iter().flatten() {
+                        field.limit(voter, voters, Some(room));
+                        undo.push((after, Undo::Room(voter)));
+                    }
+                    format!("disk of voter {} (and the next: {two}) full after {room} bytes", voter + 1)
+                }
+                69..77 => {
                     let Some(pid) = voters[voter].as_ref().map(|v| v.0.id()) else { continue };
                     signal(pid, "STOP");
                     undo.push((after, Undo::Go(pid)));
                     format!("voter {} stopped", voter + 1)
                 }
-                75..87 => {
+                77..87 => {
                     let pid = holders[holder].pid.load(Ordering::Relaxed);
                     if pid == 0 {
                         continue;
@@ -358,7 +387,8 @@
                     let run = holders[holder].run.load(Ordering::Relaxed);
                     stops.push((format!("holder-{holder}.{run}"), now().as_secs_f64()));
                     signal(pid, "STOP");
-                    undo.push((after + Duration::from_millis(random.random_range(0..3000)), Undo::Go(pid)));
+                    // Often longer than its lease, so that its command meets the next holder's at the target.
+                    undo.push((after + Duration::from_millis(random.random_range(500..5000)), Undo::Go(pid)));
                     format!("holder {holder} stopped, its command goes on")
                 }
                 87..95 => {
@@ -388,6 +418,7 @@
     Heal(Option<usize>, usize),
     Start(usize),
     Go(u32),
+    Room(usize),
     Delay,
 }
 
@@ -410,6 +441,7 @@
             Undo::Start(voter) if voters[voter].is_none() => voters[voter] = field.voter(plan, voter).ok(),
             Undo::Start(_) => {}
             Undo::Go(pid) => signal(pid, "CONT"),
+            Undo::Room(voter) => field.limit(voter, voters, None),
             Undo::Delay => {
                 field.relays.values().for_each(|r| r.wrong.delay_ms.store(0, Ordering::Relaxed));
             }
--- a/crates/passrelay/src/fleet.rs
+++ b/crates/passrelay/src/fleet.rs
@@ -45,6 +45,9 @@
     for signal in [signal_hook::consts::SIGTERM, signal_hook::consts::SIGINT] {
         signal_hook::flag::register(signal, end.clone())?;
     }
+    // Guards against the system's way of saying that a file has grown to its limit, which is to end the process:
+    // taken in, it leaves the write an error like any other of a full disk.
+    signal_hook::flag::register(signal_hook::consts::SIGXFSZ, Arc::default())?;
     let mut voting = Voting::open(&plan, id)?;
     let mut say = |event: &str, values: &str| {
         eprintln!("t={:.3} level=info name=voter-{id} event={event} {values}", now().as_secs_f64());
--- a/crates/passrelay/tests/lease.rs
+++ b/crates/passrelay/tests/lease.rs
@@ -183,6 +183,35 @@
     assert!(fleet.token("job") > before + 2);
 }
 
+// Guards against a voter that its full disk ends, or that votes on without it: the system signals a file that has
+// grown to its limit, and the half of a record that still fitted must not be read as one.
+#[test]
+fn a_voter_whose_disk_is_full_says_so_and_comes_back_by_itself() {
+    let fleet = Fleet::start();
+    let before = fleet.token("job");
+    let room = |voter: usize, bytes: Option<u64>| {
+        let pid = fleet.voters[voter - 1].as_ref().map(|v| v.id() as i32).unwrap();
+        let limit = rustix::process::Rlimit { current: bytes, maximum: None };
+        let pid = rustix::process::Pid::from_raw(pid);
+        rustix::process::prlimit(pid, rustix::process::Resource::Fsize, limit).unwrap();
+    };
+    let state = |voter: usize| fleet.status()["voters"][voter - 1]["state"].as_str().unwrap_or("").to_owned();
+    room(2, Some(100));
+    assert!(fleet.token("job") > before, "the two others go on");
+    until("voter 2 says that its disk is full", || state(2).starts_with("no disk: "));
+    // Two of three: nothing can be lasting on a majority, so nothing is granted.
+    room(3, Some(100));
+    let refused = fleet.ask(&["lease", "run", "job", "--wait", "0s", "--", "true"]);
+    assert_eq!(refused.status.code(), Some(125));
+    room(2, None);
+    fleet.until_whole();
+    let after = fleet.token("job");
+    assert!(after > before + 1);
+    room(3, None);
+    until("all vote", || (1..=3).all(|voter| state(voter) == "voting"));
+    assert!(fleet.token("job") > after);
+}
+
 #[test]
 fn a_fleets_file_that_is_wrong_is_named_with_its_line() {
     let fleet = Fleet::start();
