--- a/crates/fleet/src/voter.rs
+++ b/crates/fleet/src/voter.rs
@@ -46,6 +46,8 @@
 /// A record of a voter's journal.
 #[derive(Clone, Debug, Serialize, Deserialize)]
 enum Record {
+    /// The first record of journals of an older form, which can't be read on.
+    Former,
     /// The disk is this voter's. These voters began the fleet, or nobody is known yet. Always the first.
     Birth { voter: VoterId, founders: Option<Vec<VoterId>>, disk: u64 },
     /// The number of the turn that wrote what follows.
@@ -159,10 +161,11 @@
         let mut all: Vec<Record> = Vec::new();
         for bytes in records {
             let turn: Result<Vec<Record>, _> = postcard::from_bytes(bytes);
-            all.extend(turn.map_err(|e| format!("a record of the journal: {e}"))?);
+            all.extend(turn.map_err(|e| format!("a record of the journal (of an older version?): {e}"))?);
         }
         for record in all {
             match record {
+                Record::Former => return Err("the journal is of an older version".to_owned()),
                 Record::Birth { voter, founders, disk } => {
                     if voter != rank.voter {
                         return Err(format!("the disk is voter {voter}'s, not voter {}'s", rank.voter));
--- a/crates/lab/src/cli.rs
+++ b/crates/lab/src/cli.rs
@@ -4,7 +4,7 @@
 use crate::plot;
 use crate::results::{self, series, Job, Keep, Row};
 use crate::rivals::Policy;
-use crate::siege::{processes, timed};
+use crate::siege::{crowd, processes, timed};
 use crate::sockets::fleet::Fleet;
 use crate::sockets::load::{Live, Load};
 use crate::sockets::{bench, sidecar_config};
@@ -52,6 +52,27 @@
         #[arg(long)]
         program: Option<PathBuf>,
     },
+    /// No faults, but a crowd: the time of a grant, and what the voters use while many clients hold many leases.
+    Crowd {
+        /// Voters.
+        #[arg(long, default_value_t = 3)]
+        voters: usize,
+        /// Clients.
+        #[arg(long, default_value_t = 300)]
+        clients: usize,
+        /// Leases of each client.
+        #[arg(long, default_value_t = 10)]
+        leases: usize,
+        /// Seconds for which they hold them.
+        #[arg(long, default_value_t = 60.0)]
+        seconds: f64,
+        /// Grants of a free lease that are timed before.
+        #[arg(long, default_value_t = 1000)]
+        grants: usize,
+        /// The program; by default the one beside this.
+        #[arg(long)]
+        program: Option<PathBuf>,
+    },
     /// The holders' command in a siege.
     #[command(hide = true)]
     Act,
@@ -365,6 +386,9 @@
         Command::Siege(Siege::Leases { seed, seconds, voters, holders, program: named }) => {
             siege_leases(seed, seconds, voters, holders, named)
         }
+        Command::Siege(Siege::Crowd { voters, clients, leases, seconds, grants, program: named }) => {
+            siege_crowd(voters, clients, leases, seconds, grants, named)
+        }
         Command::Siege(Siege::Timed { seed, histories, mutant }) => {
             siege_timed(seed, histories, mutant.as_deref())
         }
@@ -412,6 +436,30 @@
     Err(Failure(1, format!("{}\nfaults:\n{}", wrong.join("\n"), outcome.faults.join("\n"))))
 }
 
+fn siege_crowd(
+    voters: usize,
+    clients: usize,
+    leases: usize,
+    seconds: f64,
+    grants: usize,
+    named: Option<PathBuf>,
+) -> Result<(), Failure> {
+    let plan = crowd::Plan { program: program(named)?, voters, clients, leases, seconds, grants };
+    let outcome = crowd::play(&plan, &*stop_flag()?).map_err(|e| Failure(1, e))?;
+    let (p50, p99, most) = outcome.grant_ms;
+    let list = |values: Vec<String>| values.join(",");
+    print(&format!(
+        "voters={voters} clients={clients} leases={leases} seconds={seconds} grants={grants} grant_p50_ms={p50:.2} \
+         grant_p99_ms={p99:.2} grant_max_ms={most:.2} all_held_s={:.2} cores={} loopback_bytes_per_s={:.0} \
+         rss_mib={} lost={}\n",
+        outcome.all_held,
+        list(outcome.cores.iter().map(|c| format!("{c:.3}")).collect()),
+        outcome.bytes,
+        list(outcome.memory.iter().map(|(a, b)| format!("{a:.1}..{b:.1}")).collect()),
+        outcome.lost
+    ))
+}
+
 fn siege_timed(seed: u64, histories: u64, mutant: Option<&str>) -> Result<(), Failure> {
     let named = |name: &str| Mutant::ALL.into_iter().find(|m| format!("{m:?}").eq_ignore_ascii_case(name));
     let known = || Mutant::ALL.map(|m| format!("{m:?}")).join(", ");
--- a/crates/lab/src/siege/mod.rs
+++ b/crates/lab/src/siege/mod.rs
@@ -2,6 +2,7 @@
 //! checker that knows nothing of how leases are made.
 
 pub mod clock;
+pub mod crowd;
 pub mod history;
 pub mod processes;
 pub mod relay;
--- a/crates/passrelay/tests/lease.rs
+++ b/crates/passrelay/tests/lease.rs
@@ -1,5 +1,6 @@
 //! Voters and holders of leases as processes of the program, with faults between them.
 
+use passrelay_lab::siege::crowd;
 use passrelay_lab::siege::processes::{act, play, Plan};
 use passrelay_standin::{free_address, until};
 use serde_json::Value;
@@ -276,6 +277,16 @@
     assert!(text.contains("fleet.toml:4: voter.address: should be address:port, is 'here'"), "{text}");
 }
 
+// Guards against a crowd that loses leases where nothing is wrong, as when renewals wait behind each other.
+#[test]
+fn a_crowd_holds_all_its_leases() {
+    let plan =
+        crowd::Plan { program: PROGRAM.into(), voters: 3, clients: 40, leases: 5, seconds: 3.0, grants: 20 };
+    let outcome = crowd::play(&plan, &AtomicBool::new(false)).unwrap();
+    assert_eq!(outcome.lost, 0);
+    assert!(outcome.grant_ms.0 > 0.0 && outcome.bytes > 0.0 && outcome.memory.len() == 3, "{outcome:?}");
+}
+
 /// The holders' command of the siege below: this test program again.
 #[test]
 fn holders_act() {
--- a/crates/passrelay/tests/service.rs
+++ b/crates/passrelay/tests/service.rs
@@ -3,7 +3,7 @@
 use passrelay_standin::*;
 use serde_json::Value;
 use std::io::{BufReader, Write};
-use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::net::{SocketAddr, TcpStream};
 use std::time::Duration;
 
 const PROGRAM: &str = env!("CARGO_BIN_EXE_passrelay");
