--- a/crates/fleet/src/client.rs
+++ b/crates/fleet/src/client.rs
@@ -98,6 +98,7 @@
     ttl: Duration,
     session: Option<SessionId>,
     linked: bool,
+    closed: bool,
     /// Since when something has been waited for without an answer of any kind.
     waiting: Option<Duration>,
     not_now: bool,
@@ -128,6 +129,7 @@
             ttl,
             session: None,
             linked: false,
+            closed: false,
             waiting: None,
             not_now: false,
             open_at: Duration::ZERO,
@@ -190,8 +192,9 @@
         self.seq
     }
 
-    /// Says that the session ends. Nothing is believed in from this moment.
+    /// Says that the session ends. Nothing is believed in from this moment, and no other session is opened.
     pub fn close(&mut self) {
+        self.closed = true;
         self.held.clear();
         if let Some(session) = self.session.take() {
             self.says.push(Say::Close { session });
@@ -223,7 +226,8 @@
     }
 
     fn open(&mut self, now: Duration) {
-        if self.linked {
+        // Guards against a session that nobody is behind, left open by the very turn that closed the last one.
+        if self.linked && !self.closed {
             let ttl_ms = self.ttl.as_millis() as u64;
             self.says.push(Say::Open { name: self.name.clone(), nonce: self.nonce, ttl_ms });
             self.waiting.get_or_insert(now);
@@ -405,3 +409,25 @@
         std::mem::take(&mut self.news)
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    // Guards against a session that nobody is behind: it would keep its name and its place for its time to live.
+    #[test]
+    fn a_client_that_was_closed_opens_nothing_again() {
+        let mut client = Client::new("a", 1, Duration::from_secs(10));
+        client.up(Duration::ZERO);
+        assert!(matches!(client.says()[..], [Say::Open { .. }]));
+        client.receive(Answer::Open { nonce: 1, reply: Reply::Opened { session: 5 } }, Duration::ZERO);
+        client.says();
+        client.close();
+        client.tick(Duration::from_secs(1));
+        assert_eq!(client.says(), [Say::Close { session: 5 }]);
+        client.down();
+        client.up(Duration::from_secs(2));
+        client.tick(Duration::from_secs(3));
+        assert_eq!(client.says(), []);
+    }
+}
--- a/crates/links/src/lib.rs
+++ b/crates/links/src/lib.rs
@@ -4,6 +4,7 @@
 pub mod member;
 pub mod net;
 pub mod plan;
+pub mod resident;
 pub mod seat;
 pub mod voting;
 
@@ -11,6 +12,37 @@
 
 /// Time on a clock that goes on while the machine sleeps, which `std`'s does not on Linux.
 pub fn now() -> Duration {
+    moved(true_now())
+}
+
+#[cfg(not(feature = "moved-clocks"))]
+fn moved(time: Duration) -> Duration {
+    time
+}
+
+/// For sieges: what this process takes for the time, by `PASSRELAY_TEST_CLOCK=RATE,SECONDS_AHEAD`.
+#[cfg(feature = "moved-clocks")]
+fn moved(time: Duration) -> Duration {
+    static CLOCK: std::sync::OnceLock<Option<(Duration, f64, f64)>> = std::sync::OnceLock::new();
+    let clock = CLOCK.get_or_init(|| {
+        let said = std::env::var(TEST_CLOCK).ok()?;
+        let (rate, ahead) = said.split_once(',')?;
+        Some((time, rate.parse().ok()?, ahead.parse().ok()?))
+    });
+    match clock {
+        None => time,
+        Some((start, rate, ahead)) => {
+            *start + Duration::from_secs_f64(ahead + time.saturating_sub(*start).as_secs_f64() * rate)
+        }
+    }
+}
+
+/// The variable that moves a process's clock, in builds for sieges only.
+#[cfg(feature = "moved-clocks")]
+pub const TEST_CLOCK: &str = "PASSRELAY_TEST_CLOCK";
+
+/// The same clock as the system has it.
+pub fn true_now() -> Duration {
     let time = rustix::time::clock_gettime(rustix::time::ClockId::Boottime);
     Duration::new(time.tv_sec as u64, time.tv_nsec as u32)
 }
--- a/crates/passrelay/src/cli.rs
+++ b/crates/passrelay/src/cli.rs
@@ -2,8 +2,11 @@
 
 use crate::{fleet, lease};
 use clap::{Parser, Subcommand, ValueEnum};
+use passrelay_links::plan::Plan;
+use passrelay_links::resident::Resident;
 use passrelay_settings::Config;
 use passrelay_sidecar::Sidecar;
+use serde_json::json;
 use std::error::Error;
 use std::path::PathBuf;
 use std::process::ExitCode;
@@ -85,6 +88,19 @@
 }
 
 fn run() -> Result<(), Box<dyn Error>> {
-    Sidecar::open(Config::from_env()?)?.run()?;
+    let config = Config::from_env()?;
+    // Without a fleet no thread, socket or file more than without this line.
+    let resident = match &config.fleet {
+        Some(file) => Some(Resident::start(&Plan::read(file)?, &config.name)?),
+        None => None,
+    };
+    let mut sidecar = Sidecar::open(config)?;
+    if let Some(resident) = &resident {
+        let view = resident.view();
+        sidecar.tell_of_fleet(Box::new(move || {
+            json!({ "session": view.session(), "sessions": view.sessions(), "name_taken": view.name_taken() })
+        }));
+    }
+    sidecar.run()?;
     Ok(())
 }
--- a/crates/passrelay/tests/lease.rs
+++ b/crates/passrelay/tests/lease.rs
@@ -2,8 +2,9 @@
 
 use passrelay_lab::siege::crowd;
 use passrelay_lab::siege::processes::{act, play, Plan};
-use passrelay_standin::{free_address, until};
-use serde_json::Value;
+use passrelay_standin::{answer, config, free_address, node_line, until, Discovery, Message, Relay, Server};
+use serde_json::{json, Value};
+use std::io::{BufReader, Write};
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Output, Stdio};
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
@@ -287,6 +288,67 @@
     assert!(outcome.grant_ms.0 > 0.0 && outcome.bytes > 0.0 && outcome.memory.len() == 3, "{outcome:?}");
 }
 
+/// Threads and descriptors of a process.
+fn threads_and_descriptors(pid: u32) -> (usize, usize) {
+    let count = |what| std::fs::read_dir(format!("/proc/{pid}/{what}")).unwrap().count();
+    (count("task"), count("fd"))
+}
+
+// Guards against a fleet layer that costs anything where it is off, and one that requests wait for where it is on.
+#[test]
+fn a_sidecar_takes_part_only_where_its_configuration_says_so_and_requests_never_wait_for_it() {
+    let fleet = Fleet::start();
+    let node = Server::start(|_| answer(200, "X-Load-Report: rps=3,cpu=0.5\r\n", b"done"));
+    let discovery = Discovery::start(vec![node_line("s-0", node.address, "in_service")]);
+    let config = |name: &str, file: Option<PathBuf>| {
+        let mut config = config(discovery.server.address);
+        config["name"] = json!(name);
+        config["operator"] = json!(free_address().unwrap().to_string());
+        config["fleet"] = json!(file);
+        config
+    };
+    let (off, on) = (config("off", None), config("on", Some(fleet.file())));
+    let alone = Relay::start(PROGRAM, &off);
+    let member = Relay::start(PROGRAM, &on);
+    let sessions = || {
+        let said = fleet.ask(&["lease", "list", "--output", "json"]);
+        let list: Value = serde_json::from_slice(&said.stdout).unwrap_or_default();
+        let names = list["sessions"].as_array().cloned().unwrap_or_default();
+        names.iter().map(|s| s["process"].as_str().unwrap_or("").to_owned()).collect::<Vec<_>>()
+    };
+    until("the member has a session", || sessions() == ["on"]);
+    alone.until_ready();
+    member.until_ready();
+    let (without, with) = (threads_and_descriptors(alone.pid()), threads_and_descriptors(member.pid()));
+    assert_eq!((without.0, with.0), (1, 2));
+    // A poller, its waker's pair in two descriptors at the most, and the link to one voter.
+    assert!(with.1 > without.1 && with.1 <= without.1 + 4, "{without:?} {with:?}");
+    let status = |config: &Value| {
+        let mut desk = std::net::TcpStream::connect(config["operator"].as_str().unwrap()).unwrap();
+        desk.write_all(b"GET /status HTTP/1.1\r\n\r\n").unwrap();
+        let said = Message::read(&mut BufReader::new(desk)).unwrap();
+        serde_json::from_slice::<Value>(&said.body).unwrap()["fleet"].clone()
+    };
+    assert_eq!(status(&off), Value::Null);
+    assert!(status(&on)["session"].as_u64().is_some_and(|s| s > 0));
+    // All voters stand still: the session is of no use, and requests are served as before.
+    fleet.voters.iter().flatten().for_each(|voter| signal(voter, "STOP"));
+    for _ in 0..200 {
+        let began = Instant::now();
+        assert_eq!(member.call("look", 5.0).status(), 200);
+        assert!(began.elapsed() < Duration::from_millis(500), "{:?}", began.elapsed());
+        std::thread::sleep(Duration::from_millis(5));
+    }
+    fleet.voters.iter().flatten().for_each(|voter| signal(voter, "CONT"));
+    until("the member has a session again", || sessions() == ["on"]);
+    drop(alone);
+    // A planned end closes the session, long before its time to live is over.
+    member.signal("TERM");
+    let began = Instant::now();
+    until("the session is closed", || sessions().is_empty());
+    assert!(began.elapsed() < Duration::from_secs(8), "{:?}", began.elapsed());
+}
+
 /// The holders' command of the siege below: this test program again.
 #[test]
 fn holders_act() {
--- a/crates/settings/src/config.rs
+++ b/crates/settings/src/config.rs
@@ -9,6 +9,7 @@
 use std::collections::BTreeMap;
 use std::fmt;
 use std::net::SocketAddr;
+use std::path::PathBuf;
 use std::str::FromStr;
 
 /// Descriptors kept free for standard streams, the poller, signals, the gate and discovery.
@@ -341,6 +342,8 @@
     pub discovery: SocketAddr,
     /// Where operators call, if anywhere.
     pub operator: Option<SocketAddr>,
+    /// The fleet's file, if this sidecar takes part in a fleet.
+    pub fleet: Option<PathBuf>,
     /// For random numbers.
     pub seed: u64,
     /// Most connections to callers.
@@ -446,11 +449,16 @@
             Value::Null => None,
             _ => Some(address("operator")?),
         };
+        let fleet = match &file["fleet"] {
+            Value::Null => None,
+            _ => Some(PathBuf::from(text("fleet")?)),
+        };
         Ok(Config {
             name: text("name")?.to_owned(),
             listen: address("listen")?,
             discovery: address("discovery")?,
             operator,
+            fleet,
             seed,
             max_kiosks: connections / 2,
             max_bays: connections - connections / 2,
--- a/crates/sidecar/src/sidecar.rs
+++ b/crates/sidecar/src/sidecar.rs
@@ -61,6 +61,8 @@
     poll: Poll,
     signals: Signals,
     gate: Option<Gate>,
+    /// What `/status` says of the fleet, where there is one.
+    fleet: Option<Box<dyn Fn() -> serde_json::Value>>,
     /// Where operators call.
     desk: Option<Desk>,
     /// Standby or active, as the operators said.
@@ -93,8 +95,9 @@
     ///
     /// Fails where the address cannot be listened on or the system gives no poller.
     pub fn open(config: Config) -> Result<Sidecar, Box<dyn Error>> {
-        let Config { name, listen, discovery, operator, seed, max_kiosks, max_bays, known, house, file } =
-            config;
+        let Config {
+            name, listen, discovery, operator, seed, max_kiosks, max_bays, known, house, file, ..
+        } = config;
         let poll = Poll::new()?;
         let mut gate = Gate::open(listen).map_err(|e| format!("listen: {listen}: {e}"))?;
         poll.registry().register(&mut gate.listener, GATE, Interest::READABLE)?;
@@ -125,6 +128,7 @@
             signals,
             gate,
             desk,
+            fleet: None,
             duty: Duty::default(),
             generation: 0,
             barrier,
@@ -150,6 +154,11 @@
         Ok(sidecar)
     }
 
+    /// Gives `/status` something to say of the fleet. It is called in the loop, so it must not wait.
+    pub fn tell_of_fleet(&mut self, fleet: Box<dyn Fn() -> serde_json::Value>) {
+        self.fleet = Some(fleet);
+    }
+
     /// Serves until it was told to end and all that was taken is answered.
     ///
     /// # Errors
@@ -336,13 +345,16 @@
                 let serving = self.gate.is_some() && self.shift == Shift::On && self.barrier.is_ready();
                 let ready = self.duty.is_ready(self.barrier.is_ready(), self.shift != Shift::On);
                 let c = self.barrier.counts();
-                let body = serde_json::json!({
+                let mut body = serde_json::json!({
                     "name": self.name, "serving": serving, "ready": ready,
                     "standby": self.duty.standby_since().is_some(), "ending": self.shift != Shift::On,
                     "owed": self.barrier.owed(), "clients": self.yard.kiosks.len(), "node_connections": self.yard.bays.len(), "buffers": self.yard.rack.out,
                     "taken": c.taken, "served": c.served, "refused": c.refused, "failed": c.failed,
                     "standbys": self.duty.standbys, "operator_cut_off": desk.cut_off, "generation": self.generation,
                 });
+                if let Some(fleet) = &self.fleet {
+                    body["fleet"] = fleet();
+                }
                 (if serving { 200 } else { 503 }, format!("{body}\n"))
             }
             Call::Standby => {
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -315,6 +315,11 @@
         self.caller().ask(&request(class, budget, b""))
     }
 
+    /// Its process.
+    pub fn pid(&self) -> u32 {
+        self.child.id()
+    }
+
     /// Sends SIGTERM.
     pub fn terminate(&self) {
         self.signal("TERM");
