--- a/crates/lab/src/cli.rs
+++ b/crates/lab/src/cli.rs
@@ -180,6 +180,9 @@
         /// Callers, each with one request under way.
         #[arg(long, default_value_t = 32)]
         callers: usize,
+        /// Instead of that, measures the sidecar without and with this fleet's file, in turn.
+        #[arg(long, value_name = "FILE")]
+        fleet: Option<PathBuf>,
         /// Rounds of all three in turn.
         #[arg(long, default_value_t = 3)]
         rounds: usize,
@@ -395,8 +398,8 @@
         Command::Fleet { file, seconds, seed, config } => fleet(&file, seconds, seed, config.as_deref()),
         Command::Load { file, to, seed, json } => load(&file, to, seed, json),
         Command::Calibrate { file, program, seed, set, json } => calibrate(&file, program, seed, &set, json),
-        Command::Floor { program, nodes, callers, rounds, seconds, json } => {
-            floor(program, nodes, callers, rounds, seconds, json)
+        Command::Floor { program, fleet, nodes, callers, rounds, seconds, json } => {
+            floor(program, fleet.as_deref(), nodes, callers, rounds, seconds, json)
         }
         Command::Theory { calls, seeds, system, json } => do_theory(calls, seeds, &system, json),
     };
@@ -788,6 +791,7 @@
 
 fn floor(
     named: Option<PathBuf>,
+    fleet: Option<&Path>,
     nodes: usize,
     callers: usize,
     rounds: usize,
@@ -799,7 +803,7 @@
     }
     let show = |r: &bench::Round| eprintln!("{:?}: {:.0} requests a second", r.between, r.per_second);
     let time = Duration::from_secs_f64(seconds);
-    let all = bench::floor(&program(named)?, nodes, callers, rounds, time, show);
+    let all = bench::floor(&program(named)?, fleet, nodes, callers, rounds, time, show);
     let all = all.map_err(|e| Failure(1, e.to_string()))?;
     print(&if as_json { json(&all)? } else { tables::floor(&all, nodes, callers) })
 }
--- a/crates/lab/src/sockets/bench.rs
+++ b/crates/lab/src/sockets/bench.rs
@@ -24,6 +24,8 @@
 pub enum Between {
     /// The sidecar.
     Sidecar,
+    /// The sidecar, which takes part in a fleet.
+    Member,
     /// The bare relay.
     Floor,
     /// Nothing.
@@ -47,13 +49,15 @@
     pub p99_us: u64,
 }
 
-/// The sidecar, the bare relay and nothing in turn, `rounds` times, before nodes that answer at once.
+/// The sidecar, the bare relay and nothing in turn, `rounds` times, before nodes that answer at once. With a fleet's
+/// file: the sidecar without and with it, in turn.
 ///
 /// # Errors
 ///
 /// Fails when a port cannot be had or the program does not start.
 pub fn floor(
     program: &Path,
+    fleet: Option<&Path>,
     nodes: usize,
     callers: usize,
     rounds: usize,
@@ -62,13 +66,18 @@
 ) -> io::Result<Vec<Round>> {
     let fast = FastNodes::start(nodes)?;
     let mut all = Vec::new();
+    let kinds: &[Between] = match fleet {
+        None => &[Between::Sidecar, Between::Floor, Between::Straight],
+        Some(_) => &[Between::Sidecar, Between::Member],
+    };
     for _ in 0..rounds {
-        for between in [Between::Sidecar, Between::Floor, Between::Straight] {
+        for &between in kinds {
             let mut from = None;
             let (seen, cpu) = match between {
-                Between::Sidecar => {
+                Between::Sidecar | Between::Member => {
                     let listen = free_address()?;
-                    let config = hammer_config(listen, fast.discovery)?;
+                    let mut config = hammer_config(listen, fast.discovery)?;
+                    config["fleet"] = serde_json::json!(fleet.filter(|_| between == Between::Member));
                     let sidecar = Program::start(program, &config)?;
                     let seen = hammer(&[listen], callers, time, || from = sidecar.cpu_s())?;
                     (seen, sidecar.cpu_s())
--- a/crates/lab/src/tables.rs
+++ b/crates/lab/src/tables.rs
@@ -393,6 +393,15 @@
         let of: Vec<f64> = all.iter().filter(|r| r.between == b).map(|r| r.per_second).collect();
         of.iter().sum::<f64>() / of.len().max(1) as f64
     };
-    let share = mean(Between::Sidecar) / mean(Between::Floor).max(1e-9);
-    format!("{nodes} nodes, {callers} callers\n\n{out}\n\nthe sidecar carries {share:.2} of the bare relay\n")
+    let share = |a: Between, b: Between| mean(a) / mean(b).max(1e-9);
+    let told = match all.iter().any(|r| r.between == Between::Member) {
+        true => {
+            let share = share(Between::Member, Between::Sidecar);
+            format!("with the fleet the sidecar carries {share:.3} of what it carries without")
+        }
+        false => {
+            format!("the sidecar carries {:.2} of the bare relay", share(Between::Sidecar, Between::Floor))
+        }
+    };
+    format!("{nodes} nodes, {callers} callers\n\n{out}\n\n{told}\n")
 }
