--- a/crates/lab/src/cli.rs
+++ b/crates/lab/src/cli.rs
@@ -69,6 +69,9 @@
         /// Grants of a free lease that are timed before.
         #[arg(long, default_value_t = 1000)]
         grants: usize,
+        /// Kills of the leader afterwards, while all leases are held.
+        #[arg(long, default_value_t = 0)]
+        kills: usize,
         /// The program; by default the one beside this.
         #[arg(long)]
         program: Option<PathBuf>,
@@ -389,8 +392,10 @@
         Command::Siege(Siege::Leases { seed, seconds, voters, holders, program: named }) => {
             siege_leases(seed, seconds, voters, holders, named)
         }
-        Command::Siege(Siege::Crowd { voters, clients, leases, seconds, grants, program: named }) => {
-            siege_crowd(voters, clients, leases, seconds, grants, named)
+        Command::Siege(Siege::Crowd { voters, clients, leases, seconds, grants, kills, program: named }) => {
+            program(named).and_then(|program| {
+                siege_crowd(&crowd::Plan { program, voters, clients, leases, seconds, grants, kills })
+            })
         }
         Command::Siege(Siege::Timed { seed, histories, mutant }) => {
             siege_timed(seed, histories, mutant.as_deref())
@@ -439,27 +444,22 @@
     Err(Failure(1, format!("{}\nfaults:\n{}", wrong.join("\n"), outcome.faults.join("\n"))))
 }
 
-fn siege_crowd(
-    voters: usize,
-    clients: usize,
-    leases: usize,
-    seconds: f64,
-    grants: usize,
-    named: Option<PathBuf>,
-) -> Result<(), Failure> {
-    let plan = crowd::Plan { program: program(named)?, voters, clients, leases, seconds, grants };
-    let outcome = crowd::play(&plan, &*stop_flag()?).map_err(|e| Failure(1, e))?;
+fn siege_crowd(plan: &crowd::Plan) -> Result<(), Failure> {
+    let outcome = crowd::play(plan, &*stop_flag()?).map_err(|e| Failure(1, e))?;
+    let crowd::Plan { voters, clients, leases, seconds, grants, .. } = plan;
     let (p50, p99, most) = outcome.grant_ms;
     let list = |values: Vec<String>| values.join(",");
     print(&format!(
         "voters={voters} clients={clients} leases={leases} seconds={seconds} grants={grants} grant_p50_ms={p50:.2} \
          grant_p99_ms={p99:.2} grant_max_ms={most:.2} all_held_s={:.2} cores={} loopback_bytes_per_s={:.0} \
-         rss_mib={} lost={}\n",
+         rss_mib={} lost={} after_kill_s={} lost_to_kills={}\n",
         outcome.all_held,
         list(outcome.cores.iter().map(|c| format!("{c:.3}")).collect()),
         outcome.bytes,
         list(outcome.memory.iter().map(|(a, b)| format!("{a:.1}..{b:.1}")).collect()),
-        outcome.lost
+        outcome.lost,
+        list(outcome.after_kill.iter().map(|s| format!("{s:.2}")).collect()),
+        outcome.lost_to_kills
     ))
 }
 
--- a/crates/lab/src/siege/crowd.rs
+++ b/crates/lab/src/siege/crowd.rs
@@ -28,6 +28,8 @@
     pub seconds: f64,
     /// Grants of a free lease that are timed, one after another.
     pub grants: usize,
+    /// Kills of the leader after that, while all leases are held.
+    pub kills: usize,
 }
 
 /// What came of it.
@@ -45,10 +47,15 @@
     pub memory: Vec<(f64, f64)>,
     /// Leases lost while nothing was wrong.
     pub lost: usize,
+    /// From each kill of the leader to the next grant of a free lease, in seconds.
+    pub after_kill: Vec<f64>,
+    /// Leases lost from the first kill on.
+    pub lost_to_kills: usize,
 }
 
 /// Voters as processes with their folder; gone when dropped.
 struct Voters {
+    program: PathBuf,
     folder: PathBuf,
     children: Vec<Child>,
 }
@@ -63,10 +70,32 @@
     }
 }
 
+impl Voters {
+    fn vote(&self, id: usize) -> Result<Child, String> {
+        let mut command = Command::new(&self.program);
+        command.args(["voter", "--id", &id.to_string(), "--fleet"]).arg(self.folder.join("fleet.toml"));
+        command.stdin(Stdio::null()).stdout(Stdio::null()).stderr(Stdio::null());
+        command.spawn().map_err(|e| format!("{}: {e}", self.program.display()))
+    }
+
+    /// The leader, once all vote under one.
+    fn leader(&self) -> Option<usize> {
+        let mut command = Command::new(&self.program);
+        command.args(["fleet", "status", "--output", "json", "--fleet"]).arg(self.folder.join("fleet.toml"));
+        let said = command.stdin(Stdio::null()).output().ok()?;
+        let status: serde_json::Value = serde_json::from_slice(&said.stdout).ok()?;
+        let voters = status["voters"].as_array()?;
+        let leader = voters.first()?["leader"].as_u64()?;
+        let votes = |v: &serde_json::Value| v["state"] == "voting" && v["leader"] == leader;
+        voters.iter().all(votes).then_some(leader as usize)
+    }
+}
+
 fn start(plan: &Plan) -> Result<(Voters, Fleet), String> {
     let folder = std::env::temp_dir().join(format!("passrelay-crowd-{}", std::process::id()));
     std::fs::create_dir_all(&folder).map_err(|e| e.to_string())?;
-    let mut voters = Voters { folder: folder.clone(), children: Vec::new() };
+    let (program, children) = (plan.program.clone(), Vec::new());
+    let mut voters = Voters { program, folder: folder.clone(), children };
     let mut text = "fleet = \"crowd\"\n".to_owned();
     for id in 1..=plan.voters {
         let address = free_address().map_err(|e| e.to_string())?;
@@ -75,10 +104,8 @@
     let file = folder.join("fleet.toml");
     std::fs::write(&file, text).map_err(|e| e.to_string())?;
     for id in 1..=plan.voters {
-        let mut command = Command::new(&plan.program);
-        command.args(["voter", "--id", &id.to_string(), "--fleet"]).arg(&file);
-        command.stdin(Stdio::null()).stdout(Stdio::null()).stderr(Stdio::null());
-        voters.children.push(command.spawn().map_err(|e| format!("{}: {e}", plan.program.display()))?);
+        let child = voters.vote(id)?;
+        voters.children.push(child);
     }
     Ok((voters, Fleet::read(&file).map_err(|e| e.to_string())?))
 }
@@ -130,46 +157,102 @@
     Ok(times)
 }
 
+/// The crowd, and what it has heard so far.
+struct Crowd {
+    members: Vec<Member>,
+    held: usize,
+    lost: usize,
+}
+
+impl Crowd {
+    /// All are looked after, then nothing is done for the rest of 5 ms: that leaves the cores to the voters.
+    fn round(&mut self) -> Result<(), String> {
+        let began = now();
+        for member in &mut self.members {
+            for news in member.step(Duration::ZERO).map_err(|e| e.to_string())? {
+                match news {
+                    News::Holds(_) => self.held += 1,
+                    News::Lost(_) => self.lost += 1,
+                    _ => {}
+                }
+            }
+        }
+        std::thread::sleep(Duration::from_millis(5).saturating_sub(now() - began));
+        Ok(())
+    }
+}
+
+/// Kills the leader, and times the next grant of a free lease.
+fn kill_leader(
+    voters: &mut Voters,
+    fleet: &Fleet,
+    crowd: &mut Crowd,
+    stop: &AtomicBool,
+) -> Result<Option<f64>, String> {
+    let mut asked = now();
+    let leader = loop {
+        crowd.round()?;
+        if now() >= asked + Duration::from_millis(200) {
+            if let Some(leader) = voters.leader() {
+                break leader;
+            }
+            asked = now();
+        }
+        if stop.load(Ordering::Relaxed) {
+            return Ok(None);
+        }
+    };
+    let mut member = Member::new(fleet, "after", Duration::from_secs(2)).map_err(|e| e.to_string())?;
+    while member.client.session().is_none() && !stop.load(Ordering::Relaxed) {
+        member.step(Duration::ZERO).map_err(|e| e.to_string())?;
+        crowd.round()?;
+    }
+    let child = &mut voters.children[leader - 1];
+    child.kill().and_then(|()| child.wait()).map_err(|e| e.to_string())?;
+    let killed = now();
+    member.client.ask(acquire("after".to_owned()), killed);
+    while member.client.guard("after", now()).is_none() && !stop.load(Ordering::Relaxed) {
+        member.step(Duration::ZERO).map_err(|e| e.to_string())?;
+        crowd.round()?;
+    }
+    let passed = (now() - killed).as_secs_f64();
+    member.client.close();
+    member.step(Duration::ZERO).map_err(|e| e.to_string())?;
+    voters.children[leader - 1] = voters.vote(leader)?;
+    Ok(Some(passed))
+}
+
 /// Measures; `stop` ends it early.
 ///
 /// # Errors
 ///
 /// Says what can't be started or read.
 pub fn play(plan: &Plan, stop: &AtomicBool) -> Result<Outcome, String> {
-    let (voters, fleet) = start(plan)?;
+    let (mut voters, fleet) = start(plan)?;
     let times = time_grants(plan, &fleet, stop)?;
     let ms = |quantile: f64| times.value_at_quantile(quantile) as f64 / 1000.0;
     let mut outcome = Outcome { grant_ms: (ms(0.5), ms(0.99), ms(1.0)), ..Outcome::default() };
-    let mut members = Vec::new();
+    let mut crowd = Crowd { members: Vec::new(), held: 0, lost: 0 };
     for client in 0..plan.clients {
         let name = format!("client-{client}");
         let mut member = Member::new(&fleet, &name, Duration::from_secs(10)).map_err(|e| e.to_string())?;
         for lease in 0..plan.leases {
             member.client.ask(acquire(format!("{name}-{lease}")), now());
         }
-        members.push(member);
+        crowd.members.push(member);
     }
     let pids: Vec<u32> = voters.children.iter().map(Child::id).collect();
     let cpu =
         || pids.iter().map(|pid| cpu_of(&format!("/proc/{pid}/stat")).unwrap_or(0.0)).collect::<Vec<f64>>();
     let memory = || pids.iter().map(|pid| memory_of(*pid)).collect::<Vec<f64>>();
     let wanted = plan.clients * plan.leases;
-    let (began, mut held, mut lost) = (now(), 0, 0);
+    let began = now();
     let mut from: Option<(Duration, Vec<f64>, f64)> = None;
     let mut early = Vec::new();
     while !stop.load(Ordering::Relaxed) {
-        let round = now();
-        for member in &mut members {
-            for news in member.step(Duration::ZERO).map_err(|e| e.to_string())? {
-                match news {
-                    News::Holds(_) => held += 1,
-                    News::Lost(_) => lost += 1,
-                    _ => {}
-                }
-            }
-        }
+        crowd.round()?;
         match &from {
-            None if held >= wanted => {
+            None if crowd.held >= wanted => {
                 outcome.all_held = (now() - began).as_secs_f64();
                 from = Some((now(), cpu(), carried()));
             }
@@ -184,14 +267,16 @@
             }
             None => {}
         }
-        // All are looked after every 5 ms: leaves the cores to the voters.
-        std::thread::sleep(Duration::from_millis(5).saturating_sub(now() - round));
     }
     let (since, cpu_then, carried_then) = from.ok_or("ended before all leases were held")?;
     let passed = (now() - since).as_secs_f64();
     outcome.cores = cpu().iter().zip(&cpu_then).map(|(a, b)| (a - b) / passed).collect();
     outcome.bytes = (carried() - carried_then) / passed;
     outcome.memory = early.into_iter().zip(memory()).collect();
-    outcome.lost = lost;
+    outcome.lost = crowd.lost;
+    for _ in 0..plan.kills {
+        outcome.after_kill.extend(kill_leader(&mut voters, &fleet, &mut crowd, stop)?);
+    }
+    outcome.lost_to_kills = crowd.lost - outcome.lost;
     Ok(outcome)
 }
--- a/crates/passrelay/tests/lease.rs
+++ b/crates/passrelay/tests/lease.rs
@@ -278,13 +278,22 @@
     assert!(text.contains("fleet.toml:4: voter.address: should be address:port, is 'here'"), "{text}");
 }
 
-// Guards against a crowd that loses leases where nothing is wrong, as when renewals wait behind each other.
+// Guards against a crowd that loses leases where nothing is wrong, as when renewals wait behind each other, or where only
+// the leader dies.
 #[test]
-fn a_crowd_holds_all_its_leases() {
-    let plan =
-        crowd::Plan { program: PROGRAM.into(), voters: 3, clients: 40, leases: 5, seconds: 3.0, grants: 20 };
+fn a_crowd_holds_all_its_leases_through_the_death_of_the_leader() {
+    let plan = crowd::Plan {
+        program: PROGRAM.into(),
+        voters: 3,
+        clients: 40,
+        leases: 5,
+        seconds: 3.0,
+        grants: 20,
+        kills: 2,
+    };
     let outcome = crowd::play(&plan, &AtomicBool::new(false)).unwrap();
-    assert_eq!(outcome.lost, 0);
+    assert_eq!((outcome.lost, outcome.lost_to_kills, outcome.after_kill.len()), (0, 0, 2));
+    assert!(outcome.after_kill.iter().all(|s| *s < 5.0), "{outcome:?}");
     assert!(outcome.grant_ms.0 > 0.0 && outcome.bytes > 0.0 && outcome.memory.len() == 3, "{outcome:?}");
 }
 
