Watch leases on the command line; leave a voter that answers no question; show refused links

Need: a watch was on the wire only, and counted frames were seen by nobody. Seen by reading member.rs and shown by the new test: a question that went to a stopped voter waited for as long as its command did (10 s), since only sessions had a patience; questions now have 0.8 s too. The test stops each voter in turn under a watch and a listing.

--- a/crates/fleet/src/voter.rs
+++ b/crates/fleet/src/voter.rs
@@ -496,6 +496,7 @@
             sessions: self.table.sessions().len(),
             leases: self.table.leases().len(),
             clients: self.guests.values().filter(|g| g.voter.is_none()).count(),
+            refused: Vec::new(),
         }
     }
 
--- a/crates/fleet/src/wire.rs
+++ b/crates/fleet/src/wire.rs
@@ -217,6 +217,8 @@
     pub leases: usize,
     /// Clients connected to it.
     pub clients: usize,
+    /// Links that it closed for what came on them, by what was wrong: `too long`, `garbled`, `version`, `foreign`.
+    pub refused: Vec<(String, u64)>,
 }
 
 /// What is wrong with bytes that came in.
@@ -232,6 +234,17 @@
     Foreign,
 }
 
+impl std::fmt::Display for Bad {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        f.write_str(match self {
+            Bad::TooLong => "too long",
+            Bad::Garbled => "garbled",
+            Bad::Version => "version",
+            Bad::Foreign => "foreign",
+        })
+    }
+}
+
 /// The number that a fleet's name stands for in frames.
 pub fn fleet_number(name: &str) -> u64 {
     u64::from(crc32fast::hash(name.as_bytes())) << 32 | name.len() as u64
--- a/crates/links/src/member.rs
+++ b/crates/links/src/member.rs
@@ -11,6 +11,8 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+/// A voter that answers no question for so long is left for another.
+const PATIENCE: Duration = Duration::from_millis(800);
 /// A link that doesn't come up is given up after so long.
 const COMES_UP: Duration = Duration::from_millis(500);
 
@@ -30,6 +32,8 @@
     failed: u32,
     /// Asked without a session, and again at each new voter.
     questions: Vec<Say>,
+    /// Since when a question has been without an answer of any kind.
+    unanswered: Option<Duration>,
 }
 
 impl Member {
@@ -52,15 +56,22 @@
             called_at: Duration::ZERO,
             failed: 0,
             questions: Vec::new(),
+            unanswered: None,
         })
     }
 
     /// A question that needs no session; it is asked at each voter until an answer comes.
     pub fn question(&mut self, say: Say) {
+        self.ask(&say);
+        self.questions.push(say);
+    }
+
+    /// Asks the voter something that is of no use at the next one: whether it is still there.
+    pub fn ask(&mut self, say: &Say) {
         if let Some((link, true)) = self.link {
             self.net.send(link, &Frame::Client(say.clone()));
+            self.unanswered.get_or_insert_with(now);
         }
-        self.questions.push(say);
     }
 
     /// Whether a session is wanted; a question alone needs none.
@@ -76,7 +87,9 @@
     pub fn step(&mut self, longest: Duration) -> io::Result<Vec<News>> {
         let time = now();
         let silent = self.link.is_some_and(|(_, up)| !up) && time >= self.called_at + COMES_UP;
-        if silent || self.client.wants_another(time) {
+        // Guards against a question to a voter that was stopped, which would wait for as long as that lasts.
+        let unheard = self.unanswered.is_some_and(|since| time >= since + PATIENCE);
+        if silent || unheard || self.client.wants_another(time) {
             self.leave(time);
         }
         if self.link.is_none() && time >= self.call_at {
@@ -97,8 +110,8 @@
             match happened {
                 Happened::Up => {
                     self.link = Some((link, true));
-                    for say in &self.questions {
-                        self.net.send(link, &Frame::Client(say.clone()));
+                    for say in self.questions.clone() {
+                        self.ask(&say);
                     }
                     if !self.only_asks() {
                         self.client.up(now());
@@ -106,7 +119,7 @@
                 }
                 Happened::Frame(Frame::Answer(Answer::Voters(voters))) => self.learn(&voters),
                 Happened::Frame(Frame::Answer(answer)) => {
-                    self.failed = 0;
+                    (self.failed, self.unanswered) = (0, None);
                     self.client.receive(answer, now());
                 }
                 Happened::Gone => self.leave(now()),
@@ -150,6 +163,7 @@
             self.net.close(link);
         }
         self.client.down();
+        self.unanswered = None;
         self.at = (self.at + 1) % self.voters.len();
         // The first few at once, so that a lost voter costs no lease; then spread, so that a returning one
         // isn't called by all.
--- a/crates/links/src/voting.rs
+++ b/crates/links/src/voting.rs
@@ -99,7 +99,9 @@
             }
             (None, Happened::Frame(Frame::Client(Say::Status { ticket }))) => {
                 // A voter without a disk answers this, and nothing else.
-                let status = self.seat.status();
+                let mut status = self.seat.status();
+                status.refused =
+                    self.net.bad().iter().map(|(bad, count)| (bad.to_string(), *count)).collect();
                 self.net.send(link, &Frame::Answer(Answer::Status { ticket, status }));
             }
             (None, Happened::Frame(frame)) => {
--- a/crates/passrelay/src/fleet.rs
+++ b/crates/passrelay/src/fleet.rs
@@ -260,6 +260,7 @@
                     row["sessions"] = json!(s.sessions);
                     row["leases"] = json!(s.leases);
                     row["clients"] = json!(s.clients);
+                    row["refused_links"] = json!(s.refused.iter().cloned().collect::<BTreeMap<_, _>>());
                     row["linked"] = json!(s.linked);
                     row["voters"] = json!(s.voters.iter().map(|(voter, _)| voter).collect::<Vec<_>>());
                 }
@@ -275,8 +276,11 @@
                     || "silent".to_owned(),
                     |s| {
                         let leader = s.leader.map_or_else(|| "-".to_owned(), |l| l.to_string());
+                        let refused: u64 = s.refused.iter().map(|(_, count)| count).sum();
+                        let refused =
+                            if refused > 0 { format!(", {refused} links refused") } else { String::new() };
                         format!(
-                            "{}; leader {leader}, {} sessions, {} leases, {} entries",
+                            "{}; leader {leader}, {} sessions, {} leases, {} entries{refused}",
                             s.state, s.sessions, s.leases, s.applied
                         )
                     },
--- a/crates/passrelay/src/lease.rs
+++ b/crates/passrelay/src/lease.rs
@@ -4,13 +4,14 @@
 use crate::fleet::{ask, NO_MAJORITY, UNANSWERED};
 use clap::Subcommand;
 use passrelay_fleet::client::{belief, Guard, News};
-use passrelay_fleet::table::{Op, Refusal, Reply, TTL_MS};
+use passrelay_fleet::table::{Op, Refusal, Reply, Table, TTL_MS};
 use passrelay_fleet::wire::{Answer, LeaseRow, Say};
 use passrelay_links::member::Member;
 use passrelay_links::plan::Plan;
 use passrelay_links::{drawn, now};
 use rustix::process::{kill_process_group, Pid, Signal};
 use serde_json::{json, Value};
+use std::collections::BTreeMap;
 use std::error::Error;
 use std::os::unix::process::{CommandExt, ExitStatusExt};
 use std::path::PathBuf;
@@ -74,6 +75,17 @@
         #[arg(long, value_enum, default_value = "text")]
         output: Output,
     },
+    /// Prints a line for each lease that changes, until SIGTERM or SIGINT; first all there are.
+    Watch {
+        /// This lease alone.
+        name: Option<String>,
+        /// The fleet's file.
+        #[arg(long, value_name = "FILE")]
+        fleet: PathBuf,
+        /// How to print it.
+        #[arg(long, value_enum, default_value = "text")]
+        output: Output,
+    },
     /// Takes a lease from whoever holds it. It passes on when its holder can no longer believe in it, at the latest
     /// after its time to live and the lock delay. Exit code 1 where nobody holds it.
     Release {
@@ -123,6 +135,7 @@
         }
         Command::List { fleet, output } => list(&Plan::read(&fleet)?, None, output),
         Command::Show { name, fleet, output } => list(&Plan::read(&fleet)?, Some(&name), output),
+        Command::Watch { name, fleet, output } => watch(&Plan::read(&fleet)?, name.as_deref(), output),
         Command::Release { name, fleet } => release(&Plan::read(&fleet)?, &name),
         Command::Become { child_of, command } => {
             rustix::process::set_parent_process_death_signal(Some(Signal::KILL))?;
@@ -176,6 +189,64 @@
     Ok(ExitCode::from(u8::from(missing)))
 }
 
+/// A flag that SIGTERM and SIGINT raise.
+fn told_to_end() -> Result<Arc<AtomicBool>, Box<dyn Error>> {
+    let told = Arc::new(AtomicBool::new(false));
+    for signal in [signal_hook::consts::SIGTERM, signal_hook::consts::SIGINT] {
+        signal_hook::flag::register(signal, told.clone())?;
+    }
+    Ok(told)
+}
+
+fn watch(plan: &Plan, only: Option<&str>, output: Output) -> Result<ExitCode, Box<dyn Error>> {
+    let told = told_to_end()?;
+    let mut member = Member::new(plan, "watch", Duration::from_secs(5))?;
+    // Both again at each new voter: what changed meanwhile is in the list.
+    member.question(Say::Watch);
+    member.question(Say::List { ticket: 1 });
+    let mut known: BTreeMap<String, LeaseRow> = BTreeMap::new();
+    let mut alive = now();
+    while !told.load(Ordering::Relaxed) {
+        if now() >= alive + Duration::from_secs(1) {
+            alive = now();
+            member.ask(&Say::Status { ticket: 1 });
+        }
+        let mut rows = Vec::new();
+        for news in member.step(STEP)? {
+            match news {
+                News::Told(Answer::Change { lease }) => rows.push(lease),
+                News::Told(Answer::List { leases, .. }) => {
+                    let gone = |name: &&String| !leases.iter().any(|l| l.lease == **name);
+                    let free = |name: &String| LeaseRow::of(&Table::default(), name);
+                    rows.extend(known.keys().filter(gone).map(free));
+                    rows.extend(leases);
+                }
+                _ => {}
+            }
+        }
+        for lease in rows.into_iter().filter(|l| only.is_none_or(|name| l.lease == name)) {
+            let before = match lease.state.as_str() {
+                "free" if lease.effect == 0 => known.remove(&lease.lease),
+                _ => known.insert(lease.lease.clone(), lease.clone()),
+            };
+            if before.as_ref() != Some(&lease) {
+                match output {
+                    Output::Json => println!("{}", row(&lease)),
+                    Output::Text => println!(
+                        "{:<32} {:<8} {:>10} {:>8}  {}",
+                        lease.lease,
+                        lease.state,
+                        lease.token,
+                        lease.waiting,
+                        lease.holder.as_deref().unwrap_or("-")
+                    ),
+                }
+            }
+        }
+    }
+    Ok(ExitCode::SUCCESS)
+}
+
 fn release(plan: &Plan, name: &str) -> Result<ExitCode, Box<dyn Error>> {
     let mut member = Member::new(plan, &format!("release-{:016x}", drawn()), Duration::from_secs(5))?;
     let wish = member.client.ask(Op::Evict { lease: name.to_owned() }, now());
@@ -254,10 +325,7 @@
     process: &str,
     command: &[String],
 ) -> Result<ExitCode, Box<dyn Error>> {
-    let told = Arc::new(AtomicBool::new(false));
-    for signal in [signal_hook::consts::SIGTERM, signal_hook::consts::SIGINT] {
-        signal_hook::flag::register(signal, told.clone())?;
-    }
+    let told = told_to_end()?;
     let mut member = Member::new(plan, process, ttl.max(Duration::from_secs(2)))?;
     let acquire =
         || Op::Acquire { lease: name.to_owned(), ttl_ms: ttl.as_millis() as u64, wait: !wait.is_zero() };
--- a/crates/passrelay/tests/lease.rs
+++ b/crates/passrelay/tests/lease.rs
@@ -4,10 +4,11 @@
 use passrelay_lab::siege::processes::{act, play, Plan};
 use passrelay_standin::{answer, config, free_address, node_line, until, Discovery, Message, Relay, Server};
 use serde_json::{json, Value};
-use std::io::{BufReader, Write};
+use std::io::{BufRead, BufReader, Write};
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Output, Stdio};
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
+use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
 const PROGRAM: &str = env!("CARGO_BIN_EXE_passrelay");
@@ -297,6 +298,51 @@
     assert!(outcome.grant_ms.0 > 0.0 && outcome.bytes > 0.0 && outcome.memory.len() == 3, "{outcome:?}");
 }
 
+// Guards against a question that waits for as long as the voter that it went to is stopped, a watch that goes silent
+// with its voter, and bytes from strangers that nobody hears of.
+#[test]
+fn a_watch_and_questions_go_on_past_a_stopped_voter_and_strangers_are_counted() {
+    let fleet = Fleet::start();
+    let mut watch = fleet.command(&["lease", "watch", "--output", "json"]).spawn().unwrap();
+    let seen = Arc::new(Mutex::new(Vec::<Value>::new()));
+    let (lines, out) = (seen.clone(), watch.stdout.take().unwrap());
+    let reader = std::thread::spawn(move || {
+        for line in BufReader::new(out).lines().map_while(Result::ok) {
+            lines.lock().unwrap().push(serde_json::from_str(&line).unwrap());
+        }
+    });
+    let state = |token: u64, state: &str| {
+        let seen = seen.lock().unwrap();
+        seen.iter().any(|row| row["state"] == state && (state == "free" || row["token"] == token))
+    };
+    for stopped in 0..3 {
+        // Whichever voter the watch is with is stopped once.
+        signal(fleet.voters[stopped].as_ref().unwrap(), "STOP");
+        let began = Instant::now();
+        let mut holder = fleet.command(&["lease", "run", "watched", "--", "sleep", "60"]).spawn().unwrap();
+        until("the lease is held", || fleet.shown("watched")["state"] == "held");
+        let token = fleet.shown("watched")["token"].as_u64().unwrap();
+        until("the grant is seen", || state(token, "held"));
+        assert!(began.elapsed() < Duration::from_secs(9), "{:?}", began.elapsed());
+        signal(&holder, "TERM");
+        holder.wait().unwrap();
+        signal(fleet.voters[stopped].as_ref().unwrap(), "CONT");
+    }
+    until("its end is seen", || state(0, "free"));
+    signal(&watch, "TERM");
+    assert_eq!(watch.wait().unwrap().code(), Some(0));
+    reader.join().unwrap();
+    let text = std::fs::read_to_string(fleet.file()).unwrap();
+    let address = text.split('"').find(|word| word.starts_with("127.")).unwrap().to_owned();
+    let mut stranger = std::net::TcpStream::connect(address).unwrap();
+    stranger.write_all(b"GET / HTTP/1.1\r\nHost: somebody else's\r\n\r\n").unwrap();
+    let mut rest = Vec::new();
+    // Closed, not answered.
+    let _ = std::io::Read::read_to_end(&mut stranger, &mut rest);
+    assert!(rest.is_empty());
+    assert_eq!(fleet.status()["voters"][0]["refused_links"], json!({ "too long": 1 }));
+}
+
 /// Threads and descriptors of a process.
 fn threads_and_descriptors(pid: u32) -> (usize, usize) {
     let count = |what| std::fs::read_dir(format!("/proc/{pid}/{what}")).unwrap().count();
