--- a/crates/lab/src/cli.rs
+++ b/crates/lab/src/cli.rs
@@ -87,6 +87,9 @@
         /// Histories.
         #[arg(long, default_value_t = 1000)]
         histories: u64,
+        /// Clients, on half as many leases.
+        #[arg(long, default_value_t = timed::CLIENTS)]
+        clients: usize,
         /// Plays a wrong version, to see that it is caught.
         #[arg(long)]
         mutant: Option<String>,
@@ -397,8 +400,8 @@
                 siege_crowd(&crowd::Plan { program, voters, clients, leases, seconds, grants, kills })
             })
         }
-        Command::Siege(Siege::Timed { seed, histories, mutant }) => {
-            siege_timed(seed, histories, mutant.as_deref())
+        Command::Siege(Siege::Timed { seed, histories, clients, mutant }) => {
+            siege_timed(seed, histories, clients, mutant.as_deref())
         }
         Command::Fleet { file, seconds, seed, config } => fleet(&file, seconds, seed, config.as_deref()),
         Command::Load { file, to, seed, json } => load(&file, to, seed, json),
@@ -463,7 +466,7 @@
     ))
 }
 
-fn siege_timed(seed: u64, histories: u64, mutant: Option<&str>) -> Result<(), Failure> {
+fn siege_timed(seed: u64, histories: u64, clients: usize, mutant: Option<&str>) -> Result<(), Failure> {
     let named = |name: &str| Mutant::ALL.into_iter().find(|m| format!("{m:?}").eq_ignore_ascii_case(name));
     let known = || Mutant::ALL.map(|m| format!("{m:?}")).join(", ");
     let mutant = match mutant {
@@ -473,7 +476,7 @@
         None => None,
     };
     let began = Instant::now();
-    let many = timed::play_many(seed..seed + histories, mutant);
+    let many = timed::play_many(seed..seed + histories, clients.max(1), mutant);
     let (faults, grants, effects) = many.counts;
     print(&format!(
         "histories={} violated={} faults={faults} grants={grants} effects={effects} seconds={:.1}\n",
--- a/crates/lab/src/siege/timed.rs
+++ b/crates/lab/src/siege/timed.rs
@@ -1165,7 +1165,7 @@
         }
         match self.doing.clone() {
             Doing::Idle { until } if now >= until => {
-                let lease = ["a", "b"][random.random_range(0..2)].to_owned();
+                let lease = format!("lease-{}", random.random_range(0..others.div_ceil(2)));
                 let ttl_ms = TTLS_MS[random.random_range(0..3)];
                 let wait = healing || random.random_bool(0.7);
                 self.client.ask(Op::Acquire { lease: lease.clone(), ttl_ms, wait }, local);
@@ -1245,12 +1245,15 @@
     }
 }
 
-/// The plan of a seed: three voters and five in turn, four clients, fifteen seconds of faults.
-pub fn drawn(seed: u64, mutant: Option<Mutant>) -> Plan {
+/// Clients of a history.
+pub const CLIENTS: usize = 4;
+
+/// The plan of a seed: three voters and five in turn, half as many leases as clients, fifteen seconds of faults.
+pub fn drawn(seed: u64, clients: usize, mutant: Option<Mutant>) -> Plan {
     let voters = if seed % 2 == 0 { 3 } else { 5 };
     // A short one hides less of what goes wrong.
     let lock_delay = if seed % 3 == 0 { 0.02 } else { 0.2 };
-    Plan { lock_delay, voters, spares: 3, clients: 4, seconds: 15.0, seed, mutant }
+    Plan { lock_delay, voters, spares: 3, clients, seconds: 15.0, seed, mutant }
 }
 
 /// What many histories came to.
@@ -1267,10 +1270,10 @@
 }
 
 /// Plays the histories of these seeds on all cores.
-pub fn play_many(seeds: std::ops::Range<u64>, mutant: Option<Mutant>) -> Many {
+pub fn play_many(seeds: std::ops::Range<u64>, clients: usize, mutant: Option<Mutant>) -> Many {
     use rayon::prelude::*;
     let one = |seed: u64| {
-        let outcome = play(drawn(seed, mutant));
+        let outcome = play(drawn(seed, clients, mutant));
         let counts = (outcome.faults.len(), outcome.grants, outcome.effects);
         let bad = !outcome.violations.is_empty();
         Many { played: 1, counts, violated: usize::from(bad), first: bad.then_some((seed, outcome)) }
@@ -1294,7 +1297,7 @@
     // Guards the promises themselves: no two holders, no older effect, nothing acknowledged lost, nobody stuck.
     #[test]
     fn many_histories_hold() {
-        let many = play_many(0..300, None);
+        let many = play_many(0..300, CLIENTS, None);
         if let Some((seed, outcome)) = many.first {
             let wrong: Vec<String> = outcome.violations.iter().map(ToString::to_string).collect();
             panic!("seed {seed}: {}\n{}", wrong.join("\n"), outcome.faults.join("\n"));
@@ -1307,7 +1310,7 @@
     #[test]
     fn each_mutant_is_caught() {
         let first = [0, 24, 0, 5, 0, 28, 15, 0, 111, 15, 166];
-        let caught = |mutant, seed| !play(drawn(seed, Some(mutant))).violations.is_empty();
+        let caught = |mutant, seed| !play(drawn(seed, CLIENTS, Some(mutant))).violations.is_empty();
         let missed: Vec<_> =
             Mutant::ALL.into_iter().zip(first).filter(|(m, seed)| !caught(*m, *seed)).collect();
         assert_eq!(missed, []);
