--- a/crates/lab/src/siege/timed.rs
+++ b/crates/lab/src/siege/timed.rs
@@ -1165,7 +1165,7 @@
         }
         match self.doing.clone() {
             Doing::Idle { until } if now >= until => {
-                let lease = format!("lease-{}", random.random_range(0..others.div_ceil(2)));
+                let lease = format!("lease-{}", random.random_range(0..(others as usize).div_ceil(2)));
                 let ttl_ms = TTLS_MS[random.random_range(0..3)];
                 let wait = healing || random.random_bool(0.7);
                 self.client.ask(Op::Acquire { lease: lease.clone(), ttl_ms, wait }, local);
