Say once what the lease commands, the sieges and their tests said two or three times

On rereading the change: the flag for SIGTERM and SIGINT stood in 'voter' and in the lease commands, a lease's line in 'list' and 'watch', the quiet start of a process and the question for all voters in both sieges with real processes, the start of a voter three times in the process tests; a pair of two of the plan's parts was passed instead of the plan; the model had a lock delay that never varied. One place each now.

--- a/crates/fleet/tests/model.rs
+++ b/crates/fleet/tests/model.rs
@@ -89,7 +89,6 @@
     acts: bool,
     /// The target keeps the highest token and refuses older ones.
     fence: bool,
-    lock_delay: Duration,
     /// Clocks run so many percent further apart than anybody knows.
     extra_drift: u32,
 }
@@ -180,7 +179,7 @@
         let begin = |clocks: u8| {
             let voter = |_| Voter {
                 table: Table::default(),
-                warden: Warden::new(self.lock_delay),
+                warden: Warden::new(Duration::ZERO),
                 applied: 0,
                 fast: clocks & 1 > 0,
             };
@@ -320,7 +319,7 @@
             Action::Crash(voter) => {
                 let now = clock(state.time, state.voters[voter].fast, state.extra_drift);
                 let v = &mut state.voters[voter];
-                v.warden = Warden::new(self.lock_delay);
+                v.warden = Warden::new(Duration::ZERO);
                 v.warden.reset(&v.table, now);
                 if let Some(p) = state.processes.get_mut(voter) {
                     p.answers.clear();
@@ -358,16 +357,8 @@
     (checker.unique_state_count(), wrong)
 }
 
-const TIMING: Leases = Leases {
-    steps: 2,
-    entries: 4,
-    clocks: 4,
-    crashes: 0,
-    acts: false,
-    fence: true,
-    lock_delay: Duration::ZERO,
-    extra_drift: 0,
-};
+const TIMING: Leases =
+    Leases { steps: 2, entries: 4, clocks: 4, crashes: 0, acts: false, fence: true, extra_drift: 0 };
 
 fn holds(model: &Leases) {
     let (states, wrong) = checked(model, HasDiscoveries::All);
--- a/crates/lab/src/siege/crowd.rs
+++ b/crates/lab/src/siege/crowd.rs
@@ -1,5 +1,6 @@
 //! What leases cost: real voters, a crowd of clients in this process, and what the voters use meanwhile.
 
+use super::{start_quietly, voters_of};
 use crate::sockets::program::cpu_of;
 use hdrhistogram::Histogram;
 use passrelay_fleet::client::News;
@@ -9,7 +10,7 @@
 use passrelay_links::plan::Plan as Fleet;
 use passrelay_standin::free_address;
 use std::path::{Path, PathBuf};
-use std::process::{Child, Command, Stdio};
+use std::process::{Child, Command};
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Duration;
 
@@ -74,17 +75,12 @@
     fn vote(&self, id: usize) -> Result<Child, String> {
         let mut command = Command::new(&self.program);
         command.args(["voter", "--id", &id.to_string(), "--fleet"]).arg(self.folder.join("fleet.toml"));
-        command.stdin(Stdio::null()).stdout(Stdio::null()).stderr(Stdio::null());
-        command.spawn().map_err(|e| format!("{}: {e}", self.program.display()))
+        start_quietly(&mut command).map_err(|e| format!("{}: {e}", self.program.display()))
     }
 
     /// The leader, once all vote under one.
     fn leader(&self) -> Option<usize> {
-        let mut command = Command::new(&self.program);
-        command.args(["fleet", "status", "--output", "json", "--fleet"]).arg(self.folder.join("fleet.toml"));
-        let said = command.stdin(Stdio::null()).output().ok()?;
-        let status: serde_json::Value = serde_json::from_slice(&said.stdout).ok()?;
-        let voters = status["voters"].as_array()?;
+        let voters = voters_of(&self.program, &self.folder.join("fleet.toml"))?;
         let leader = voters.first()?["leader"].as_u64()?;
         let votes = |v: &serde_json::Value| v["state"] == "voting" && v["leader"] == leader;
         voters.iter().all(votes).then_some(leader as usize)
--- a/crates/lab/src/siege/processes.rs
+++ b/crates/lab/src/siege/processes.rs
@@ -3,6 +3,7 @@
 
 use super::history::{check, Act, Belief, History, Violation};
 use super::relay::Relay;
+use super::{start_quietly, voters_of};
 use crate::random::Streams;
 use passrelay_links::{true_now as now, TEST_CLOCK};
 use passrelay_standin::free_address;
@@ -216,18 +217,18 @@
     fn until_all_vote(&self, plan: &Plan) -> Result<(), String> {
         let last = now() + HEALING;
         while now() < last {
-            let mut command = Command::new(&plan.program);
-            command.args(["fleet", "status", "--output", "json", "--fleet"]).args(self.files.last());
-            let said = command.stdin(Stdio::null()).output().map_err(|e| e.to_string())?;
-            let status: serde_json::Value = serde_json::from_slice(&said.stdout).unwrap_or_default();
-            let votes = |voter: &&serde_json::Value| voter["state"] == "voting";
-            if status["voters"].as_array().is_some_and(|v| v.iter().filter(votes).count() == plan.voters) {
+            let voters = voters_of(&plan.program, self.operators_file()).unwrap_or_default();
+            if voters.iter().filter(|v| v["state"] == "voting").count() == plan.voters {
                 return Ok(());
             }
         }
         Err(format!("not all voters voted within {HEALING:?} of their start"))
     }
 
+    fn operators_file(&self) -> &Path {
+        self.files.last().expect("there is one")
+    }
+
     fn number(&self, seat: usize) -> usize {
         self.numbers.lock().expect("nobody panics with it")[seat]
     }
@@ -242,7 +243,7 @@
         command.env(TEST_CLOCK, clock(plan.seed, &format!("voter {number}")));
         command.args(["voter", "--id", &number.to_string(), "--fleet"]).arg(&self.files[seat]);
         command.args((number > plan.voters).then_some("--join"));
-        Ok(Process(command.stdin(Stdio::null()).stdout(Stdio::null()).stderr(Stdio::null()).spawn()?))
+        Ok(Process(start_quietly(&mut command)?))
     }
 
     fn stage(&self) -> Option<(usize, Stage)> {
@@ -255,7 +256,7 @@
 
     /// The operator: removes voters that lost their disks and adds those in their place, trying until it is done.
     fn operate(&self, plan: &Plan, end: &AtomicBool) {
-        let file = self.files.last().expect("there is one");
+        let file = self.operators_file();
         while !end.load(Ordering::Relaxed) {
             thread::sleep(Duration::from_millis(20));
             let Some((seat, stage)) = self.stage() else { continue };
@@ -305,8 +306,7 @@
     end: &AtomicBool,
     started: impl FnOnce(u32),
 ) -> Option<std::process::ExitStatus> {
-    let spawned = command.stdin(Stdio::null()).stdout(Stdio::null()).stderr(Stdio::null()).spawn();
-    let mut child = spawned.ok()?;
+    let mut child = start_quietly(command).ok()?;
     started(child.id());
     loop {
         match child.try_wait() {
--- a/crates/lab/src/siege/timed.rs
+++ b/crates/lab/src/siege/timed.rs
@@ -673,9 +673,7 @@
                 self.history.noted.push(noted);
             }
         }
-        let others = self.plan.clients as u64;
-        let landing =
-            member.act(local, now, &p.name, self.healing, (others, self.plan.lock_delay), &mut self.random);
+        let landing = member.act(local, now, &p.name, self.healing, &self.plan, &mut self.random);
         let (says, conn) = (member.client.says(), member.conn);
         if let Some(act) = landing {
             self.at(act.arrived, Event::Land(act));
@@ -1156,7 +1154,7 @@
         now: f64,
         name: &str,
         healing: bool,
-        (others, lock_delay): (u64, f64),
+        plan: &Plan,
         random: &mut Stream,
     ) -> Option<Act> {
         if let Some((_, op, lease, token)) = self.late.take_if(|(at, ..)| now >= *at) {
@@ -1165,7 +1163,7 @@
         }
         match self.doing.clone() {
             Doing::Idle { until } if now >= until => {
-                let lease = format!("lease-{}", random.random_range(0..(others as usize).div_ceil(2)));
+                let lease = format!("lease-{}", random.random_range(0..plan.clients.div_ceil(2)));
                 let ttl_ms = TTLS_MS[random.random_range(0..3)];
                 let wait = healing || random.random_bool(0.7);
                 self.client.ask(Op::Acquire { lease: lease.clone(), ttl_ms, wait }, local);
@@ -1201,7 +1199,7 @@
                 if now >= end {
                     // A well-behaved holder lets go when all that it did has arrived.
                     if now >= busy && self.asked.is_empty() {
-                        let to = format!("client-{}", random.random_range(0..others));
+                        let to = format!("client-{}", random.random_range(0..plan.clients as u64));
                         let op = match random.random_range(0..10) {
                             0 | 1 if !healing => Op::Transfer { lease, to },
                             _ => Op::Release { lease },
@@ -1224,7 +1222,7 @@
                     let delay = if slow {
                         random.random_range(0.0..5.0)
                     } else {
-                        lock_delay * random.random_range(0.0..0.9)
+                        plan.lock_delay * random.random_range(0.0..0.9)
                     };
                     let busy = busy.max(now + delay);
                     self.doing = Doing::Acting { lease: lease.clone(), next, end, busy };
--- a/crates/passrelay/src/fleet.rs
+++ b/crates/passrelay/src/fleet.rs
@@ -72,13 +72,19 @@
     },
 }
 
+/// A flag that SIGTERM and SIGINT raise.
+pub fn told_to_end() -> Result<Arc<AtomicBool>, Box<dyn Error>> {
+    let told = Arc::new(AtomicBool::new(false));
+    for signal in [signal_hook::consts::SIGTERM, signal_hook::consts::SIGINT] {
+        signal_hook::flag::register(signal, told.clone())?;
+    }
+    Ok(told)
+}
+
 /// Votes until SIGTERM.
 pub fn vote(file: &Path, id: u64, joins: bool) -> Result<ExitCode, Box<dyn Error>> {
     let plan = Plan::read(file)?;
-    let end = Arc::new(AtomicBool::new(false));
-    for signal in [signal_hook::consts::SIGTERM, signal_hook::consts::SIGINT] {
-        signal_hook::flag::register(signal, end.clone())?;
-    }
+    let end = told_to_end()?;
     // Guards against the system's way of saying that a file has grown to its limit, which is to end the process:
     // taken in, it leaves the write an error like any other of a full disk.
     signal_hook::flag::register(signal_hook::consts::SIGXFSZ, Arc::default())?;
--- a/crates/passrelay/src/lease.rs
+++ b/crates/passrelay/src/lease.rs
@@ -1,7 +1,7 @@
 //! Leases from the command line.
 
 use crate::cli::Output;
-use crate::fleet::{ask, NO_MAJORITY, UNANSWERED};
+use crate::fleet::{ask, told_to_end, NO_MAJORITY, UNANSWERED};
 use clap::Subcommand;
 use passrelay_fleet::client::{belief, Guard, News};
 use passrelay_fleet::table::{Op, Refusal, Reply, Table, TTL_MS};
@@ -16,8 +16,7 @@
 use std::os::unix::process::{CommandExt, ExitStatusExt};
 use std::path::PathBuf;
 use std::process::{Child, ExitCode, ExitStatus};
-use std::sync::atomic::{AtomicBool, Ordering};
-use std::sync::Arc;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 /// The lease was lost while the command ran; the command was ended before.
@@ -158,6 +157,12 @@
     })
 }
 
+/// A lease as a line of the table.
+fn line(lease: &LeaseRow) -> String {
+    let holder = lease.holder.as_deref().unwrap_or("-");
+    format!("{:<32} {:<8} {:>10} {:>8}  {holder}", lease.lease, lease.state, lease.token, lease.waiting)
+}
+
 fn list(plan: &Plan, only: Option<&str>, output: Output) -> Result<ExitCode, Box<dyn Error>> {
     let Some(Answer::List { leases, sessions, .. }) = ask(plan, Say::List { ticket: 1 }, UNANSWERED)? else {
         eprintln!("passrelay: no majority of voters answered within {} s", UNANSWERED.as_secs());
@@ -177,27 +182,12 @@
         Output::Text if missing => println!("{} is free", only.unwrap_or("")),
         Output::Text => {
             println!("{:<32} {:<8} {:>10} {:>8}  holder", "lease", "state", "token", "waiting");
-            for lease in &leases {
-                let holder = lease.holder.as_deref().unwrap_or("-");
-                println!(
-                    "{:<32} {:<8} {:>10} {:>8}  {holder}",
-                    lease.lease, lease.state, lease.token, lease.waiting
-                );
-            }
+            leases.iter().for_each(|lease| println!("{}", line(lease)));
         }
     }
     Ok(ExitCode::from(u8::from(missing)))
 }
 
-/// A flag that SIGTERM and SIGINT raise.
-fn told_to_end() -> Result<Arc<AtomicBool>, Box<dyn Error>> {
-    let told = Arc::new(AtomicBool::new(false));
-    for signal in [signal_hook::consts::SIGTERM, signal_hook::consts::SIGINT] {
-        signal_hook::flag::register(signal, told.clone())?;
-    }
-    Ok(told)
-}
-
 fn watch(plan: &Plan, only: Option<&str>, output: Output) -> Result<ExitCode, Box<dyn Error>> {
     let told = told_to_end()?;
     let mut member = Member::new(plan, "watch", Duration::from_secs(5))?;
@@ -232,14 +222,7 @@
             if before.as_ref() != Some(&lease) {
                 match output {
                     Output::Json => println!("{}", row(&lease)),
-                    Output::Text => println!(
-                        "{:<32} {:<8} {:>10} {:>8}  {}",
-                        lease.lease,
-                        lease.state,
-                        lease.token,
-                        lease.waiting,
-                        lease.holder.as_deref().unwrap_or("-")
-                    ),
+                    Output::Text => println!("{}", line(&lease)),
                 }
             }
         }
--- a/crates/passrelay/tests/lease.rs
+++ b/crates/passrelay/tests/lease.rs
@@ -44,8 +44,14 @@
     }
 
     fn vote(&mut self, id: usize) {
+        self.start_voter(id, &self.file(), false);
+    }
+
+    fn start_voter(&mut self, id: usize, file: &Path, joins: bool) {
         let mut command = Command::new(PROGRAM);
-        command.args(["voter", "--id", &id.to_string(), "--fleet"]).arg(self.file()).stderr(Stdio::null());
+        command.args(["voter", "--id", &id.to_string(), "--fleet"]).arg(file).stderr(Stdio::null());
+        command.args(joins.then_some("--join"));
+        self.voters.resize_with(self.voters.len().max(id), || None);
         self.voters[id - 1] = Some(command.spawn().unwrap());
     }
 
@@ -58,10 +64,7 @@
             file[at..].split_once("[[voter]]").map_or(String::new(), |(_, rest)| format!("[[voter]]{rest}"));
         let fresh = format!("id = {id}\naddress = \"{}\"\n", free_address().unwrap());
         std::fs::write(self.file(), format!("{}{fresh}{rest}", &file[..at])).unwrap();
-        let mut command = Command::new(PROGRAM);
-        command.args(["voter", "--join", "--id", &id.to_string(), "--fleet"]).arg(self.file());
-        self.voters.resize_with(id, || None);
-        self.voters[id - 1] = Some(command.stderr(Stdio::null()).spawn().unwrap());
+        self.start_voter(id, &self.file(), true);
     }
 
     fn kill(&mut self, id: usize) {
@@ -259,9 +262,7 @@
     }
     assert_eq!(fleet.status()["voters"][0]["voters"], serde_json::json!([4, 5, 6]));
     // One of the first with its disk lost, under its old number: it finds nobody who takes it in.
-    let mut command = Command::new(PROGRAM);
-    command.args(["voter", "--id", "3", "--fleet"]).arg(&first);
-    fleet.voters[2] = Some(command.stderr(Stdio::null()).spawn().unwrap());
+    fleet.start_voter(3, &first, false);
     fleet.kill(6);
     assert!(fleet.token("job") > token, "two of three go on");
     let used = fleet.ask(&["fleet", "remove", "--id", "5"]);
