--- /dev/null
+++ b/crates/control-plane/src/coordinator.rs
@@ -0,0 +1,608 @@
+//! Everything that one process decides about the fleet: dissemination, replication where it counts, orders of the
+//! operators, quota grants. The program and the simulation drive the same coordinator.
+
+use crate::orders::{Order, Refusal, Verdict};
+use crate::quota::{Grantor, QuotaMessage};
+use crate::replication::{
+    DurableState, DurableWrite, Founder, Replica, ReplicaAction, ReplicaSettings, ReplicatedState,
+    ReplicationEnvelope, ReplicationMessage, Ticket,
+};
+use passrelay_configuration::{parse_document, Configuration};
+use passrelay_dissemination::{
+    CommittedConfiguration, CoreHint, Gossip, GossipAction, GossipMessage, GossipSettings, Heartbeat,
+};
+use serde::{Deserialize, Serialize};
+use std::net::SocketAddrV4;
+use std::sync::Arc;
+use std::time::Duration;
+
+/// An operator's call that has no answer after this is told to go elsewhere.
+const CALL_PATIENCE: Duration = Duration::from_millis(850);
+/// A call that was passed on is passed on again after this.
+const RELAY_AGAIN_AFTER: Duration = Duration::from_millis(300);
+
+/// Names an operator's call at the process that took it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+pub struct CallId(pub u64);
+
+/// What an operator asks for.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum OperatorRequest {
+    /// The newest configuration.
+    Read,
+    /// A change.
+    Change(Order),
+}
+
+/// What an operator gets.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct OperatorAnswer {
+    /// Status of the answer.
+    pub status: u16,
+    /// Its body, JSON.
+    pub body: Arc<str>,
+}
+
+impl OperatorAnswer {
+    fn new(status: u16, body: String) -> Self {
+        OperatorAnswer { status, body: body.into() }
+    }
+
+    fn fault(status: u16, problem: &str) -> Self {
+        Self::new(status, serde_json::json!({ "error": problem }).to_string())
+    }
+
+    fn acknowledged(generation: u64) -> Self {
+        Self::new(200, serde_json::json!({ "generation": generation }).to_string())
+    }
+
+    fn unavailable(problem: &str) -> Self {
+        Self::fault(503, problem)
+    }
+}
+
+/// Operators' calls passed on to the primary.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum OperatorMessage {
+    /// A call.
+    Call {
+        /// Its name at the sender.
+        call: CallId,
+        /// What is asked for.
+        request: OperatorRequest,
+    },
+    /// Its answer.
+    Answer {
+        /// The call.
+        call: CallId,
+        /// The answer.
+        answer: OperatorAnswer,
+    },
+}
+
+/// All messages between processes, one variant a plane.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Message {
+    /// Replication.
+    Replication(ReplicationEnvelope),
+    /// Dissemination.
+    Gossip(GossipMessage),
+    /// Quotas.
+    Quota(QuotaMessage),
+    /// Operators' calls.
+    Operator(OperatorMessage),
+}
+
+/// What the driver is to do, in this order.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Action {
+    /// Send a message; it may be lost.
+    Send {
+        /// Where to.
+        to: SocketAddrV4,
+        /// The message.
+        message: Message,
+    },
+    /// Write and sync, then call [`Coordinator::written`].
+    Write {
+        /// Names the write.
+        ticket: Ticket,
+        /// What to write.
+        write: DurableWrite,
+    },
+    /// A newer configuration is in force here.
+    Configured(CommittedConfiguration),
+    /// The answer to an operator's call.
+    Answer {
+        /// The call.
+        call: CallId,
+        /// The answer.
+        answer: OperatorAnswer,
+    },
+    /// Tokens were granted to this sidecar.
+    Granted(QuotaMessage),
+}
+
+/// What a coordinator has to know from the start.
+#[derive(Clone, Debug)]
+pub struct CoordinatorSettings {
+    /// For dissemination.
+    pub gossip: GossipSettings,
+    /// For replication, on machines that count, with what the disk holds.
+    pub replica: Option<(ReplicaSettings, DurableState)>,
+    /// Whether the whole system starts for the first time.
+    pub bootstrap: bool,
+    /// Counted machines that may be lost at one time.
+    pub tolerated_losses: usize,
+}
+
+/// A short account of what this process knows, for operators and logs.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize)]
+pub struct Status {
+    /// Generation in force here; 0 before the first.
+    pub generation: u64,
+    /// Position of that configuration among all committed changes.
+    pub index: u64,
+    /// How long ago it was known to be the newest, in ms.
+    pub fresh_age_ms: Option<u64>,
+    /// Term of the newest epoch record known.
+    pub term: u64,
+    /// The primary, as far as known.
+    pub primary: Option<SocketAddrV4>,
+    /// The members of the core, as far as known.
+    pub members: Vec<SocketAddrV4>,
+    /// Whether this process is the established primary.
+    pub leads: bool,
+    /// Sidecars known here.
+    pub peers: usize,
+    /// Endpoints known here that are not gone.
+    pub endpoints: usize,
+}
+
+#[derive(Clone, Copy, PartialEq, Eq)]
+enum Caller {
+    Local(CallId),
+    Remote(SocketAddrV4, CallId),
+}
+
+enum Step {
+    /// Not yet judged: this process doesn't lead, or doesn't yet.
+    Open { relayed_at: Option<Duration> },
+    /// An acknowledgement that waits for a commit.
+    Commit { term: u64, index: u64, generation: u64 },
+    /// A refusal that waits for a commit and a confirmation.
+    Refuse { term: u64, index: u64, judged_at: Duration, refusal: Refusal },
+    /// A read that waits for a confirmation.
+    Read { term: u64, asked_at: Duration },
+}
+
+struct Call {
+    caller: Caller,
+    request: OperatorRequest,
+    began: Duration,
+    step: Step,
+}
+
+/// The deciders of one process.
+pub struct Coordinator {
+    own: SocketAddrV4,
+    gossip: Gossip,
+    replica: Option<Replica>,
+    founder: Option<Founder>,
+    grantor: Option<Grantor>,
+    calls: Vec<Call>,
+}
+
+impl Coordinator {
+    /// The deciders of a process that starts now.
+    pub fn new(now: Duration, settings: CoordinatorSettings) -> Self {
+        let own = settings.gossip.own;
+        let rank = settings.gossip.seeds.iter().position(|s| *s == own);
+        let founder = rank
+            .filter(|_| settings.bootstrap)
+            .and_then(|rank| u32::try_from(rank).ok())
+            .map(|rank| Founder::new(rank, settings.tolerated_losses));
+        Coordinator {
+            own,
+            gossip: Gossip::new(settings.gossip),
+            replica: settings.replica.map(|(replica, durable)| Replica::new(now, replica, durable)),
+            founder,
+            grantor: None,
+            calls: Vec::new(),
+        }
+    }
+
+    /// Dissemination.
+    pub fn gossip(&self) -> &Gossip {
+        &self.gossip
+    }
+
+    /// Replication, on machines that count.
+    pub fn replica(&self) -> Option<&Replica> {
+        self.replica.as_ref()
+    }
+
+    /// The disk of a machine that counts is open: from now on it takes part in replication.
+    pub fn attach_replica(&mut self, now: Duration, settings: ReplicaSettings, durable: DurableState) {
+        self.replica = Some(Replica::new(now, settings, durable));
+    }
+
+    /// Takes other seeds.
+    pub fn set_seeds(&mut self, seeds: Vec<SocketAddrV4>) {
+        self.gossip.set_seeds(seeds);
+    }
+
+    /// A short account.
+    pub fn status(&self, now: Duration) -> Status {
+        let configuration = self.gossip.configuration();
+        let age = self.gossip.fresh_at().map(|at| now.saturating_sub(at));
+        let core = self.gossip.core();
+        let alive = |r: &&passrelay_dissemination::EndpointRecord| {
+            r.state != passrelay_dissemination::EndpointState::Gone
+        };
+        Status {
+            generation: configuration.map_or(0, |c| c.generation),
+            index: configuration.map_or(0, |c| c.index),
+            fresh_age_ms: age.and_then(|a| u64::try_from(a.as_millis()).ok()),
+            term: core.map_or(0, |c| c.term),
+            primary: core.map(|c| c.primary),
+            members: core.map(|c| c.members.clone()).unwrap_or_default(),
+            leads: self.replica.as_ref().is_some_and(Replica::is_established),
+            peers: self.gossip.view().len(),
+            endpoints: self.gossip.registry().records().filter(alive).count(),
+        }
+    }
+
+    /// Does what is due. Returns when to call again.
+    pub fn tick(&mut self, now: Duration, actions: &mut Vec<Action>) -> Duration {
+        let mut due = now + Duration::from_millis(100);
+        let mut gossip_actions = Vec::new();
+        due = due.min(self.gossip.tick(now, &mut gossip_actions));
+        self.carry_gossip(gossip_actions, actions);
+        if let Some(replica) = &mut self.replica {
+            replica.learn_core(self.gossip.core());
+            let mut replica_actions = Vec::new();
+            due = due.min(replica.tick(now, &mut replica_actions));
+            self.carry_replica(replica_actions, actions);
+        }
+        self.found(now, actions);
+        self.after_progress(now, actions);
+        due
+    }
+
+    /// Takes in a message.
+    pub fn receive(
+        &mut self,
+        now: Duration,
+        from: SocketAddrV4,
+        message: Message,
+        actions: &mut Vec<Action>,
+    ) {
+        match message {
+            Message::Gossip(message) => {
+                let mut gossip_actions = Vec::new();
+                self.gossip.receive(now, from, message, &mut gossip_actions);
+                self.carry_gossip(gossip_actions, actions);
+            }
+            Message::Replication(envelope) => self.receive_replication(now, envelope, actions),
+            Message::Quota(message) => self.receive_quota(now, from, message, actions),
+            Message::Operator(OperatorMessage::Call { call, request }) => {
+                self.take_call(now, Caller::Remote(from, call), request, actions);
+            }
+            Message::Operator(OperatorMessage::Answer { call, answer }) => {
+                self.answer_local(call, answer, actions);
+            }
+        }
+        self.after_progress(now, actions);
+    }
+
+    /// A write has ended.
+    pub fn written(&mut self, now: Duration, ticket: Ticket, succeeded: bool, actions: &mut Vec<Action>) {
+        if let Some(replica) = &mut self.replica {
+            let mut replica_actions = Vec::new();
+            replica.written(now, ticket, succeeded, &mut replica_actions);
+            self.carry_replica(replica_actions, actions);
+        }
+        self.after_progress(now, actions);
+    }
+
+    /// An operator's call. Its answer comes as [`Action::Answer`], within a second.
+    pub fn operator_call(
+        &mut self,
+        now: Duration,
+        call: CallId,
+        request: OperatorRequest,
+        actions: &mut Vec<Action>,
+    ) {
+        self.take_call(now, Caller::Local(call), request, actions);
+        self.after_progress(now, actions);
+    }
+
+    /// An endpoint's heartbeat.
+    pub fn heartbeat(&mut self, now: Duration, beat: &Heartbeat, actions: &mut Vec<Action>) {
+        let mut gossip_actions = Vec::new();
+        self.gossip.heartbeat(now, beat, &mut gossip_actions);
+        self.carry_gossip(gossip_actions, actions);
+    }
+
+    /// An endpoint has ended as planned.
+    pub fn leave(&mut self, now: Duration, id: &str, actions: &mut Vec<Action>) {
+        let mut gossip_actions = Vec::new();
+        self.gossip.leave(now, id, &mut gossip_actions);
+        self.carry_gossip(gossip_actions, actions);
+    }
+
+    /// A question for tokens, to whoever grants them now.
+    pub fn want_tokens(&mut self, now: Duration, message: QuotaMessage, actions: &mut Vec<Action>) {
+        let Some(primary) = self.gossip.core().map(|c| c.primary) else { return };
+        if primary == self.own {
+            self.receive_quota(now, self.own, message, actions);
+        } else {
+            actions.push(Action::Send { to: primary, message: Message::Quota(message) });
+        }
+    }
+
+    fn carry_gossip(&self, from: Vec<GossipAction>, actions: &mut Vec<Action>) {
+        actions.extend(from.into_iter().map(|action| match action {
+            GossipAction::Send { to, message } => Action::Send { to, message: Message::Gossip(message) },
+            GossipAction::Configured(configuration) => Action::Configured(configuration),
+        }));
+    }
+
+    fn carry_replica(&self, from: Vec<ReplicaAction>, actions: &mut Vec<Action>) {
+        let Some(replica) = &self.replica else { return };
+        let sender = replica.own();
+        actions.extend(from.into_iter().map(|action| match action {
+            ReplicaAction::Send { to, message } => {
+                Action::Send { to, message: Message::Replication(ReplicationEnvelope { sender, message }) }
+            }
+            ReplicaAction::Write { ticket, write } => Action::Write { ticket, write },
+        }));
+    }
+
+    fn receive_replication(
+        &mut self,
+        now: Duration,
+        envelope: ReplicationEnvelope,
+        actions: &mut Vec<Action>,
+    ) {
+        if let ReplicationMessage::Present { member } = envelope.message {
+            if let Some(founder) = &mut self.founder {
+                founder.present(now, member);
+            }
+            return;
+        }
+        if let Some(replica) = &mut self.replica {
+            let mut replica_actions = Vec::new();
+            replica.receive(now, envelope, &mut replica_actions);
+            self.carry_replica(replica_actions, actions);
+        }
+    }
+
+    fn found(&mut self, now: Duration, actions: &mut Vec<Action>) {
+        if self.gossip.core().is_some() {
+            self.founder = None;
+        }
+        let Some(founder) = &mut self.founder else { return };
+        let own = crate::replication::Member { id: crate::replication::MemberId(0), address: self.own };
+        let sender = self.replica.as_ref().map_or(own, Replica::own);
+        let mut founder_actions = Vec::new();
+        founder.tick(now, &mut founder_actions);
+        for action in founder_actions {
+            if let ReplicaAction::Send { to, message } = action {
+                let message = Message::Replication(ReplicationEnvelope { sender, message });
+                actions.push(Action::Send { to, message });
+            }
+        }
+    }
+
+    fn receive_quota(
+        &mut self,
+        now: Duration,
+        from: SocketAddrV4,
+        message: QuotaMessage,
+        actions: &mut Vec<Action>,
+    ) {
+        let QuotaMessage::Want { nonce, wanted, returned_term, returned } = message else {
+            actions.push(Action::Granted(message));
+            return;
+        };
+        let confirmed_at = self.replica.as_ref().and_then(Replica::confirmed_at);
+        let Some(grantor) = &mut self.grantor else { return };
+        grantor.take_back(now, returned_term, &returned);
+        let Some(granted) = grantor.grant(now, confirmed_at, &wanted) else { return };
+        let grant = QuotaMessage::Grant { nonce, term: grantor.term(), granted };
+        if from == self.own {
+            actions.push(Action::Granted(grant));
+        } else {
+            actions.push(Action::Send { to: from, message: Message::Quota(grant) });
+        }
+    }
+
+    /// After anything that may have moved the replica: tell what is committed, keep the grantor, answer calls.
+    fn after_progress(&mut self, now: Duration, actions: &mut Vec<Action>) {
+        if self.replica.is_some() {
+            self.publish(now, actions);
+        }
+        self.advance_calls(now, actions);
+    }
+
+    fn publish(&mut self, now: Duration, actions: &mut Vec<Action>) {
+        let Some(replica) = &self.replica else { return };
+        if let Some(hint) = replica.core_hint() {
+            self.gossip.learn_core(hint);
+        }
+        let Some(committed) = replica.committed().filter(|_| replica.is_established()).cloned() else {
+            self.grantor = None;
+            return;
+        };
+        let configuration = committed.document.clone().map(|document| CommittedConfiguration {
+            index: committed.version.index,
+            generation: committed.generation,
+            document,
+        });
+        let before = self.gossip.configuration().map_or(0, |c| c.index);
+        let mut gossip_actions = Vec::new();
+        self.gossip.committed(now, configuration.as_ref(), replica.confirmed_at(), &mut gossip_actions);
+        let term = committed.version.term;
+        let current = self.grantor.as_ref().is_some_and(|g| g.term() == term);
+        if !current {
+            self.grantor = Some(Grantor::new(now, term));
+        }
+        if !current || before != committed.version.index {
+            self.configure_grantor(now, &committed);
+        }
+        self.carry_gossip(gossip_actions, actions);
+    }
+
+    fn configure_grantor(&mut self, now: Duration, committed: &ReplicatedState) {
+        let document = committed.document.as_deref().and_then(|d| parse_document(d.as_bytes()).ok());
+        let configuration = document.and_then(|d| Configuration::read(&d).ok());
+        if let (Some(grantor), Some(configuration)) = (&mut self.grantor, configuration) {
+            grantor.configure(now, &configuration);
+        }
+    }
+
+    fn take_call(
+        &mut self,
+        now: Duration,
+        caller: Caller,
+        request: OperatorRequest,
+        actions: &mut Vec<Action>,
+    ) {
+        if self.calls.iter().any(|c| c.caller == caller) {
+            return;
+        }
+        self.calls.push(Call { caller, request, began: now, step: Step::Open { relayed_at: None } });
+        self.advance_calls(now, actions);
+    }
+
+    fn answer_local(&mut self, call: CallId, answer: OperatorAnswer, actions: &mut Vec<Action>) {
+        let before = self.calls.len();
+        self.calls.retain(|c| c.caller != Caller::Local(call));
+        if self.calls.len() != before {
+            actions.push(Action::Answer { call, answer });
+        }
+    }
+
+    fn advance_calls(&mut self, now: Duration, actions: &mut Vec<Action>) {
+        let mut calls = std::mem::take(&mut self.calls);
+        let mut waiting = Vec::new();
+        for mut call in calls.drain(..) {
+            match self.advance_call(now, &mut call, actions) {
+                Some(answer) => Self::answer(call.caller, answer, actions),
+                None if now.saturating_sub(call.began) >= CALL_PATIENCE => {
+                    let answer = OperatorAnswer::unavailable("no primary answered in time, ask again");
+                    Self::answer(call.caller, answer, actions);
+                }
+                None => waiting.push(call),
+            }
+        }
+        waiting.append(&mut self.calls);
+        self.calls = waiting;
+    }
+
+    fn answer(caller: Caller, answer: OperatorAnswer, actions: &mut Vec<Action>) {
+        match caller {
+            Caller::Local(call) => actions.push(Action::Answer { call, answer }),
+            Caller::Remote(to, call) => {
+                let message = Message::Operator(OperatorMessage::Answer { call, answer });
+                actions.push(Action::Send { to, message });
+            }
+        }
+    }
+
+    fn advance_call(
+        &mut self,
+        now: Duration,
+        call: &mut Call,
+        actions: &mut Vec<Action>,
+    ) -> Option<OperatorAnswer> {
+        if matches!(call.step, Step::Open { .. }) {
+            if self.replica.as_ref().is_some_and(Replica::is_established) {
+                call.step = self.judge(now, &call.request, actions)?;
+            } else {
+                self.relay(now, call, actions);
+                return None;
+            }
+        }
+        self.finish(&call.step)
+    }
+
+    /// Passes a call on to the primary, if another machine is that.
+    fn relay(&self, now: Duration, call: &mut Call, actions: &mut Vec<Action>) {
+        let Step::Open { relayed_at } = &mut call.step else { return };
+        let Caller::Local(id) = call.caller else { return };
+        let Some(primary) = self.gossip.core().map(|c: &CoreHint| c.primary).filter(|p| *p != self.own)
+        else {
+            return;
+        };
+        if relayed_at.is_none_or(|at| now.saturating_sub(at) >= RELAY_AGAIN_AFTER) {
+            *relayed_at = Some(now);
+            let message = OperatorMessage::Call { call: id, request: call.request.clone() };
+            actions.push(Action::Send { to: primary, message: Message::Operator(message) });
+        }
+    }
+
+    /// What is to become of a call on an established primary. `None` where the order can't be taken just now.
+    fn judge(&mut self, now: Duration, request: &OperatorRequest, actions: &mut Vec<Action>) -> Option<Step> {
+        let replica = self.replica.as_mut()?;
+        let state = replica.state().clone();
+        let (term, index) = (state.version.term, state.version.index);
+        let OperatorRequest::Change(order) = request else {
+            replica.confirm_soon();
+            return Some(Step::Read { term, asked_at: now });
+        };
+        let step = match order.judge(&state) {
+            Verdict::TakenBefore => Step::Commit { term, index, generation: state.generation },
+            Verdict::Refuse(refusal) => {
+                replica.confirm_soon();
+                Step::Refuse { term, index, judged_at: now, refusal }
+            }
+            Verdict::Take { generation, document, order } => {
+                let mut replica_actions = Vec::new();
+                let index = replica.propose(now, generation, document, order, &mut replica_actions)?;
+                self.carry_replica(replica_actions, actions);
+                Step::Commit { term, index, generation }
+            }
+        };
+        Some(step)
+    }
+
+    /// The answer to a judged call, once it may be given.
+    fn finish(&self, step: &Step) -> Option<OperatorAnswer> {
+        let replica = self.replica.as_ref()?;
+        let committed = replica.committed().filter(|_| replica.is_established());
+        let Some(committed) = committed else {
+            return Some(OperatorAnswer::unavailable("the primary changed, ask again"));
+        };
+        let in_term = |term: u64| committed.version.term == term;
+        let done = |term: u64, index: u64| in_term(term) && committed.version.index >= index;
+        match step {
+            Step::Open { .. } => None,
+            Step::Commit { term, index, generation } => {
+                if !in_term(*term) {
+                    return Some(OperatorAnswer::unavailable("the primary changed, ask again"));
+                }
+                done(*term, *index).then(|| OperatorAnswer::acknowledged(*generation))
+            }
+            Step::Refuse { term, index, judged_at, refusal } => {
+                if !in_term(*term) {
+                    return Some(OperatorAnswer::unavailable("the primary changed, ask again"));
+                }
+                let confirmed = replica.confirmed_at() >= Some(*judged_at);
+                (done(*term, *index) && confirmed)
+                    .then(|| OperatorAnswer::fault(refusal.status(), &refusal.to_string()))
+            }
+            Step::Read { term, asked_at } => {
+                if !in_term(*term) {
+                    return Some(OperatorAnswer::unavailable("the primary changed, ask again"));
+                }
+                (replica.confirmed_at() >= Some(*asked_at)).then(|| match &committed.document {
+                    Some(document) => OperatorAnswer { status: 200, body: document.clone() },
+                    None => OperatorAnswer::fault(404, "there is no configuration yet"),
+                })
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/control-plane/src/lib.rs
@@ -0,0 +1,13 @@
+//! The control plane: the configuration replicated from a primary to backups under epochs that witnesses decide,
+//! the operators' orders, and the grants of tenants' quotas. No I/O and no clock: `now` is the time since the
+//! process started; what is to be sent and written comes back as actions.
+
+mod coordinator;
+pub mod orders;
+pub mod quota;
+pub mod replication;
+
+pub use coordinator::{
+    Action, CallId, Coordinator, CoordinatorSettings, Message, OperatorAnswer, OperatorMessage,
+    OperatorRequest, Status,
+};
--- /dev/null
+++ b/crates/control-plane/src/orders.rs
@@ -0,0 +1,116 @@
+//! The operators' orders on a primary: what is taken, what is refused, what can't be said yet.
+
+use crate::replication::{ReplicatedState, TakenOrder};
+use passrelay_configuration::{apply_patch, parse_document, Configuration, Faults};
+use serde::{Deserialize, Serialize};
+use serde_json::Value;
+use sha2::{Digest, Sha256};
+use std::sync::Arc;
+use thiserror::Error;
+
+/// How an order changes the configuration.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum OrderKind {
+    /// A whole configuration.
+    Replace,
+    /// Items by name.
+    Patch,
+}
+
+/// An order as an operator sends it.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Order {
+    /// How it changes the configuration.
+    pub kind: OrderKind,
+    /// The generation that it builds on.
+    pub base: u64,
+    /// The document or the change, as JSON.
+    pub body: Arc<str>,
+}
+
+/// Why an order is refused. The list is closed: [`Refusal::status`] gives the answer to each.
+#[derive(Clone, Debug, PartialEq, Eq, Error)]
+pub enum Refusal {
+    /// Another version is in force than the order builds on.
+    #[error("the current generation is {current}, the order builds on {base}")]
+    OtherVersion {
+        /// The generation in force.
+        current: u64,
+        /// That of the order.
+        base: u64,
+    },
+    /// The result would be no valid configuration.
+    #[error("{0}")]
+    Invalid(Faults),
+}
+
+impl Refusal {
+    /// The status that an operator gets.
+    pub fn status(&self) -> u16 {
+        match self {
+            Refusal::OtherVersion { .. } => 412,
+            Refusal::Invalid(_) => 400,
+        }
+    }
+}
+
+/// What a primary makes of an order, given its newest state.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Verdict {
+    /// It was taken before: to be acknowledged once the state is committed.
+    TakenBefore,
+    /// It is to be taken.
+    Take {
+        /// The generation that it brings.
+        generation: u64,
+        /// The document that follows.
+        document: Arc<str>,
+        /// What is remembered of it.
+        order: TakenOrder,
+    },
+    /// It is refused, if this primary still leads and the state is committed.
+    Refuse(Refusal),
+}
+
+impl Order {
+    /// The digest by which the same order is recognised.
+    pub fn digest(&self) -> [u8; 32] {
+        let mut hasher = Sha256::new();
+        hasher.update([self.kind as u8]);
+        hasher.update(self.base.to_le_bytes());
+        hasher.update(self.body.as_bytes());
+        hasher.finalize().into()
+    }
+
+    /// What is to be made of this order on top of a state.
+    pub fn judge(&self, state: &ReplicatedState) -> Verdict {
+        let digest = self.digest();
+        if state.orders.iter().any(|o| o.digest == digest) {
+            return Verdict::TakenBefore;
+        }
+        match self.next_document(state) {
+            Ok((generation, document)) => {
+                Verdict::Take { generation, document, order: TakenOrder { generation, digest } }
+            }
+            Err(refusal) => Verdict::Refuse(refusal),
+        }
+    }
+
+    fn next_document(&self, state: &ReplicatedState) -> Result<(u64, Arc<str>), Refusal> {
+        let body = parse_document(self.body.as_bytes()).map_err(Refusal::Invalid)?;
+        if self.base != state.generation {
+            return Err(Refusal::OtherVersion { current: state.generation, base: self.base });
+        }
+        let document = match self.kind {
+            OrderKind::Replace => body,
+            OrderKind::Patch => {
+                let current =
+                    state.document.as_deref().map_or(Ok(Value::Null), |d| parse_document(d.as_bytes()));
+                apply_patch(&current.map_err(Refusal::Invalid)?, &body).map_err(Refusal::Invalid)?
+            }
+        };
+        let configuration = Configuration::read(&document).map_err(Refusal::Invalid)?;
+        configuration.follows(state.generation).map_err(Refusal::Invalid)?;
+        Ok((configuration.generation, document.to_string().into()))
+    }
+}
--- /dev/null
+++ b/crates/control-plane/src/replication.rs
@@ -0,0 +1,19 @@
+//! Primary-backup replication of one document.
+//!
+//! Every member is a witness and a backup. Witnesses store the epoch record and the highest term they have
+//! promised; a candidate becomes primary of a term with promises of a majority, and its record is in force once a
+//! majority has stored it. A change is committed once all of the in-sync set that the record names have synced it.
+//! No promise rests on a clock; clocks only decide when to try.
+
+mod founder;
+mod leadership;
+mod replica;
+mod rounds;
+mod types;
+
+pub use founder::Founder;
+pub use replica::Replica;
+pub use types::{
+    DurableState, DurableWrite, EpochRecord, Member, MemberId, ReplicaAction, ReplicaSettings,
+    ReplicatedState, ReplicationEnvelope, ReplicationMessage, StateVersion, TakenOrder, Ticket, WitnessState,
+};
--- /dev/null
+++ b/crates/control-plane/src/replication/leadership.rs
@@ -0,0 +1,391 @@
+//! What a primary keeps: the record in force, the one proposed, how far each member has come.
+
+use super::rounds::Rounds;
+use super::types::{
+    EpochRecord, Member, MemberId, ReplicaAction, ReplicatedState, ReplicationMessage, StateVersion,
+};
+use std::collections::{BTreeMap, BTreeSet};
+use std::sync::Arc;
+use std::time::Duration;
+
+/// Pause between pings.
+const PING_EVERY: Duration = Duration::from_millis(100);
+/// A state or record that was not confirmed after this is sent again.
+const RESEND_AFTER: Duration = Duration::from_millis(200);
+/// A member of the in-sync set that is silent, or owes a state, for this long is taken out.
+const OUT_OF_SYNC_AFTER: Duration = Duration::from_millis(600);
+/// A member that was heard within this time is there.
+const HEARD_LATELY: Duration = Duration::from_millis(400);
+/// A member that was silent for this long may lose its place to a newcomer.
+const REPLACE_AFTER: Duration = Duration::from_millis(1_500);
+/// A newcomer that asked for a place within this time is there.
+const JOINER_LATELY: Duration = Duration::from_secs(1);
+/// A primary that a majority hasn't answered for this long says no more that it lives.
+const DEPOSED_AFTER: Duration = Duration::from_millis(900);
+
+struct Proposal {
+    record: EpochRecord,
+    accepted: BTreeSet<MemberId>,
+    sent_at: Option<Duration>,
+}
+
+struct Joiner {
+    member: Member,
+    founding: bool,
+    asked_at: Duration,
+}
+
+/// The state of one primary in one term.
+pub(super) struct Leadership {
+    own: Member,
+    min_in_sync: usize,
+    term: u64,
+    in_force: Option<EpochRecord>,
+    proposal: Option<Proposal>,
+    rounds: Rounds,
+    next_ping: Duration,
+    began: Duration,
+    heard: BTreeMap<MemberId, Duration>,
+    synced: BTreeMap<MemberId, StateVersion>,
+    sent: BTreeMap<MemberId, (StateVersion, Duration)>,
+    /// The newest state and when it was taken.
+    newest: Option<(Arc<ReplicatedState>, Duration)>,
+    /// States that were taken and are not known to be committed.
+    uncommitted: BTreeMap<u64, Arc<ReplicatedState>>,
+    committed: Option<Arc<ReplicatedState>>,
+    joiners: BTreeMap<MemberId, Joiner>,
+}
+
+impl Leadership {
+    pub(super) fn new(now: Duration, own: Member, tolerated: usize, record: EpochRecord) -> Self {
+        let term = record.term;
+        Leadership {
+            own,
+            min_in_sync: tolerated + 1,
+            term,
+            in_force: None,
+            proposal: Some(Proposal { record, accepted: BTreeSet::new(), sent_at: None }),
+            rounds: Rounds::default(),
+            next_ping: now,
+            began: now,
+            heard: BTreeMap::new(),
+            synced: BTreeMap::new(),
+            sent: BTreeMap::new(),
+            newest: None,
+            uncommitted: BTreeMap::new(),
+            committed: None,
+            joiners: BTreeMap::new(),
+        }
+    }
+
+    pub(super) fn term(&self) -> u64 {
+        self.term
+    }
+
+    pub(super) fn record_in_force(&self) -> Option<&EpochRecord> {
+        self.in_force.as_ref()
+    }
+
+    pub(super) fn proposed(&self) -> Option<&EpochRecord> {
+        self.proposal.as_ref().map(|p| &p.record)
+    }
+
+    pub(super) fn committed(&self) -> Option<&Arc<ReplicatedState>> {
+        self.committed.as_ref()
+    }
+
+    pub(super) fn is_established(&self) -> bool {
+        self.in_force.is_some() && self.committed.is_some()
+    }
+
+    pub(super) fn confirmed_at(&self) -> Option<Duration> {
+        self.rounds.confirmed_at()
+    }
+
+    pub(super) fn ping_soon(&mut self) {
+        self.next_ping = Duration::ZERO;
+    }
+
+    /// Does what is due.
+    pub(super) fn tick(
+        &mut self,
+        now: Duration,
+        state: &Arc<ReplicatedState>,
+        actions: &mut Vec<ReplicaAction>,
+    ) {
+        self.ping(now, actions);
+        self.send_proposal(now, actions);
+        if let Some(record) = self.in_force.clone() {
+            self.resend_states(now, &record, state, actions);
+            if self.proposal.is_none() {
+                self.propose_next(now, &record, state);
+                self.send_proposal(now, actions);
+            }
+        }
+    }
+
+    /// Sends a new state to everyone who is to hold it.
+    pub(super) fn replicate(
+        &mut self,
+        now: Duration,
+        state: &Arc<ReplicatedState>,
+        actions: &mut Vec<ReplicaAction>,
+    ) {
+        self.newest = Some((state.clone(), now));
+        self.uncommitted.insert(state.version.index, state.clone());
+        for member in self.audience() {
+            self.send_state(now, member, state, actions);
+        }
+    }
+
+    pub(super) fn wants_to_join(&mut self, now: Duration, member: Member, founding: bool) {
+        self.joiners.insert(member.id, Joiner { member, founding, asked_at: now });
+    }
+
+    pub(super) fn accepted(
+        &mut self,
+        now: Duration,
+        by: MemberId,
+        position: (u64, u64),
+        state: &Arc<ReplicatedState>,
+        actions: &mut Vec<ReplicaAction>,
+    ) {
+        let Some(proposal) = &mut self.proposal else { return };
+        if proposal.record.position() != position {
+            return;
+        }
+        proposal.accepted.insert(by);
+        if !proposal.record.is_quorum(&proposal.accepted) {
+            return;
+        }
+        self.in_force = self.proposal.take().map(|p| p.record);
+        self.commit();
+        let record = self.in_force.clone();
+        if let Some(record) = record {
+            self.resend_states(now, &record, state, actions);
+        }
+        self.next_ping = Duration::ZERO;
+    }
+
+    #[allow(clippy::too_many_arguments)]
+    pub(super) fn pong(
+        &mut self,
+        now: Duration,
+        by: MemberId,
+        (term, round): (u64, u64),
+        position: (u64, u64),
+        synced: StateVersion,
+        state: &Arc<ReplicatedState>,
+        actions: &mut Vec<ReplicaAction>,
+    ) {
+        if term != self.term {
+            return;
+        }
+        self.heard.insert(by, now);
+        self.synced(now, by, term, synced);
+        if let Some(record) = &self.in_force {
+            self.rounds.answered(round, by, record);
+        }
+        self.accepted(now, by, position, state, actions);
+        let missed = self.in_force.as_ref().filter(|r| position < r.position() && self.proposal.is_none());
+        if let (Some(record), Some(member)) = (missed, missed.and_then(|r| r.member(by))) {
+            let message = ReplicationMessage::Accept { record: record.clone() };
+            actions.push(ReplicaAction::Send { to: member.address, message });
+        }
+    }
+
+    pub(super) fn synced(&mut self, now: Duration, by: MemberId, term: u64, version: StateVersion) {
+        if term != self.term {
+            return;
+        }
+        self.heard.insert(by, now);
+        let known = self.synced.entry(by).or_default();
+        *known = (*known).max(version);
+        self.commit();
+    }
+
+    /// Everyone named by the record in force or proposed, but for this member.
+    fn audience(&self) -> Vec<Member> {
+        let records = self.in_force.iter().chain(self.proposal.as_ref().map(|p| &p.record));
+        let mut members: Vec<Member> = Vec::new();
+        for member in records.flat_map(|r| r.members.iter().chain(&r.previous_members)) {
+            if member.id != self.own.id && !members.iter().any(|m| m.id == member.id) {
+                members.push(*member);
+            }
+        }
+        members
+    }
+
+    fn ping(&mut self, now: Duration, actions: &mut Vec<ReplicaAction>) {
+        if now < self.next_ping {
+            return;
+        }
+        self.next_ping = now + PING_EVERY;
+        let answered = self.rounds.confirmed_at().unwrap_or(self.began);
+        let position = self.in_force.as_ref().map_or((0, 0), EpochRecord::position);
+        let round = self.rounds.begin(now, self.own.id);
+        // Without a majority the others are to elect; members it can still reach are asked all the same, but rarely.
+        if now.saturating_sub(answered) > DEPOSED_AFTER {
+            self.next_ping = now + DEPOSED_AFTER;
+        }
+        for member in self.audience() {
+            let message = ReplicationMessage::Ping { term: self.term, round, position };
+            actions.push(ReplicaAction::Send { to: member.address, message });
+        }
+    }
+
+    fn send_proposal(&mut self, now: Duration, actions: &mut Vec<ReplicaAction>) {
+        let audience = self.audience();
+        let Some(proposal) = &mut self.proposal else { return };
+        if proposal.sent_at.is_some_and(|at| now.saturating_sub(at) < RESEND_AFTER) {
+            return;
+        }
+        proposal.sent_at = Some(now);
+        for member in audience.iter().filter(|m| !proposal.accepted.contains(&m.id)) {
+            let message = ReplicationMessage::Accept { record: proposal.record.clone() };
+            actions.push(ReplicaAction::Send { to: member.address, message });
+        }
+    }
+
+    fn send_state(
+        &mut self,
+        now: Duration,
+        member: Member,
+        state: &Arc<ReplicatedState>,
+        actions: &mut Vec<ReplicaAction>,
+    ) {
+        self.sent.insert(member.id, (state.version, now));
+        let message = ReplicationMessage::Replicate { term: self.term, state: state.clone() };
+        actions.push(ReplicaAction::Send { to: member.address, message });
+    }
+
+    fn resend_states(
+        &mut self,
+        now: Duration,
+        record: &EpochRecord,
+        state: &Arc<ReplicatedState>,
+        actions: &mut Vec<ReplicaAction>,
+    ) {
+        if state.version.term != self.term {
+            return;
+        }
+        let own = self.own.id;
+        for member in record.members.iter().filter(|m| m.id != own) {
+            let has = self.synced.get(&member.id).copied().unwrap_or_default();
+            let sent = self.sent.get(&member.id);
+            let recently = sent.is_some_and(|(version, at)| {
+                *version >= state.version && now.saturating_sub(*at) < RESEND_AFTER
+            });
+            if has < state.version && !recently {
+                self.send_state(now, *member, state, actions);
+            }
+        }
+    }
+
+    /// A state is committed once all have synced it that any record names that is, or may come, into force.
+    fn commit(&mut self) {
+        let Some(record) = &self.in_force else { return };
+        let proposed = self.proposal.iter().flat_map(|p| &p.record.in_sync);
+        let holders: BTreeSet<MemberId> = record.in_sync.iter().chain(proposed).copied().collect();
+        let least = holders.iter().map(|id| self.synced.get(id).copied().unwrap_or_default()).min();
+        let Some(least) = least.filter(|v| v.term == self.term) else { return };
+        let mut later = self.uncommitted.split_off(&(least.index + 1));
+        std::mem::swap(&mut later, &mut self.uncommitted);
+        if let Some((_, state)) = later.pop_last() {
+            self.committed = Some(state);
+        }
+    }
+
+    fn was_heard_within(&self, now: Duration, id: MemberId, span: Duration) -> bool {
+        let at = self.heard.get(&id).copied().unwrap_or(self.began);
+        now.saturating_sub(at) < span
+    }
+
+    /// The next change of the record, one at a time: newcomers, members out of sync, members back in sync.
+    fn propose_next(&mut self, now: Duration, record: &EpochRecord, state: &Arc<ReplicatedState>) {
+        let next = self
+            .settled(record)
+            .or_else(|| self.shrunk(now, record))
+            .or_else(|| self.grown(now, record, state))
+            .or_else(|| self.with_newcomer(now, record));
+        if let Some(mut next) = next {
+            next.sequence = record.sequence + 1;
+            self.proposal = Some(Proposal { record: next, accepted: BTreeSet::new(), sent_at: None });
+        }
+    }
+
+    /// A change of members is in force: from now on the new members alone decide.
+    fn settled(&self, record: &EpochRecord) -> Option<EpochRecord> {
+        (record.previous_members != record.members)
+            .then(|| EpochRecord { previous_members: record.members.clone(), ..record.clone() })
+    }
+
+    fn shrunk(&self, now: Duration, record: &EpochRecord) -> Option<EpochRecord> {
+        if record.in_sync.len() <= self.min_in_sync {
+            return None;
+        }
+        let owed_since = self.newest.as_ref().map(|(state, at)| (state.version, *at));
+        let lags = |id: &MemberId| {
+            let silent = !self.was_heard_within(now, *id, OUT_OF_SYNC_AFTER);
+            let owes = owed_since.is_some_and(|(version, at)| {
+                self.synced.get(id).copied().unwrap_or_default() < version
+                    && now.saturating_sub(at) > OUT_OF_SYNC_AFTER
+            });
+            *id != self.own.id && (silent || owes)
+        };
+        let laggard = *record.in_sync.iter().find(|id| lags(id))?;
+        let mut next = record.clone();
+        next.in_sync.remove(&laggard);
+        Some(next)
+    }
+
+    fn grown(
+        &self,
+        now: Duration,
+        record: &EpochRecord,
+        state: &Arc<ReplicatedState>,
+    ) -> Option<EpochRecord> {
+        let caught_up = |member: &&Member| {
+            let synced = self.synced.get(&member.id).copied().unwrap_or_default();
+            !record.in_sync.contains(&member.id)
+                && synced >= state.version
+                && state.version.term == self.term
+                && self.was_heard_within(now, member.id, HEARD_LATELY)
+        };
+        let member = record.members.iter().find(caught_up)?;
+        let mut next = record.clone();
+        next.in_sync.insert(member.id);
+        Some(next)
+    }
+
+    fn with_newcomer(&mut self, now: Duration, record: &EpochRecord) -> Option<EpochRecord> {
+        self.joiners
+            .retain(|id, j| now.saturating_sub(j.asked_at) < JOINER_LATELY && record.member(*id).is_none());
+        let joiner = self.joiners.values().next()?;
+        let at_same_address = record.members.iter().find(|m| m.address == joiner.member.address);
+        let leaves = match at_same_address {
+            Some(former) => Some(*former),
+            None if joiner.founding => None,
+            None => Some(self.longest_silent(now, record)?),
+        };
+        let mut next = record.clone();
+        if let Some(former) = leaves {
+            next.members.retain(|m| m.id != former.id);
+            next.in_sync.remove(&former.id);
+            if next.in_sync.len() < self.min_in_sync {
+                return None;
+            }
+        }
+        next.members.push(joiner.member);
+        next.previous_members.clone_from(&record.members);
+        Some(next)
+    }
+
+    fn longest_silent(&self, now: Duration, record: &EpochRecord) -> Option<Member> {
+        let others = record.members.iter().filter(|m| m.id != self.own.id);
+        others
+            .filter(|m| !self.was_heard_within(now, m.id, REPLACE_AFTER))
+            .min_by_key(|m| self.heard.get(&m.id).copied().unwrap_or(self.began))
+            .copied()
+    }
+}
--- /dev/null
+++ b/crates/control-plane/src/replication/replica.rs
@@ -0,0 +1,681 @@
+//! One member: witness, backup and, when elected, primary.
+
+use super::leadership::Leadership;
+use super::types::{
+    DurableState, DurableWrite, EpochRecord, Member, MemberId, ReplicaAction, ReplicaSettings,
+    ReplicatedState, ReplicationEnvelope, ReplicationMessage, StateVersion, TakenOrder, Ticket, WitnessState,
+};
+use passrelay_dissemination::CoreHint;
+use rand::{Rng, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+use std::collections::{BTreeMap, BTreeSet};
+use std::net::SocketAddrV4;
+use std::sync::Arc;
+use std::time::Duration;
+
+/// Pause between looks at what is due.
+const TICK_EVERY: Duration = Duration::from_millis(50);
+/// A candidate that hasn't won after this tries again later.
+const CANDIDACY: Duration = Duration::from_millis(400);
+/// A write that takes longer means that the disk can't be relied on.
+const SLOW_WRITE: Duration = Duration::from_millis(600);
+/// Pause before a member whose disk failed stands for election.
+const AFTER_DISK_FAULT: Duration = Duration::from_secs(2);
+/// Pause between requests for a place among the members.
+const JOIN_EVERY: Duration = Duration::from_millis(300);
+
+enum Role {
+    Follower,
+    PreCandidate { term: u64, granted: BTreeSet<MemberId>, until: Duration },
+    Candidate { term: u64, promises: BTreeMap<MemberId, Option<EpochRecord>>, until: Duration },
+    Primary(Box<Leadership>),
+}
+
+struct PendingWrite {
+    began: Duration,
+    write: DurableWrite,
+    replies: Vec<(SocketAddrV4, ReplicationMessage)>,
+}
+
+/// One member of the core.
+pub struct Replica {
+    settings: ReplicaSettings,
+    rng: ChaCha8Rng,
+    /// What was promised and stored, as far as it may already have been told.
+    witness: WitnessState,
+    state: Arc<ReplicatedState>,
+    durable_witness: WitnessState,
+    durable_state: Arc<ReplicatedState>,
+    writes: BTreeMap<Ticket, PendingWrite>,
+    next_ticket: u64,
+    role: Role,
+    heard_primary: Duration,
+    campaign_at: Duration,
+    hint: Option<CoreHint>,
+    next_tick: Duration,
+    next_join: Duration,
+}
+
+impl Replica {
+    /// A member with what its disk holds.
+    pub fn new(now: Duration, settings: ReplicaSettings, durable: DurableState) -> Self {
+        let state = Arc::new(durable.state);
+        let mut replica = Replica {
+            rng: ChaCha8Rng::seed_from_u64(settings.random_seed),
+            witness: durable.witness.clone(),
+            durable_witness: durable.witness,
+            durable_state: state.clone(),
+            state,
+            writes: BTreeMap::new(),
+            next_ticket: 0,
+            role: Role::Follower,
+            heard_primary: Duration::ZERO,
+            campaign_at: now,
+            hint: None,
+            next_tick: now,
+            next_join: now,
+            settings,
+        };
+        replica.put_off_campaign(now);
+        replica
+    }
+
+    /// The record that this member goes by.
+    pub fn record(&self) -> Option<&EpochRecord> {
+        self.witness.record.as_ref()
+    }
+
+    /// The term that it has promised.
+    pub fn promised(&self) -> u64 {
+        self.witness.promised
+    }
+
+    /// This member's identity and address.
+    pub fn own(&self) -> Member {
+        self.settings.own
+    }
+
+    /// Whether it is primary, its record is in force and its state is committed under its own term.
+    pub fn is_established(&self) -> bool {
+        self.leadership().is_some_and(Leadership::is_established)
+    }
+
+    /// Whether it is primary, established or not yet.
+    pub fn is_primary(&self) -> bool {
+        self.leadership().is_some()
+    }
+
+    /// The newest state, committed or not; only a primary's says what a new order builds on.
+    pub fn state(&self) -> &Arc<ReplicatedState> {
+        &self.state
+    }
+
+    /// The newest state that is committed, on an established primary.
+    pub fn committed(&self) -> Option<&Arc<ReplicatedState>> {
+        self.leadership().and_then(Leadership::committed)
+    }
+
+    /// The last time at which a majority had promised nothing higher; everything acknowledged before that, by any
+    /// primary, is in [`Replica::committed`]. `None` unless established.
+    pub fn confirmed_at(&self) -> Option<Duration> {
+        self.leadership().filter(|l| l.is_established()).and_then(Leadership::confirmed_at)
+    }
+
+    /// What is to be told on of where the core is. Only a primary whose record is in force tells.
+    pub fn core_hint(&self) -> Option<CoreHint> {
+        let record = self.leadership()?.record_in_force()?;
+        let primary = record.member(record.primary)?.address;
+        let members = record.members.iter().map(|m| m.address).collect();
+        Some(CoreHint { term: record.term, sequence: record.sequence, primary, members })
+    }
+
+    /// Takes in where the core is.
+    pub fn learn_core(&mut self, hint: Option<&CoreHint>) {
+        if let Some(hint) = hint {
+            let newer = |known: &CoreHint| (hint.term, hint.sequence) > (known.term, known.sequence);
+            if self.hint.as_ref().is_none_or(newer) {
+                self.hint = Some(hint.clone());
+            }
+        }
+    }
+
+    /// Asks for a round of pings at once.
+    pub fn confirm_soon(&mut self) {
+        if let Role::Primary(leadership) = &mut self.role {
+            leadership.ping_soon();
+            self.next_tick = Duration::ZERO;
+        }
+    }
+
+    /// Takes an order: the document that is to follow. Returns the index at which it will be committed; `None`
+    /// unless this is an established primary.
+    pub fn propose(
+        &mut self,
+        now: Duration,
+        generation: u64,
+        document: Arc<str>,
+        order: TakenOrder,
+        actions: &mut Vec<ReplicaAction>,
+    ) -> Option<u64> {
+        let term = self.leadership().filter(|l| l.is_established())?.term();
+        let state = Arc::new(self.state.after(term, generation, document, order));
+        let index = state.version.index;
+        self.take_state(now, state, actions);
+        Some(index)
+    }
+
+    /// Does what is due. Returns when to call again.
+    pub fn tick(&mut self, now: Duration, actions: &mut Vec<ReplicaAction>) -> Duration {
+        if now < self.next_tick {
+            return self.next_tick;
+        }
+        self.next_tick = now + TICK_EVERY;
+        self.step_down_if_stalled(now);
+        match &mut self.role {
+            Role::Primary(leadership) => {
+                let state = self.state.clone();
+                leadership.tick(now, &state, actions);
+                self.store_proposal(now, actions);
+            }
+            Role::PreCandidate { until, .. } | Role::Candidate { until, .. } => {
+                if now >= *until {
+                    self.role = Role::Follower;
+                    self.put_off_campaign(now);
+                }
+            }
+            Role::Follower => self.tick_follower(now, actions),
+        }
+        self.next_tick
+    }
+
+    /// A write has ended.
+    pub fn written(
+        &mut self,
+        now: Duration,
+        ticket: Ticket,
+        succeeded: bool,
+        actions: &mut Vec<ReplicaAction>,
+    ) {
+        let Some(pending) = self.writes.remove(&ticket) else { return };
+        if !succeeded {
+            self.disk_failed(now);
+            return;
+        }
+        if let Some(witness) = pending.write.witness {
+            self.durable_witness = witness;
+        }
+        if let Some(state) = pending.write.state {
+            self.durable_state = state;
+        }
+        for (to, message) in pending.replies {
+            actions.push(ReplicaAction::Send { to, message });
+        }
+        self.own_progress(now, actions);
+    }
+
+    /// Takes in a message.
+    pub fn receive(
+        &mut self,
+        now: Duration,
+        envelope: ReplicationEnvelope,
+        actions: &mut Vec<ReplicaAction>,
+    ) {
+        let from = envelope.sender;
+        match envelope.message {
+            // For the founder, which needs no disk.
+            ReplicationMessage::Present { .. } => {}
+            ReplicationMessage::Join { member, founding } => {
+                if let Role::Primary(leadership) = &mut self.role {
+                    leadership.wants_to_join(now, member, founding);
+                }
+            }
+            ReplicationMessage::PreVote { term } => self.answer_pre_vote(now, from, term, actions),
+            ReplicationMessage::PreVoteGranted { term } => self.pre_vote_granted(now, from, term, actions),
+            ReplicationMessage::Prepare { term, candidate } => {
+                self.answer_prepare(now, from, term, candidate, actions);
+            }
+            ReplicationMessage::Promise { term, record } => {
+                self.promised_by(now, from, term, record, actions)
+            }
+            ReplicationMessage::Accept { record } => self.answer_accept(now, from, record, actions),
+            ReplicationMessage::Accepted { position } => {
+                if let Role::Primary(leadership) = &mut self.role {
+                    let state = self.state.clone();
+                    leadership.accepted(now, from.id, position, &state, actions);
+                    self.own_progress(now, actions);
+                }
+            }
+            ReplicationMessage::Refused { promised } => self.refused(now, promised),
+            ReplicationMessage::Ping { term, round, .. } => self.answer_ping(now, from, term, round, actions),
+            ReplicationMessage::Pong { term, round, position, synced } => {
+                if let Role::Primary(leadership) = &mut self.role {
+                    let state = self.state.clone();
+                    leadership.pong(now, from.id, (term, round), position, synced, &state, actions);
+                }
+            }
+            ReplicationMessage::Replicate { term, state } => {
+                self.answer_replicate(now, from, term, state, actions);
+            }
+            ReplicationMessage::Synced { term, version } => {
+                if let Role::Primary(leadership) = &mut self.role {
+                    leadership.synced(now, from.id, term, version);
+                }
+            }
+        }
+    }
+
+    fn leadership(&self) -> Option<&Leadership> {
+        match &self.role {
+            Role::Primary(leadership) => Some(leadership),
+            _ => None,
+        }
+    }
+
+    fn put_off_campaign(&mut self, now: Duration) {
+        let timeout = self.settings.election_timeout;
+        self.campaign_at = now + timeout + timeout.mul_f64(self.rng.random_range(0.0..0.6));
+    }
+
+    fn write(
+        &mut self,
+        now: Duration,
+        write: DurableWrite,
+        replies: Vec<(SocketAddrV4, ReplicationMessage)>,
+        actions: &mut Vec<ReplicaAction>,
+    ) {
+        self.next_ticket += 1;
+        let ticket = Ticket(self.next_ticket);
+        self.writes.insert(ticket, PendingWrite { began: now, write: write.clone(), replies });
+        actions.push(ReplicaAction::Write { ticket, write });
+    }
+
+    fn write_witness(
+        &mut self,
+        now: Duration,
+        replies: Vec<(SocketAddrV4, ReplicationMessage)>,
+        actions: &mut Vec<ReplicaAction>,
+    ) {
+        let write = DurableWrite { witness: Some(self.witness.clone()), state: None };
+        self.write(now, write, replies, actions);
+    }
+
+    fn disk_stalls(&self, now: Duration) -> bool {
+        self.writes.values().any(|w| now.saturating_sub(w.began) > SLOW_WRITE)
+    }
+
+    fn step_down_if_stalled(&mut self, now: Duration) {
+        if self.disk_stalls(now) && !matches!(self.role, Role::Follower) {
+            self.role = Role::Follower;
+            self.put_off_campaign(now);
+        }
+    }
+
+    /// What could not be written was not taken: memory goes back to what the disk holds, but for the promise.
+    fn disk_failed(&mut self, now: Duration) {
+        self.role = Role::Follower;
+        self.campaign_at = now + AFTER_DISK_FAULT;
+        if self.writes.is_empty() {
+            self.witness.record = self.durable_witness.record.clone();
+            self.state = self.durable_state.clone();
+        }
+    }
+
+    fn tick_follower(&mut self, now: Duration, actions: &mut Vec<ReplicaAction>) {
+        if !self.is_member() {
+            if now >= self.next_join {
+                self.next_join = now + JOIN_EVERY;
+                self.ask_for_place(actions);
+            }
+            return;
+        }
+        if now >= self.campaign_at && !self.disk_stalls(now) {
+            self.begin_pre_vote(now, actions);
+        }
+    }
+
+    /// Whether this member has a place, by the newest that it knows.
+    fn is_member(&self) -> bool {
+        let Some(record) = &self.witness.record else { return false };
+        if record.member(self.settings.own.id).is_none() {
+            return false;
+        }
+        let replaced = |hint: &CoreHint| {
+            (hint.term, hint.sequence) > record.position()
+                && !hint.members.contains(&self.settings.own.address)
+        };
+        !self.hint.as_ref().is_some_and(replaced)
+    }
+
+    fn ask_for_place(&mut self, actions: &mut Vec<ReplicaAction>) {
+        let member = self.settings.own;
+        let founding = self.settings.bootstrap && self.witness.record.is_none();
+        if let Some(hint) = &self.hint {
+            let message = ReplicationMessage::Join { member, founding };
+            actions.push(ReplicaAction::Send { to: hint.primary, message });
+        } else if founding {
+            for to in self.settings.seeds.clone() {
+                actions.push(ReplicaAction::Send { to, message: ReplicationMessage::Present { member } });
+            }
+        }
+    }
+
+    /// Addresses of everyone whose word a candidate may need, by a record.
+    fn electors(record: &EpochRecord) -> BTreeSet<SocketAddrV4> {
+        record.members.iter().chain(&record.previous_members).map(|m| m.address).collect()
+    }
+
+    fn send_to_electors(
+        &self,
+        record: &EpochRecord,
+        message: &ReplicationMessage,
+        actions: &mut Vec<ReplicaAction>,
+    ) {
+        for to in Self::electors(record) {
+            if to != self.settings.own.address {
+                actions.push(ReplicaAction::Send { to, message: message.clone() });
+            }
+        }
+    }
+
+    fn begin_pre_vote(&mut self, now: Duration, actions: &mut Vec<ReplicaAction>) {
+        let Some(record) = self.witness.record.clone() else { return };
+        let term = self.witness.promised.max(record.term) + 1;
+        let granted = BTreeSet::from([self.settings.own.id]);
+        self.role = Role::PreCandidate { term, granted, until: now + CANDIDACY };
+        self.send_to_electors(&record, &ReplicationMessage::PreVote { term }, actions);
+        self.count_pre_votes(now, actions);
+    }
+
+    fn answer_pre_vote(&mut self, now: Duration, from: Member, term: u64, actions: &mut Vec<ReplicaAction>) {
+        let leads = self.leadership().is_some();
+        let quiet = now.saturating_sub(self.heard_primary) >= self.settings.election_timeout.mul_f64(0.8);
+        if term > self.witness.promised && quiet && !leads {
+            actions.push(ReplicaAction::Send {
+                to: from.address,
+                message: ReplicationMessage::PreVoteGranted { term },
+            });
+        } else if term <= self.witness.promised {
+            let promised = self.witness.promised;
+            actions.push(ReplicaAction::Send {
+                to: from.address,
+                message: ReplicationMessage::Refused { promised },
+            });
+        }
+    }
+
+    fn pre_vote_granted(
+        &mut self,
+        now: Duration,
+        from: Member,
+        for_term: u64,
+        actions: &mut Vec<ReplicaAction>,
+    ) {
+        if let Role::PreCandidate { term, granted, .. } = &mut self.role {
+            if *term == for_term {
+                granted.insert(from.id);
+                self.count_pre_votes(now, actions);
+            }
+        }
+    }
+
+    fn count_pre_votes(&mut self, now: Duration, actions: &mut Vec<ReplicaAction>) {
+        let Role::PreCandidate { term, granted, .. } = &self.role else { return };
+        let Some(record) = &self.witness.record else { return };
+        if record.is_quorum(granted) {
+            let term = *term;
+            self.begin_candidacy(now, term, actions);
+        }
+    }
+
+    fn begin_candidacy(&mut self, now: Duration, term: u64, actions: &mut Vec<ReplicaAction>) {
+        let Some(record) = self.witness.record.clone() else { return };
+        self.witness.promised = term;
+        self.witness.promised_to = Some(self.settings.own.id);
+        self.role = Role::Candidate { term, promises: BTreeMap::new(), until: now + CANDIDACY };
+        self.write_witness(now, Vec::new(), actions);
+        let message = ReplicationMessage::Prepare { term, candidate: self.settings.own.id };
+        self.send_to_electors(&record, &message, actions);
+    }
+
+    fn answer_prepare(
+        &mut self,
+        now: Duration,
+        from: Member,
+        term: u64,
+        candidate: MemberId,
+        actions: &mut Vec<ReplicaAction>,
+    ) {
+        let again = term == self.witness.promised && self.witness.promised_to == Some(candidate);
+        if term <= self.witness.promised && !again {
+            let promised = self.witness.promised;
+            actions.push(ReplicaAction::Send {
+                to: from.address,
+                message: ReplicationMessage::Refused { promised },
+            });
+            return;
+        }
+        self.witness.promised = term;
+        self.witness.promised_to = Some(candidate);
+        self.role = Role::Follower;
+        self.put_off_campaign(now);
+        let promise = ReplicationMessage::Promise { term, record: self.witness.record.clone() };
+        self.write_witness(now, vec![(from.address, promise)], actions);
+    }
+
+    fn promised_by(
+        &mut self,
+        now: Duration,
+        from: Member,
+        for_term: u64,
+        record: Option<EpochRecord>,
+        actions: &mut Vec<ReplicaAction>,
+    ) {
+        if let Role::Candidate { term, promises, .. } = &mut self.role {
+            if *term == for_term {
+                promises.insert(from.id, record);
+                self.count_promises(now, actions);
+            }
+        }
+    }
+
+    fn count_promises(&mut self, now: Duration, actions: &mut Vec<ReplicaAction>) {
+        let Role::Candidate { term, promises, .. } = &self.role else { return };
+        let term = *term;
+        let Some(newest) = promises.values().flatten().max_by_key(|r| r.position()).cloned() else { return };
+        let voters: BTreeSet<MemberId> = promises.keys().copied().collect();
+        if !newest.is_quorum(&voters) {
+            // The newest record may name members that were not asked yet.
+            let message = ReplicationMessage::Prepare { term, candidate: self.settings.own.id };
+            if self.witness.record.as_ref().is_none_or(|r| r.position() < newest.position()) {
+                self.send_to_electors(&newest, &message, actions);
+            }
+            return;
+        }
+        let own = self.settings.own;
+        if !newest.in_sync.contains(&own.id) || newest.member(own.id).is_none() {
+            self.role = Role::Follower;
+            let timeout = self.settings.election_timeout;
+            self.campaign_at = now + timeout * 2;
+            return;
+        }
+        let record = EpochRecord { term, sequence: 0, primary: own.id, ..newest };
+        self.lead(now, record, actions);
+    }
+
+    /// Takes the lead of a term with a record that is still to come into force.
+    fn lead(&mut self, now: Duration, record: EpochRecord, actions: &mut Vec<ReplicaAction>) {
+        let term = record.term;
+        let leadership = Leadership::new(now, self.settings.own, self.settings.tolerated_losses, record);
+        self.role = Role::Primary(Box::new(leadership));
+        self.store_proposal(now, actions);
+        // The state goes out under the own term, so that older primaries' unfinished changes give way to it.
+        let version = StateVersion { term, index: self.state.version.index };
+        let state = ReplicatedState { version, ..(*self.state).clone() };
+        self.take_state(now, Arc::new(state), actions);
+    }
+
+    /// Stores the record that the own leadership proposes, once for each proposal.
+    fn store_proposal(&mut self, now: Duration, actions: &mut Vec<ReplicaAction>) {
+        let Role::Primary(leadership) = &self.role else { return };
+        let Some(proposed) = leadership.proposed() else { return };
+        if self.witness.record.as_ref().is_some_and(|r| r.position() >= proposed.position()) {
+            return;
+        }
+        self.witness.record = Some(proposed.clone());
+        self.write_witness(now, Vec::new(), actions);
+    }
+
+    fn take_state(&mut self, now: Duration, state: Arc<ReplicatedState>, actions: &mut Vec<ReplicaAction>) {
+        self.state = state.clone();
+        let write = DurableWrite { witness: None, state: Some(state.clone()) };
+        self.write(now, write, Vec::new(), actions);
+        if let Role::Primary(leadership) = &mut self.role {
+            leadership.replicate(now, &state, actions);
+        }
+    }
+
+    /// What is on the own disk counts like what other members have told.
+    fn own_progress(&mut self, now: Duration, actions: &mut Vec<ReplicaAction>) {
+        let own = self.settings.own.id;
+        match &mut self.role {
+            Role::Candidate { term, promises, .. } => {
+                if self.durable_witness.promised >= *term && !promises.contains_key(&own) {
+                    promises.insert(own, self.durable_witness.record.clone());
+                    self.count_promises(now, actions);
+                }
+            }
+            Role::Primary(leadership) => {
+                let term = leadership.term();
+                leadership.synced(now, own, term, self.durable_state.version);
+                if let Some(position) = self.durable_witness.record.as_ref().map(EpochRecord::position) {
+                    let state = self.state.clone();
+                    leadership.accepted(now, own, position, &state, actions);
+                }
+                self.store_proposal(now, actions);
+            }
+            _ => {}
+        }
+    }
+
+    fn answer_accept(
+        &mut self,
+        now: Duration,
+        from: Member,
+        record: EpochRecord,
+        actions: &mut Vec<ReplicaAction>,
+    ) {
+        if record.term < self.witness.promised {
+            let promised = self.witness.promised;
+            actions.push(ReplicaAction::Send {
+                to: from.address,
+                message: ReplicationMessage::Refused { promised },
+            });
+            return;
+        }
+        let position = record.position();
+        let reply = ReplicationMessage::Accepted { position };
+        let durable = self.durable_witness.record.as_ref().map(EpochRecord::position);
+        if durable >= Some(position) {
+            actions.push(ReplicaAction::Send { to: from.address, message: reply });
+            return;
+        }
+        let founded = record.primary == self.settings.own.id && !self.is_primary();
+        if record.term > self.witness.promised {
+            self.witness.promised = record.term;
+            self.witness.promised_to = Some(record.primary);
+        }
+        if founded {
+            self.lead(now, record, actions);
+            return;
+        }
+        self.follow(now);
+        if self.witness.record.as_ref().is_none_or(|r| r.position() < position) {
+            self.witness.record = Some(record);
+        }
+        self.write_witness(now, vec![(from.address, reply)], actions);
+    }
+
+    fn answer_ping(
+        &mut self,
+        now: Duration,
+        from: Member,
+        term: u64,
+        round: u64,
+        actions: &mut Vec<ReplicaAction>,
+    ) {
+        if term < self.witness.promised {
+            let promised = self.witness.promised;
+            actions.push(ReplicaAction::Send {
+                to: from.address,
+                message: ReplicationMessage::Refused { promised },
+            });
+            return;
+        }
+        self.follow(now);
+        let position = self.durable_witness.record.as_ref().map_or((0, 0), EpochRecord::position);
+        let synced = self.durable_state.version;
+        let message = ReplicationMessage::Pong { term, round, position, synced };
+        actions.push(ReplicaAction::Send { to: from.address, message });
+    }
+
+    fn answer_replicate(
+        &mut self,
+        now: Duration,
+        from: Member,
+        term: u64,
+        state: Arc<ReplicatedState>,
+        actions: &mut Vec<ReplicaAction>,
+    ) {
+        if term < self.witness.promised || state.version.term != term {
+            let promised = self.witness.promised;
+            actions.push(ReplicaAction::Send {
+                to: from.address,
+                message: ReplicationMessage::Refused { promised },
+            });
+            return;
+        }
+        self.follow(now);
+        let version = state.version;
+        let reply = ReplicationMessage::Synced { term, version };
+        if self.durable_state.version >= version {
+            actions.push(ReplicaAction::Send { to: from.address, message: reply });
+            return;
+        }
+        let under_way = |w: &PendingWrite| w.write.state.as_ref().is_some_and(|s| s.version >= version);
+        if self.state.version >= version && self.writes.values().any(under_way) {
+            return;
+        }
+        let mut write = DurableWrite { witness: None, state: Some(state.clone()) };
+        if term > self.witness.promised {
+            self.witness.promised = term;
+            self.witness.promised_to = None;
+            write.witness = Some(self.witness.clone());
+        }
+        self.state = state;
+        self.write(now, write, vec![(from.address, reply)], actions);
+    }
+
+    /// A primary of the promised term or a later one was heard.
+    fn follow(&mut self, now: Duration) {
+        self.heard_primary = now;
+        self.role = Role::Follower;
+        self.put_off_campaign(now);
+    }
+
+    fn refused(&mut self, now: Duration, promised: u64) {
+        let outrun = match &self.role {
+            Role::Follower => false,
+            Role::PreCandidate { term, .. } | Role::Candidate { term, .. } => promised >= *term,
+            Role::Primary(leadership) => promised > leadership.term(),
+        };
+        if outrun {
+            self.role = Role::Follower;
+            self.put_off_campaign(now);
+        }
+        // Only remembered, not promised: the next candidacy has to go above it.
+        if promised > self.witness.promised {
+            self.witness.promised = promised;
+            self.witness.promised_to = None;
+        }
+    }
+}
--- /dev/null
+++ b/crates/control-plane/src/replication/types.rs
@@ -0,0 +1,273 @@
+//! Records, messages and actions of replication.
+
+use serde::{Deserialize, Serialize};
+use std::collections::{BTreeSet, VecDeque};
+use std::net::SocketAddrV4;
+use std::sync::Arc;
+use std::time::Duration;
+
+/// Taken orders that are remembered, so that the same one sent again is acknowledged again.
+const REMEMBERED_ORDERS: usize = 512;
+
+/// A member of the core. Drawn when its disk is first used, so a machine whose disk was lost is another member.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+pub struct MemberId(pub u64);
+
+/// A member and where it is.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Member {
+    /// Its identity.
+    pub id: MemberId,
+    /// Its address for internal messages.
+    pub address: SocketAddrV4,
+}
+
+/// Who leads and who holds the state. Records are ordered by term, then by sequence.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct EpochRecord {
+    /// The term; each has one primary at most.
+    pub term: u64,
+    /// Position within the term.
+    pub sequence: u64,
+    /// The primary.
+    pub primary: MemberId,
+    /// The witnesses.
+    pub members: Vec<Member>,
+    /// The witnesses of the record before, whose majority has to store this one too.
+    pub previous_members: Vec<Member>,
+    /// Members that hold everything committed.
+    pub in_sync: BTreeSet<MemberId>,
+}
+
+impl EpochRecord {
+    /// Position in the order of records.
+    pub fn position(&self) -> (u64, u64) {
+        (self.term, self.sequence)
+    }
+
+    /// The member of this identity.
+    pub fn member(&self, id: MemberId) -> Option<&Member> {
+        self.members.iter().find(|m| m.id == id)
+    }
+
+    /// Whether these are a majority of the members, and of the members of the record before.
+    pub fn is_quorum(&self, ids: &BTreeSet<MemberId>) -> bool {
+        is_majority(&self.members, ids) && is_majority(&self.previous_members, ids)
+    }
+}
+
+fn is_majority(members: &[Member], ids: &BTreeSet<MemberId>) -> bool {
+    members.iter().filter(|m| ids.contains(&m.id)).count() * 2 > members.len()
+}
+
+/// What a witness stores.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct WitnessState {
+    /// The highest term promised; nothing of a lower one is taken any more.
+    pub promised: u64,
+    /// To whom.
+    pub promised_to: Option<MemberId>,
+    /// The highest record stored.
+    pub record: Option<EpochRecord>,
+}
+
+/// Position of a state: the term of the primary that wrote it, then the number of changes.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+pub struct StateVersion {
+    /// Term of the primary.
+    pub term: u64,
+    /// Number of changes since the beginning.
+    pub index: u64,
+}
+
+/// An order that was taken.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct TakenOrder {
+    /// The generation that it brought.
+    pub generation: u64,
+    /// Digest of method, base version and body.
+    pub digest: [u8; 32],
+}
+
+/// What is replicated.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ReplicatedState {
+    /// Its position.
+    pub version: StateVersion,
+    /// The operators' version number; 0 before the first configuration.
+    pub generation: u64,
+    /// The document, as JSON; `None` before the first configuration.
+    pub document: Option<Arc<str>>,
+    /// The orders taken last, oldest first.
+    pub orders: VecDeque<TakenOrder>,
+}
+
+impl ReplicatedState {
+    /// The state that follows by one more order.
+    pub fn after(&self, term: u64, generation: u64, document: Arc<str>, order: TakenOrder) -> Self {
+        let mut orders = self.orders.clone();
+        orders.push_back(order);
+        while orders.len() > REMEMBERED_ORDERS {
+            orders.pop_front();
+        }
+        let version = StateVersion { term, index: self.version.index + 1 };
+        ReplicatedState { version, generation, document: Some(document), orders }
+    }
+}
+
+/// Everything that a member has on disk.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct DurableState {
+    /// As a witness.
+    pub witness: WitnessState,
+    /// As a backup or primary.
+    pub state: ReplicatedState,
+}
+
+/// One write; both parts are in force together or not at all.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct DurableWrite {
+    /// The witness's part, if it changed.
+    pub witness: Option<WitnessState>,
+    /// The replicated state, if it changed.
+    pub state: Option<Arc<ReplicatedState>>,
+}
+
+/// Names a write whose end is waited for.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub struct Ticket(pub u64);
+
+/// A message and who sent it. Words count by identity: a machine whose disk was lost speaks as another member.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ReplicationEnvelope {
+    /// The sender.
+    pub sender: Member,
+    /// The message.
+    pub message: ReplicationMessage,
+}
+
+/// Messages between members, and from those that want to be.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum ReplicationMessage {
+    /// A machine that counts tells the founding proposer that it is there, with an empty disk.
+    Present {
+        /// Who.
+        member: Member,
+    },
+    /// A machine that counts and is no member asks the primary for a place.
+    Join {
+        /// Who.
+        member: Member,
+        /// Whether the whole system is starting for the first time.
+        founding: bool,
+    },
+    /// Would a vote be given? Changes nothing.
+    PreVote {
+        /// The term that would be stood for.
+        term: u64,
+    },
+    /// It would.
+    PreVoteGranted {
+        /// The term asked for.
+        term: u64,
+    },
+    /// A candidate asks for a promise.
+    Prepare {
+        /// Its term.
+        term: u64,
+        /// The candidate.
+        candidate: MemberId,
+    },
+    /// The promise, with the highest record stored.
+    Promise {
+        /// The term.
+        term: u64,
+        /// The record.
+        record: Option<EpochRecord>,
+    },
+    /// A record to be stored.
+    Accept {
+        /// The record.
+        record: EpochRecord,
+    },
+    /// It is stored.
+    Accepted {
+        /// Its position.
+        position: (u64, u64),
+    },
+    /// Something of a lower term than promised came.
+    Refused {
+        /// The term promised.
+        promised: u64,
+    },
+    /// The primary lives.
+    Ping {
+        /// Its term.
+        term: u64,
+        /// Names the round.
+        round: u64,
+        /// Position of the record in force.
+        position: (u64, u64),
+    },
+    /// Nothing higher than that term was promised here when the ping came.
+    Pong {
+        /// The term.
+        term: u64,
+        /// The round.
+        round: u64,
+        /// Position of the record stored.
+        position: (u64, u64),
+        /// The state synced.
+        synced: StateVersion,
+    },
+    /// A state to be synced.
+    Replicate {
+        /// Term of the primary that sends it.
+        term: u64,
+        /// The state.
+        state: Arc<ReplicatedState>,
+    },
+    /// It is synced.
+    Synced {
+        /// Term of the primary that sent it.
+        term: u64,
+        /// Its version.
+        version: StateVersion,
+    },
+}
+
+/// What the driver is to do, in this order.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum ReplicaAction {
+    /// Send a message to a member; it may be lost.
+    Send {
+        /// Where to.
+        to: SocketAddrV4,
+        /// The message.
+        message: ReplicationMessage,
+    },
+    /// Write and sync, then call [`Replica::written`](super::Replica::written).
+    Write {
+        /// Names the write.
+        ticket: Ticket,
+        /// What to write.
+        write: DurableWrite,
+    },
+}
+
+/// What a member has to know from the start.
+#[derive(Clone, Debug)]
+pub struct ReplicaSettings {
+    /// This member.
+    pub own: Member,
+    /// Members that may be lost at one time.
+    pub tolerated_losses: usize,
+    /// Whether the whole system starts for the first time.
+    pub bootstrap: bool,
+    /// Addresses of the seeds for internal messages; the first one founds the system.
+    pub seeds: Vec<SocketAddrV4>,
+    /// Time without the primary after which another is elected, at least.
+    pub election_timeout: Duration,
+    /// Sets this member's random choices apart from those of others.
+    pub random_seed: u64,
+}
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -37,6 +37,7 @@
 pub mod lifecycle;
 mod rules;
 mod state;
+pub mod turns;
 
 pub use api::{
     Action, Class, ClassId, Condition, DedupScope, Effect, Ending, Entry, Event, Outcome, Report, RequestId,
--- a/crates/core/src/rules.rs
+++ b/crates/core/src/rules.rs
@@ -5,6 +5,7 @@
 
 use crate::api::*;
 use crate::state::{Attempt, Balancer, Held, Request, Upstream};
+use crate::turns::{take_turn, Candidate};
 use std::collections::{BTreeMap, BTreeSet};
 
 /// Factor before a first report: half of the scale says "nothing known".
@@ -374,22 +375,13 @@
     /// Smooth weighted round robin over the ready set: highest tally wins and pays the sum of factors.
     fn turn(&mut self, ready: &[(UpstreamId, f64)], class: ClassId) -> Option<UpstreamId> {
         let all_zero = ready.iter().all(|(id, _)| self.upstreams[id].factor <= 0.0);
-        let mut sum = 0.0;
-        let mut best: Option<(UpstreamId, f64)> = None;
         let mut left = ready;
-        for (id, u) in &mut self.upstreams {
-            let Some(((_, trust), rest)) = left.split_first().filter(|((r, _), _)| r == id) else { continue };
+        take_turn(self.upstreams.iter_mut().filter_map(|(id, u)| {
+            let ((_, trust), rest) = left.split_first().filter(|((r, _), _)| r == id)?;
             left = rest;
             let factor = trust * if all_zero { 1.0 } else { u.factor };
-            sum += factor;
-            u.tally[class.0] += factor;
-            if factor > 0.0 && best.is_none_or(|(_, tally)| u.tally[class.0] > tally) {
-                best = Some((*id, u.tally[class.0]));
-            }
-        }
-        let (id, _) = best?;
-        self.upstreams.get_mut(&id)?.tally[class.0] -= sum;
-        Some(id)
+            Some(Candidate { item: *id, factor, tally: &mut u.tally[class.0] })
+        }))
     }
 
     // ---- 4. Request life ----
--- /dev/null
+++ b/crates/data-plane/src/balancer.rs
@@ -0,0 +1,345 @@
+//! Which endpoint gets the next request.
+//!
+//! Load reports feed a formula on a time or count trigger and weighted turns pick, as in the sidecar that this
+//! fleet grew from. Around it stand the ready set (who may be picked now) and the affinity of shared prompt parts:
+//! a few endpoints for each, in rendezvous order, under a bound on load.
+
+use passrelay_core::turns::{take_turn, Candidate};
+use passrelay_dissemination::{EndpointRecord, EndpointState};
+use rustc_hash::FxHasher;
+use std::collections::{BTreeMap, HashMap};
+use std::hash::{Hash, Hasher};
+use std::net::SocketAddrV4;
+use std::sync::Arc;
+use std::time::Duration;
+
+/// A factor is recomputed after this time ...
+const REFRESH_AFTER: Duration = Duration::from_millis(250);
+/// ... or after this many calls sent to the endpoint.
+const REFRESH_CALLS: u32 = 4;
+/// Factor before a first report.
+const UNKNOWN_FACTOR: f64 = 50.0;
+/// A report fades over this time to what the sidecar sees itself.
+const REPORT_FADES: Duration = Duration::from_millis(1_500);
+/// An endpoint with unanswered requests that has sent nothing for this long gets no more.
+const SILENCE: Duration = Duration::from_millis(700);
+/// First pause for an endpoint that failed; doubles with each failure in a row.
+const FIRST_PAUSE: Duration = Duration::from_millis(400);
+/// Longest such pause.
+const LONGEST_PAUSE: Duration = Duration::from_secs(5);
+/// Weight of endpoints in other zones against those of the own zone, where nothing else tells them apart.
+const OTHER_ZONE: f64 = 0.35;
+/// Endpoints that a shared prompt part is kept at, at most.
+const AFFINE_ENDPOINTS: usize = 3;
+/// An endpoint may be this much busier than the mean before a shared part moves on, in parts of its slots.
+const BUSY_OVER_MEAN: f64 = 0.2;
+
+/// What an endpoint reports in its answers.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct LoadReport {
+    /// Requests running.
+    pub running: f64,
+    /// Requests waiting.
+    pub waiting: f64,
+    /// Requests that it works on at the same time.
+    pub slots: f64,
+}
+
+impl LoadReport {
+    /// Reads `RUNNING,WAITING,SLOTS`.
+    pub fn read(text: &str) -> Option<Self> {
+        let mut numbers = text.split(',').map(|n| n.trim().parse::<f64>().ok().filter(|n| n.is_finite()));
+        let (running, waiting, slots) = (numbers.next()??, numbers.next()??, numbers.next()??);
+        Some(LoadReport { running, waiting, slots })
+    }
+}
+
+/// How a call to an endpoint ended, as far as placing the next one goes.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum CallEnd {
+    /// A whole answer came.
+    Answered,
+    /// The endpoint turned it away without running it.
+    Rejected,
+    /// No connection came up, or it broke, or the answer was no answer.
+    Failed,
+    /// The caller left.
+    Abandoned,
+}
+
+/// What is asked of a pick.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct PickRequest<'a> {
+    /// Name of the service.
+    pub service: &'a str,
+    /// The shared prompt part to keep together, if any.
+    pub shared_part: Option<u64>,
+    /// Endpoints that were tried already.
+    pub tried: &'a [Arc<str>],
+}
+
+/// An endpoint that was picked.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Pick {
+    /// Its instance id.
+    pub id: Arc<str>,
+    /// Its address.
+    pub address: SocketAddrV4,
+}
+
+#[derive(Debug)]
+struct Endpoint {
+    id: Arc<str>,
+    address: SocketAddrV4,
+    own_zone: bool,
+    state: EndpointState,
+    capacity: f64,
+    factor: f64,
+    tally: f64,
+    refreshed_at: Option<Duration>,
+    calls_since: u32,
+    report: Option<(LoadReport, Duration)>,
+    /// Own calls out now, and out when the last report came.
+    in_flight: u32,
+    in_flight_at_report: u32,
+    last_heard: Duration,
+    last_sent: Duration,
+    unanswered: u32,
+    failures: u32,
+    paused_until: Duration,
+}
+
+impl Endpoint {
+    fn new(record: &EndpointRecord, own_zone: bool) -> Self {
+        Endpoint {
+            id: record.id.as_str().into(),
+            address: record.address,
+            own_zone,
+            state: record.state,
+            capacity: f64::from(record.capacity.max(1)),
+            factor: UNKNOWN_FACTOR,
+            tally: 0.0,
+            refreshed_at: None,
+            calls_since: 0,
+            report: None,
+            in_flight: 0,
+            in_flight_at_report: 0,
+            last_heard: Duration::ZERO,
+            last_sent: Duration::ZERO,
+            unanswered: 0,
+            failures: 0,
+            paused_until: Duration::ZERO,
+        }
+    }
+
+    /// Parts of its slots that are taken: the last report, corrected by what was sent and ended here since, fading
+    /// to the own calls alone.
+    fn utilization(&self, now: Duration) -> f64 {
+        let own = f64::from(self.in_flight);
+        let Some((report, at)) = self.report else { return own / self.capacity };
+        let reported = report.running + report.waiting;
+        let fresh = (-now.saturating_sub(at).as_secs_f64() / REPORT_FADES.as_secs_f64()).exp();
+        let others = (reported - f64::from(self.in_flight_at_report)).max(0.0);
+        (others * fresh + own) / report.slots.max(1.0)
+    }
+
+    /// The formula: spare capacity, 0 to 100.
+    fn formula(&self, now: Duration) -> f64 {
+        if self.report.is_none() && self.in_flight == 0 {
+            return UNKNOWN_FACTOR;
+        }
+        ((1.0 - self.utilization(now)) * 100.0).max(0.0)
+    }
+
+    fn refresh(&mut self, now: Duration) {
+        let due = self.refreshed_at.is_none_or(|at| now.saturating_sub(at) >= REFRESH_AFTER);
+        if due || self.calls_since >= REFRESH_CALLS {
+            self.factor = self.formula(now);
+            self.refreshed_at = Some(now);
+            self.calls_since = 0;
+        }
+    }
+
+    fn is_silent(&self, now: Duration) -> bool {
+        self.unanswered > 0 && now.saturating_sub(self.last_heard.max(self.last_sent)) > SILENCE
+    }
+
+    fn is_well(&self, now: Duration) -> bool {
+        self.state == EndpointState::Ready && now >= self.paused_until && !self.is_silent(now)
+    }
+}
+
+/// The endpoints of all services as this sidecar sees them.
+#[derive(Debug)]
+pub struct Balancer {
+    zone: String,
+    endpoints: HashMap<Arc<str>, Endpoint>,
+    services: HashMap<String, Vec<Arc<str>>>,
+}
+
+impl Balancer {
+    /// A balancer of a sidecar in a zone.
+    pub fn new(zone: &str) -> Self {
+        Balancer { zone: zone.to_owned(), endpoints: HashMap::new(), services: HashMap::new() }
+    }
+
+    /// Takes the registry as it is now. What was seen of endpoints that stay is kept.
+    pub fn update<'a>(&mut self, records: impl Iterator<Item = &'a EndpointRecord>) {
+        let mut services: BTreeMap<&str, Vec<Arc<str>>> = BTreeMap::new();
+        let mut before = std::mem::take(&mut self.endpoints);
+        for record in records.filter(|r| r.state != EndpointState::Gone) {
+            let own_zone = record.zone == self.zone;
+            let mut endpoint =
+                before.remove(record.id.as_str()).unwrap_or_else(|| Endpoint::new(record, own_zone));
+            endpoint.state = record.state;
+            endpoint.address = record.address;
+            let id = endpoint.id.clone();
+            self.endpoints.insert(id.clone(), endpoint);
+            services.entry(&record.service).or_default().push(id);
+        }
+        self.services = services.into_iter().map(|(service, ids)| (service.to_owned(), ids)).collect();
+    }
+
+    /// Whether any endpoint of any service may be sent to.
+    pub fn has_ready(&self) -> bool {
+        self.endpoints.values().any(|e| e.state == EndpointState::Ready)
+    }
+
+    /// Whether an endpoint may still be sent to.
+    pub fn may_send(&self, id: &str) -> bool {
+        self.endpoints
+            .get(id)
+            .is_some_and(|e| matches!(e.state, EndpointState::Ready | EndpointState::Silent))
+    }
+
+    /// Picks an endpoint.
+    pub fn pick(&mut self, now: Duration, request: &PickRequest) -> Option<Pick> {
+        let ids = self.services.get(request.service)?;
+        let known = |id: &&Arc<str>| {
+            let endpoint = &self.endpoints[*id];
+            endpoint.state != EndpointState::Draining && !request.tried.contains(id)
+        };
+        let candidates: Vec<Arc<str>> = ids.iter().filter(known).cloned().collect();
+        let well: Vec<Arc<str>> =
+            candidates.iter().filter(|id| self.endpoints[*id].is_well(now)).cloned().collect();
+        // With nobody well, whoever may be there is tried: the trouble may be over.
+        let ready = if well.is_empty() { candidates } else { well };
+        for id in &ready {
+            if let Some(endpoint) = self.endpoints.get_mut(id) {
+                endpoint.refresh(now);
+            }
+        }
+        let chosen = match request.shared_part {
+            Some(part) => self.pick_affine(now, &ready, part),
+            None => self.pick_by_turn(&ready),
+        }?;
+        let endpoint = self.endpoints.get(&chosen)?;
+        Some(Pick { id: endpoint.id.clone(), address: endpoint.address })
+    }
+
+    /// Turns among all ready endpoints.
+    fn pick_by_turn(&mut self, ready: &[Arc<str>]) -> Option<Arc<str>> {
+        let spared = ready.iter().any(|id| self.endpoints[id].factor > 0.0);
+        let crowded = ready.iter().any(|id| self.endpoints[id].own_zone && self.endpoints[id].factor > 50.0);
+        let weight = |e: &Endpoint| {
+            let factor = if spared { e.factor } else { 1.0 };
+            factor * if e.own_zone || !crowded { 1.0 } else { OTHER_ZONE }
+        };
+        self.turn(ready, weight)
+    }
+
+    /// Turns among the first endpoints in the part's rendezvous order that are not much busier than the mean.
+    fn pick_affine(&mut self, now: Duration, ready: &[Arc<str>], part: u64) -> Option<Arc<str>> {
+        let mut order: Vec<&Arc<str>> = ready.iter().collect();
+        order.sort_by_cached_key(|id| std::cmp::Reverse(rendezvous(part, id)));
+        let busy = |id: &Arc<str>| self.endpoints[id].utilization(now);
+        let mean = ready.iter().map(busy).sum::<f64>() / ready.len().max(1) as f64;
+        let bearable = |id: &&&Arc<str>| busy(id) <= mean + BUSY_OVER_MEAN;
+        let first = order.iter().take(AFFINE_ENDPOINTS).find(bearable).map(|id| (*id).clone());
+        match first {
+            Some(id) => self.turn(&[id], |_| 1.0),
+            None => self.pick_by_turn(ready),
+        }
+    }
+
+    fn turn(&mut self, among: &[Arc<str>], weight: impl Fn(&Endpoint) -> f64) -> Option<Arc<str>> {
+        let mut chosen: Vec<(&Arc<str>, &mut Endpoint)> =
+            self.endpoints.iter_mut().filter(|(id, _)| among.contains(id)).collect();
+        chosen.sort_by(|a, b| a.0.cmp(b.0));
+        let ids: Vec<Arc<str>> = chosen.iter().map(|(id, _)| (*id).clone()).collect();
+        let candidates = chosen.into_iter().enumerate().map(|(index, (_, endpoint))| {
+            let factor = weight(endpoint);
+            Candidate { item: index, factor, tally: &mut endpoint.tally }
+        });
+        take_turn(candidates).map(|index| ids[index].clone())
+    }
+
+    /// A call was sent.
+    pub fn sent(&mut self, now: Duration, id: &str) {
+        if let Some(endpoint) = self.endpoints.get_mut(id) {
+            endpoint.in_flight += 1;
+            endpoint.calls_since += 1;
+            if endpoint.unanswered == 0 {
+                endpoint.last_sent = now;
+            }
+            endpoint.unanswered += 1;
+        }
+    }
+
+    /// The head of an answer came.
+    pub fn answered(&mut self, now: Duration, id: &str, report: Option<LoadReport>) {
+        if let Some(endpoint) = self.endpoints.get_mut(id) {
+            endpoint.last_heard = now;
+            endpoint.unanswered = endpoint.unanswered.saturating_sub(1);
+            endpoint.failures = 0;
+            endpoint.paused_until = Duration::ZERO;
+            if let Some(report) = report {
+                endpoint.report = Some((report, now));
+                endpoint.in_flight_at_report = endpoint.in_flight;
+            }
+        }
+    }
+
+    /// A piece of an answer came.
+    pub fn heard(&mut self, now: Duration, id: &str) {
+        if let Some(endpoint) = self.endpoints.get_mut(id) {
+            endpoint.last_heard = now;
+        }
+    }
+
+    /// A call that was sent has ended; `answered` tells whether the head of an answer had come.
+    pub fn ended(&mut self, now: Duration, id: &str, answered: bool, end: CallEnd) {
+        let Some(endpoint) = self.endpoints.get_mut(id) else { return };
+        endpoint.in_flight = endpoint.in_flight.saturating_sub(1);
+        if !answered {
+            endpoint.unanswered = endpoint.unanswered.saturating_sub(1);
+        }
+        let silent = !answered && endpoint.last_heard < endpoint.last_sent;
+        if end == CallEnd::Failed || (end == CallEnd::Abandoned && silent) {
+            endpoint.pause(now);
+        }
+    }
+
+    /// No connection to an endpoint came up.
+    pub fn unreachable(&mut self, now: Duration, id: &str) {
+        if let Some(endpoint) = self.endpoints.get_mut(id) {
+            endpoint.pause(now);
+        }
+    }
+}
+
+impl Endpoint {
+    fn pause(&mut self, now: Duration) {
+        let pause = FIRST_PAUSE * 2_u32.saturating_pow(self.failures.min(8));
+        self.failures = self.failures.saturating_add(1);
+        self.paused_until = now + pause.min(LONGEST_PAUSE);
+    }
+}
+
+fn rendezvous(part: u64, id: &str) -> u64 {
+    let mut hasher = FxHasher::default();
+    (part, id).hash(&mut hasher);
+    // FxHasher leaves the low bits weak; one more round of mixing evens the order out.
+    let mixed = (hasher.finish() ^ (hasher.finish() >> 29)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
+    mixed ^ (mixed >> 32)
+}
--- /dev/null
+++ b/crates/dissemination/src/lib.rs
@@ -0,0 +1,13 @@
+//! Epidemic dissemination between the sidecars of a fleet: which sidecars exist (peer sampling over partial
+//! views), which endpoints exist (a registry reconciled by digests), the committed configuration and how long
+//! ago it was known to be the newest. No I/O and no clock: `now` is the time since the process started.
+
+mod gossip;
+mod registry;
+mod view;
+
+pub use gossip::{
+    CommittedConfiguration, CoreHint, Digest, Gossip, GossipAction, GossipMessage, GossipSettings,
+};
+pub use registry::{EndpointRecord, EndpointState, Heartbeat, Registry, RegistryDigest};
+pub use view::{PartialView, PeerDescriptor};
--- /dev/null
+++ b/crates/node/src/node.rs
@@ -0,0 +1,434 @@
+//! One process: what its tasks share, and the loops that drive the deciders.
+
+use crate::client_connections::ClientConnections;
+use crate::settings::{NodeSettings, SettingsError};
+use crate::storage::{DiskEvent, Storage};
+use crate::transport::{read_frame, Transport};
+use crate::upstream::Pool;
+use crate::{control_api, front, signals};
+use event_listener::Event;
+use passrelay_configuration::{parse_document, Configuration};
+use passrelay_control_plane::quota::{QuotaMessage, TenantKey, GRANT_LASTS};
+use passrelay_control_plane::replication::{DurableState, Member, MemberId, ReplicaSettings};
+use passrelay_control_plane::{
+    Action, CallId, Coordinator, CoordinatorSettings, OperatorAnswer, OperatorRequest,
+};
+use passrelay_data_plane::balancer::Balancer;
+use passrelay_data_plane::quota::QuotaShares;
+use passrelay_data_plane::retry_budget::RetryBudget;
+use passrelay_data_plane::routing::RoutingTable;
+use passrelay_dissemination::{CommittedConfiguration, GossipSettings, Heartbeat};
+use smol::channel::Sender;
+use smol::{LocalExecutor, Timer};
+use std::cell::{Cell, RefCell};
+use std::collections::{BTreeMap, HashMap};
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+use thiserror::Error;
+
+/// Time without the primary after which another is elected, at least.
+const ELECTION_TIMEOUT: Duration = Duration::from_millis(500);
+/// Pause between questions for quota ahead of demand.
+const QUOTA_EVERY: Duration = Duration::from_millis(100);
+/// Questions for quota whose answers still count.
+const OPEN_QUOTA_QUESTIONS: usize = 256;
+/// Margin of the freshness check under the bound: a request needs time to reach its endpoint.
+const REVOKE_MARGIN: Duration = Duration::from_millis(600);
+/// A sidecar calls itself not ready this much before its requests would be refused.
+const READY_MARGIN: Duration = Duration::from_millis(700);
+/// Pause between lines with the status in the log.
+const STATUS_EVERY: Duration = Duration::from_secs(10);
+
+/// Why a process ends with an error.
+#[derive(Debug, Error)]
+pub enum NodeError {
+    /// The settings are faulty.
+    #[error("{0}")]
+    Settings(#[from] SettingsError),
+    /// The system refuses a socket, a thread or a signal.
+    #[error("{what}: {source}")]
+    System {
+        /// What was asked for.
+        what: &'static str,
+        /// What the system says.
+        source: std::io::Error,
+    },
+}
+
+fn system(what: &'static str) -> impl FnOnce(std::io::Error) -> NodeError {
+    move |source| NodeError::System { what, source }
+}
+
+/// A configuration as the request path reads it.
+pub struct Snapshot {
+    /// Routes, services, keys.
+    pub table: RoutingTable,
+    /// Position among all committed changes.
+    pub index: u64,
+}
+
+struct QuotaQuestion {
+    asked_at: Duration,
+    wanted: Vec<(TenantKey, u64)>,
+}
+
+/// What the tasks of one process share.
+pub struct Node {
+    /// The executor of all tasks.
+    pub executor: &'static LocalExecutor<'static>,
+    /// What the process was told.
+    pub settings: RefCell<NodeSettings>,
+    /// Endpoints as seen here.
+    pub balancer: RefCell<Balancer>,
+    /// Repeats that may still be sent.
+    pub budget: RefCell<RetryBudget>,
+    /// Tokens held of tenants' quotas.
+    pub quota: RefCell<QuotaShares>,
+    /// Tells requests that wait for tokens that some may have come.
+    pub quota_granted: Event,
+    /// Connections to endpoints.
+    pub pool: Pool,
+    /// Connections of clients.
+    pub clients: ClientConnections,
+    started: Instant,
+    coordinator: RefCell<Coordinator>,
+    transport: Transport,
+    storage: RefCell<Option<Storage>>,
+    snapshot: RefCell<Option<Rc<Snapshot>>>,
+    registry_revision: Cell<u64>,
+    calls: RefCell<HashMap<CallId, Sender<OperatorAnswer>>>,
+    next_call: Cell<u64>,
+    quota_questions: RefCell<BTreeMap<u64, QuotaQuestion>>,
+    next_quota_question: Cell<u64>,
+    draining: Cell<bool>,
+}
+
+impl Node {
+    /// Time since the process started.
+    pub fn now(&self) -> Duration {
+        self.started.elapsed()
+    }
+
+    /// The configuration in force.
+    pub fn snapshot(&self) -> Option<Rc<Snapshot>> {
+        self.snapshot.borrow().clone()
+    }
+
+    /// Whether SIGTERM has come.
+    pub fn is_draining(&self) -> bool {
+        self.draining.get()
+    }
+
+    /// From now on this process only finishes what it has.
+    pub fn begin_draining(&self) {
+        self.draining.set(true);
+    }
+
+    /// Whether requests with keys may be sent: the configuration is known to be current lately enough.
+    pub fn is_fresh(&self) -> bool {
+        self.is_fresh_within(REVOKE_MARGIN)
+    }
+
+    fn is_fresh_within(&self, margin: Duration) -> bool {
+        let settings = self.settings.borrow();
+        if !settings.strict_revocation {
+            return true;
+        }
+        let most = settings.revoke.saturating_sub(margin);
+        let now = self.now();
+        self.coordinator.borrow().gossip().fresh_at().is_some_and(|at| now.saturating_sub(at) < most)
+    }
+
+    /// Whether clients may come.
+    pub fn is_ready(&self) -> bool {
+        !self.is_draining()
+            && self.snapshot.borrow().is_some()
+            && self.balancer.borrow().has_ready()
+            && self.is_fresh_within(REVOKE_MARGIN + READY_MARGIN)
+    }
+
+    /// A short account as JSON.
+    pub fn status(&self) -> String {
+        let status = self.coordinator.borrow().status(self.now());
+        serde_json::to_string(&status).unwrap_or_default()
+    }
+
+    /// Takes other seeds after the settings have changed.
+    pub fn reload(&self) {
+        match NodeSettings::from_environment() {
+            Ok(settings) => {
+                self.coordinator.borrow_mut().set_seeds(settings.internal_seeds());
+                *self.settings.borrow_mut() = settings;
+                log::info!("event=reloaded");
+            }
+            Err(e) => log::error!("event=reload_failed problem=\"{e}\""),
+        }
+    }
+
+    /// An operator's call; the answer comes through the channel.
+    pub fn operator_call(
+        self: &Rc<Self>,
+        request: OperatorRequest,
+    ) -> smol::channel::Receiver<OperatorAnswer> {
+        let (answer, receiver) = smol::channel::bounded(1);
+        let call = CallId(self.next_call.get());
+        self.next_call.set(call.0 + 1);
+        self.calls.borrow_mut().insert(call, answer);
+        self.drive(|c, now, actions| c.operator_call(now, call, request, actions));
+        receiver
+    }
+
+    /// A heartbeat of an endpoint.
+    pub fn heartbeat(self: &Rc<Self>, beat: &Heartbeat) {
+        self.drive(|c, now, actions| c.heartbeat(now, beat, actions));
+    }
+
+    /// An endpoint has ended as planned.
+    pub fn leave(self: &Rc<Self>, id: &str) {
+        self.drive(|c, now, actions| c.leave(now, id, actions));
+    }
+
+    /// Asks the grantor for the tokens that are wanted now.
+    pub fn ask_for_quota(self: &Rc<Self>) {
+        let now = self.now();
+        let wanted: Vec<(TenantKey, u64)> =
+            self.quota.borrow_mut().questions(now).into_iter().map(|(key, n)| (TenantKey(key), n)).collect();
+        if wanted.is_empty() {
+            return;
+        }
+        let nonce = self.next_quota_question.get();
+        self.next_quota_question.set(nonce + 1);
+        let mut questions = self.quota_questions.borrow_mut();
+        questions.insert(nonce, QuotaQuestion { asked_at: now, wanted: wanted.clone() });
+        while questions.len() > OPEN_QUOTA_QUESTIONS {
+            questions.pop_first();
+        }
+        drop(questions);
+        let message = QuotaMessage::Want { nonce, wanted, returned_term: 0, returned: Vec::new() };
+        self.drive(|c, now, actions| c.want_tokens(now, message, actions));
+    }
+
+    /// Has the coordinator do something and carries its actions out.
+    fn drive<T>(self: &Rc<Self>, act: impl FnOnce(&mut Coordinator, Duration, &mut Vec<Action>) -> T) -> T {
+        let mut actions = Vec::new();
+        let now = self.now();
+        let result = {
+            let mut coordinator = self.coordinator.borrow_mut();
+            let result = act(&mut coordinator, now, &mut actions);
+            coordinator.tick(now, &mut actions);
+            result
+        };
+        for action in actions {
+            self.carry_out(action);
+        }
+        self.follow_registry();
+        result
+    }
+
+    fn carry_out(self: &Rc<Self>, action: Action) {
+        match action {
+            Action::Send { to, message } => self.transport.send(self.executor, to, message),
+            Action::Write { ticket, write } => {
+                if let Some(storage) = &*self.storage.borrow() {
+                    storage.write(ticket, write);
+                }
+            }
+            Action::Configured(configuration) => self.configure(&configuration),
+            Action::Answer { call, answer } => {
+                if let Some(waiting) = self.calls.borrow_mut().remove(&call) {
+                    let _ = waiting.try_send(answer);
+                }
+            }
+            Action::Granted(grant) => self.take_grant(grant),
+        }
+    }
+
+    fn configure(&self, committed: &CommittedConfiguration) {
+        let document = parse_document(committed.document.as_bytes());
+        match document.and_then(|document| Configuration::read(&document)) {
+            Ok(configuration) => {
+                let tenants: Vec<u64> =
+                    configuration.tenants.iter().map(|t| TenantKey::of(&t.name).0).collect();
+                self.quota.borrow_mut().retain(|key| tenants.contains(&key));
+                let services: Vec<String> = configuration.services.iter().map(|s| s.name.clone()).collect();
+                self.budget.borrow_mut().retain(|name| services.iter().any(|s| s == name));
+                let table = RoutingTable::new(configuration);
+                *self.snapshot.borrow_mut() = Some(Rc::new(Snapshot { table, index: committed.index }));
+                log::info!("event=configured generation={} index={}", committed.generation, committed.index);
+            }
+            Err(faults) => log::error!("event=configuration_unreadable problem=\"{faults}\""),
+        }
+    }
+
+    fn take_grant(&self, grant: QuotaMessage) {
+        let QuotaMessage::Grant { nonce, granted, .. } = grant else { return };
+        let Some(question) = self.quota_questions.borrow_mut().remove(&nonce) else { return };
+        let now = self.now();
+        let mut quota = self.quota.borrow_mut();
+        for (key, wanted) in &question.wanted {
+            let given = granted.iter().find(|(k, _)| k == key).map_or(0, |(_, tokens)| *tokens);
+            quota.granted(now, question.asked_at, GRANT_LASTS, key.0, *wanted, given);
+        }
+        drop(quota);
+        self.quota_granted.notify(usize::MAX);
+    }
+
+    fn follow_registry(&self) {
+        let coordinator = self.coordinator.borrow();
+        let registry = coordinator.gossip().registry();
+        if registry.revision() != self.registry_revision.get() {
+            self.registry_revision.set(registry.revision());
+            self.balancer.borrow_mut().update(registry.records());
+        }
+    }
+
+    fn disk_event(self: &Rc<Self>, event: DiskEvent) {
+        match event {
+            DiskEvent::Opened(identity, durable) => self.attach_replica(identity, durable),
+            DiskEvent::Written(ticket, succeeded) => {
+                self.drive(|c, now, actions| c.written(now, ticket, succeeded, actions));
+            }
+        }
+    }
+
+    fn attach_replica(self: &Rc<Self>, id: MemberId, durable: DurableState) {
+        let settings = self.settings.borrow();
+        let replica = ReplicaSettings {
+            own: Member { id, address: settings.internal_address() },
+            tolerated_losses: settings.tolerated_losses,
+            bootstrap: settings.bootstrap,
+            seeds: settings.internal_seeds(),
+            election_timeout: ELECTION_TIMEOUT,
+            random_seed: rand::random(),
+        };
+        drop(settings);
+        log::info!("event=disk_open member={:016x} index={}", id.0, durable.state.version.index);
+        self.drive(|c, now, _| c.attach_replica(now, replica, durable));
+    }
+}
+
+/// Runs one process until it has ended as planned.
+///
+/// # Errors
+///
+/// Returns why it couldn't start.
+pub fn run() -> Result<(), NodeError> {
+    let settings = NodeSettings::from_environment()?;
+    let executor: &'static LocalExecutor<'static> = Box::leak(Box::new(LocalExecutor::new()));
+    smol::block_on(executor.run(serve(settings, executor)))
+}
+
+async fn serve(settings: NodeSettings, executor: &'static LocalExecutor<'static>) -> Result<(), NodeError> {
+    let started = Instant::now();
+    let transport = Transport::open(settings.internal_address()).await.map_err(system("internal port"))?;
+    let coordinator = Coordinator::new(
+        Duration::ZERO,
+        CoordinatorSettings {
+            gossip: GossipSettings {
+                own: settings.internal_address(),
+                seeds: settings.internal_seeds(),
+                heartbeat: settings.heartbeat,
+                random_seed: rand::random(),
+            },
+            replica: None,
+            bootstrap: settings.bootstrap,
+            tolerated_losses: settings.tolerated_losses,
+        },
+    );
+    let node = Rc::new(Node {
+        executor,
+        balancer: RefCell::new(Balancer::new(&settings.zone)),
+        budget: RefCell::new(RetryBudget::new(settings.retry_budget_ratio)),
+        quota: RefCell::new(QuotaShares::default()),
+        quota_granted: Event::new(),
+        pool: Pool::default(),
+        clients: ClientConnections::default(),
+        started,
+        coordinator: RefCell::new(coordinator),
+        transport,
+        storage: RefCell::new(None),
+        snapshot: RefCell::new(None),
+        registry_revision: Cell::new(0),
+        calls: RefCell::default(),
+        next_call: Cell::new(1),
+        quota_questions: RefCell::default(),
+        next_quota_question: Cell::new(1),
+        draining: Cell::new(false),
+        settings: RefCell::new(settings),
+    });
+    open_disk(&node)?;
+    start_loops(&node);
+    control_api::start(&node).await.map_err(system("control port"))?;
+    front::start(&node).await.map_err(system("clients' port"))?;
+    log::info!("event=started name={}", node.settings.borrow().node_name);
+    signals::until_ended(&node).await.map_err(system("signals"))
+}
+
+fn open_disk(node: &Rc<Node>) -> Result<(), NodeError> {
+    let settings = node.settings.borrow();
+    let folder = settings.data_dir.clone().filter(|_| settings.counts_for_quorum);
+    let Some(folder) = folder else { return Ok(()) };
+    let (events, received) = smol::channel::unbounded();
+    let storage = Storage::start(folder, events).map_err(system("thread of the disk"))?;
+    *node.storage.borrow_mut() = Some(storage);
+    let node = node.clone();
+    node.executor
+        .spawn({
+            let node = node.clone();
+            async move {
+                while let Ok(event) = received.recv().await {
+                    node.disk_event(event);
+                }
+            }
+        })
+        .detach();
+    Ok(())
+}
+
+fn start_loops(node: &Rc<Node>) {
+    let spawn = |future: std::pin::Pin<Box<dyn std::future::Future<Output = ()>>>| {
+        node.executor.spawn(future).detach();
+    };
+    let n = node.clone();
+    spawn(Box::pin(async move {
+        loop {
+            let (from, message) = n.transport.receive().await;
+            n.drive(|c, now, actions| c.receive(now, from, message, actions));
+        }
+    }));
+    let n = node.clone();
+    spawn(Box::pin(async move {
+        loop {
+            let stream = n.transport.accept().await;
+            let node = n.clone();
+            let read = async move {
+                if let Some((from, message)) = read_frame(stream).await {
+                    node.drive(|c, now, actions| c.receive(now, from, message, actions));
+                }
+            };
+            n.executor.spawn(read).detach();
+        }
+    }));
+    let n = node.clone();
+    spawn(Box::pin(async move {
+        loop {
+            let now = n.now();
+            let due = n.drive(|c, now, actions| c.tick(now, actions));
+            Timer::after(due.saturating_sub(now).max(Duration::from_millis(5))).await;
+        }
+    }));
+    let n = node.clone();
+    spawn(Box::pin(async move {
+        loop {
+            Timer::after(QUOTA_EVERY).await;
+            n.ask_for_quota();
+        }
+    }));
+    let n = node.clone();
+    spawn(Box::pin(async move {
+        loop {
+            Timer::after(STATUS_EVERY).await;
+            log::info!("event=status {}", n.status());
+        }
+    }));
+}
--- /dev/null
+++ b/crates/node/src/storage.rs
@@ -0,0 +1,204 @@
+//! The disk of a member of the core: a redb database on a thread of its own, so that a stalled disk holds up nothing
+//! but itself.
+
+use passrelay_control_plane::replication::{
+    DurableState, DurableWrite, MemberId, ReplicatedState, Ticket, WitnessState,
+};
+use redb::{Database, TableDefinition};
+use serde::de::DeserializeOwned;
+use serde::Serialize;
+use std::path::{Path, PathBuf};
+use std::sync::mpsc;
+use std::thread;
+use std::time::Duration;
+use thiserror::Error;
+
+const TABLE: TableDefinition<&str, &[u8]> = TableDefinition::new("replica");
+const IDENTITY: &str = "identity";
+const WITNESS: &str = "witness";
+const STATE: &str = "state";
+const FILE: &str = "replica.redb";
+/// Memory that the database may use for caching.
+const CACHE_BYTES: usize = 1 << 20;
+/// Pause before a disk that refused to open is tried again.
+const REOPEN_AFTER: Duration = Duration::from_millis(250);
+
+/// What goes wrong with the store.
+#[derive(Debug, Error)]
+enum StoreError {
+    /// The database refuses.
+    #[error("{0}")]
+    Database(String),
+    /// The file system refuses.
+    #[error("{0}")]
+    File(#[from] std::io::Error),
+    /// A value can't be read.
+    #[error("the value of '{0}' is damaged")]
+    Damaged(&'static str),
+}
+
+fn database<E: std::fmt::Display>(error: E) -> StoreError {
+    StoreError::Database(error.to_string())
+}
+
+/// What the disk's thread tells.
+pub enum DiskEvent {
+    /// The disk is open: this machine's identity and what it holds.
+    Opened(MemberId, DurableState),
+    /// A write has ended.
+    Written(Ticket, bool),
+}
+
+/// The way to the disk's thread.
+pub struct Storage {
+    writes: mpsc::Sender<(Ticket, DurableWrite)>,
+}
+
+impl Storage {
+    /// Starts the thread. Events come through the channel, first of all [`DiskEvent::Opened`].
+    ///
+    /// # Errors
+    ///
+    /// Returns what the system says where no thread can be started.
+    pub fn start(folder: PathBuf, events: smol::channel::Sender<DiskEvent>) -> std::io::Result<Self> {
+        let (writes, queue) = mpsc::channel();
+        thread::Builder::new().name("disk".to_owned()).spawn(move || serve(&folder, &queue, &events))?;
+        Ok(Storage { writes })
+    }
+
+    /// Puts a write into the queue.
+    pub fn write(&self, ticket: Ticket, write: DurableWrite) {
+        // The thread ends only with the process.
+        let _ = self.writes.send((ticket, write));
+    }
+}
+
+fn serve(
+    folder: &Path,
+    queue: &mpsc::Receiver<(Ticket, DurableWrite)>,
+    events: &smol::channel::Sender<DiskEvent>,
+) {
+    let (mut database, identity, durable) = open_with_patience(folder);
+    if events.send_blocking(DiskEvent::Opened(identity, durable)).is_err() {
+        return;
+    }
+    while let Ok((ticket, write)) = queue.recv() {
+        let done = write_all(&database, &write);
+        if let Err(e) = &done {
+            log::error!("event=write_failed problem=\"{e}\"");
+            // A database that has seen a failed write takes no further one before it is opened anew.
+            if let Some(reopened) = reopen(folder, database) {
+                database = reopened;
+            } else {
+                let _ = events.send_blocking(DiskEvent::Written(ticket, false));
+                database = open_with_patience(folder).0;
+                continue;
+            }
+        }
+        if events.send_blocking(DiskEvent::Written(ticket, done.is_ok())).is_err() {
+            return;
+        }
+    }
+}
+
+/// Opens the database, and waits where the disk refuses (full, in trouble).
+fn open_with_patience(folder: &Path) -> (Database, MemberId, DurableState) {
+    loop {
+        match open(folder) {
+            Ok(opened) => return opened,
+            Err(StoreError::Damaged(part)) => {
+                log::error!("event=store_damaged part={part}");
+                put_aside(folder);
+            }
+            Err(StoreError::Database(problem)) if is_damage(&problem) => {
+                log::error!("event=store_damaged problem=\"{problem}\"");
+                put_aside(folder);
+            }
+            Err(e) => {
+                log::warn!("event=store_refused problem=\"{e}\"");
+                thread::sleep(REOPEN_AFTER);
+            }
+        }
+    }
+}
+
+fn is_damage(problem: &str) -> bool {
+    let lower = problem.to_ascii_lowercase();
+    lower.contains("corrupt") || lower.contains("invalid") || lower.contains("manual upgrade")
+}
+
+/// A store that doesn't open is kept for inspection; the machine joins again as one that lost its disk.
+fn put_aside(folder: &Path) {
+    let kept = folder.join(format!("{FILE}.damaged"));
+    if std::fs::rename(folder.join(FILE), kept).is_err() {
+        thread::sleep(REOPEN_AFTER);
+    }
+}
+
+fn reopen(folder: &Path, database: Database) -> Option<Database> {
+    drop(database);
+    open(folder).ok().map(|(database, _, _)| database)
+}
+
+fn open(folder: &Path) -> Result<(Database, MemberId, DurableState), StoreError> {
+    std::fs::create_dir_all(folder)?;
+    let path = folder.join(FILE);
+    let database = redb::Builder::new().set_cache_size(CACHE_BYTES).create(&path).map_err(self::database)?;
+    std::fs::File::open(folder)?.sync_all()?;
+    let identity = read_identity(&database)?;
+    let durable = DurableState {
+        witness: read::<WitnessState>(&database, WITNESS)?.unwrap_or_default(),
+        state: read::<ReplicatedState>(&database, STATE)?.unwrap_or_default(),
+    };
+    Ok((database, identity, durable))
+}
+
+fn read_identity(database: &Database) -> Result<MemberId, StoreError> {
+    if let Some(identity) = read(database, IDENTITY)? {
+        return Ok(identity);
+    }
+    // 0 stands for nobody.
+    let identity = MemberId(rand::random::<u64>().max(1));
+    write_values(database, &[(IDENTITY, encode(&identity)?)])?;
+    Ok(identity)
+}
+
+fn read<T: DeserializeOwned>(database: &Database, key: &'static str) -> Result<Option<T>, StoreError> {
+    let transaction = database.begin_read().map_err(self::database)?;
+    let table = match transaction.open_table(TABLE) {
+        Ok(table) => table,
+        Err(redb::TableError::TableDoesNotExist(_)) => return Ok(None),
+        Err(e) => return Err(self::database(e)),
+    };
+    let Some(value) = table.get(key).map_err(self::database)? else { return Ok(None) };
+    ciborium::from_reader(value.value()).map(Some).map_err(|_| StoreError::Damaged(key))
+}
+
+fn encode<T: Serialize>(value: &T) -> Result<Vec<u8>, StoreError> {
+    let mut bytes = Vec::new();
+    ciborium::into_writer(value, &mut bytes).map_err(database)?;
+    Ok(bytes)
+}
+
+fn write_all(database: &Database, write: &DurableWrite) -> Result<(), StoreError> {
+    let mut values = Vec::new();
+    if let Some(witness) = &write.witness {
+        values.push((WITNESS, encode(witness)?));
+    }
+    if let Some(state) = &write.state {
+        values.push((STATE, encode(state.as_ref())?));
+    }
+    write_values(database, &values)
+}
+
+/// One transaction, synced before it returns.
+fn write_values(database: &Database, values: &[(&str, Vec<u8>)]) -> Result<(), StoreError> {
+    let transaction = database.begin_write().map_err(self::database)?;
+    {
+        let mut table = transaction.open_table(TABLE).map_err(self::database)?;
+        for (key, value) in values {
+            table.insert(*key, value.as_slice()).map_err(self::database)?;
+        }
+    }
+    transaction.commit().map_err(self::database)
+}
--- a/crates/passrelay/src/cli.rs
+++ b/crates/passrelay/src/cli.rs
@@ -26,6 +26,8 @@
 enum Command {
     /// Serves as a sidecar (also without any word).
     Run,
+    /// Serves as one process of the router fleet: PASSRELAY_CONFIG names the file with its settings.
+    Node,
     /// Prints the version.
     Version,
     /// Votes on the fleet's leases until SIGTERM. Exit code 1 where the disk or the address can't be used.
@@ -72,6 +74,7 @@
     };
     let done = match command {
         Command::Run => run().map(|()| ExitCode::SUCCESS),
+        Command::Node => node().map(|()| ExitCode::SUCCESS),
         Command::Version => {
             println!("passrelay {}", env!("CARGO_PKG_VERSION"));
             Ok(ExitCode::SUCCESS)
@@ -87,6 +90,19 @@
     })
 }
 
+fn node() -> Result<(), Box<dyn Error>> {
+    let format = simplelog::ConfigBuilder::new()
+        .set_time_level(simplelog::LevelFilter::Off)
+        .set_thread_level(simplelog::LevelFilter::Off)
+        .set_target_level(simplelog::LevelFilter::Off)
+        .set_location_level(simplelog::LevelFilter::Off)
+        .add_filter_allow_str("passrelay")
+        .build();
+    simplelog::WriteLogger::init(log::LevelFilter::Info, format, std::io::stderr())?;
+    passrelay_node::run()?;
+    Ok(())
+}
+
 fn run() -> Result<(), Box<dyn Error>> {
     let config = Config::from_env()?;
     // Without a fleet no thread, socket or file more than without this line.
