Grant quota on demand with reserves, and send prompts where they are read soonest

Cause: prefetched grants lay unused at twelve sidecars while large requests inside the quota got 429; hot parts queued at one endpoint whose slots looked free; 1 s without a primary refused all keyed requests. Change: tokens are asked for by the request that needs them, a reserve serves while no grantor answers and is charged later; load of prompt endpoints counts tokens to be read; members campaign sooner.

--- a/crates/control-plane/src/coordinator.rs
+++ b/crates/control-plane/src/coordinator.rs
@@ -2,7 +2,7 @@
 //! operators, quota grants. The program and the simulation drive the same coordinator.
 
 use crate::orders::{Order, Refusal, Verdict};
-use crate::quota::{Grantor, QuotaMessage};
+use crate::quota::{Grantor, QuotaBounds, QuotaMessage};
 use crate::replication::{
     DurableState, DurableWrite, Founder, Replica, ReplicaAction, ReplicaSettings, ReplicatedState,
     ReplicationEnvelope, ReplicationMessage, Ticket,
@@ -134,6 +134,8 @@
     pub bootstrap: bool,
     /// Counted machines that may be lost at one time.
     pub tolerated_losses: usize,
+    /// How far quotas may be overshot.
+    pub quota_bounds: QuotaBounds,
 }
 
 /// A short account of what this process knows, for operators and logs.
@@ -189,6 +191,7 @@
     gossip: Gossip,
     replica: Option<Replica>,
     founder: Option<Founder>,
+    quota_bounds: QuotaBounds,
     grantor: Option<Grantor>,
     calls: Vec<Call>,
 }
@@ -207,6 +210,7 @@
             gossip: Gossip::new(settings.gossip),
             replica: settings.replica.map(|(replica, durable)| Replica::new(now, replica, durable)),
             founder,
+            quota_bounds: settings.quota_bounds,
             grantor: None,
             calls: Vec::new(),
         }
@@ -403,14 +407,13 @@
         message: QuotaMessage,
         actions: &mut Vec<Action>,
     ) {
-        let QuotaMessage::Want { nonce, wanted, returned_term, returned } = message else {
+        let QuotaMessage::Want { nonce, wanted, overdrawn } = message else {
             actions.push(Action::Granted(message));
             return;
         };
         let confirmed_at = self.replica.as_ref().and_then(Replica::confirmed_at);
         let Some(grantor) = &mut self.grantor else { return };
-        grantor.take_back(now, returned_term, &returned);
-        let Some(granted) = grantor.grant(now, confirmed_at, &wanted) else { return };
+        let Some(granted) = grantor.grant(now, confirmed_at, from, &wanted, &overdrawn) else { return };
         let grant = QuotaMessage::Grant { nonce, term: grantor.term(), granted };
         if from == self.own {
             actions.push(Action::Granted(grant));
@@ -447,7 +450,7 @@
         let term = committed.version.term;
         let current = self.grantor.as_ref().is_some_and(|g| g.term() == term);
         if !current {
-            self.grantor = Some(Grantor::new(now, term));
+            self.grantor = Some(Grantor::new(now, term, self.quota_bounds));
         }
         if !current || before != committed.version.index {
             self.configure_grantor(now, &committed);
--- a/crates/control-plane/src/quota.rs
+++ b/crates/control-plane/src/quota.rs
@@ -1,12 +1,15 @@
 //! Tenants' quotas over all sidecars: the primary grants tokens from one bucket a tenant, sidecars spend them.
 //!
 //! A grant ends a fixed time after the sidecar asked for it, so what a lost sidecar held is not spent later. A
-//! grantor grants only while a majority has confirmed it lately, and a new one waits out that time first.
+//! grantor grants only while a majority has confirmed it lately, and a new one waits out that time first. While no
+//! grantor answers, sidecars live on a reserve that came with their last grant: together no more than the quota of a
+//! short time. What was spent of it is charged to the bucket afterwards.
 
 use passrelay_configuration::Configuration;
 use serde::{Deserialize, Serialize};
 use std::collections::BTreeMap;
 use std::hash::{DefaultHasher, Hash, Hasher};
+use std::net::SocketAddrV4;
 use std::time::Duration;
 
 /// A grantor that wasn't confirmed within this time grants nothing.
@@ -14,7 +17,34 @@
 /// How long a grant may be spent, from the moment it was asked for.
 pub const GRANT_LASTS: Duration = Duration::from_millis(1_500);
 /// A new grantor starts with the allowance of this time, in seconds.
-const FIRST_ALLOWANCE_S: f64 = 0.5;
+const FIRST_ALLOWANCE_S: f64 = 0.25;
+/// All reserves together are the allowance of this time, in seconds.
+const RESERVE_S: f64 = 1.6;
+/// Part of the bound's overshoot and slack that buckets may save up; the rest covers reserves and changes of grantor.
+const SLACK_PART: f64 = 0.3;
+/// Sidecars that asked within this time share the reserve.
+const POPULATION_OVER: Duration = Duration::from_secs(8);
+/// Tokens of a bucket that may be owed at most, as seconds of its rate.
+const MOST_OWED_S: f64 = 3.0;
+
+/// How far all sidecars together may go beyond a tenant's quota.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct QuotaBounds {
+    /// Length of the window that is looked at, in seconds.
+    pub window_s: f64,
+    /// Part of the quota by which a window may be overshot.
+    pub overshoot: f64,
+    /// Tokens by which it may be overshot besides.
+    pub slack: f64,
+}
+
+impl QuotaBounds {
+    /// What a bucket may hold under these bounds.
+    fn capacity(&self, rate_per_s: f64, burst: f64) -> f64 {
+        let spare = self.overshoot * (rate_per_s * self.window_s + burst) + self.slack;
+        burst + SLACK_PART * spare
+    }
+}
 
 /// Names a tenant in messages: a hash of its name.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
@@ -32,16 +62,14 @@
 /// Messages between sidecars and the grantor.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum QuotaMessage {
-    /// Tokens are wanted; some of an earlier grant may be handed back.
+    /// Tokens are wanted.
     Want {
         /// Names the question.
         nonce: u64,
         /// Tenant and tokens wanted.
         wanted: Vec<(TenantKey, u64)>,
-        /// Term of the grantor that gave what is handed back.
-        returned_term: u64,
-        /// Tenant and tokens handed back.
-        returned: Vec<(TenantKey, u64)>,
+        /// Tenant and tokens that were spent of the reserve and not told yet.
+        overdrawn: Vec<(TenantKey, u64)>,
     },
     /// Tokens are granted, possibly fewer than wanted or none.
     Grant {
@@ -49,11 +77,22 @@
         nonce: u64,
         /// Term of the grantor.
         term: u64,
-        /// Tenant and tokens granted.
-        granted: Vec<(TenantKey, u64)>,
+        /// What each tenant gets.
+        granted: Vec<Allotment>,
     },
 }
 
+/// What a sidecar gets of one tenant's quota.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Allotment {
+    /// The tenant.
+    pub tenant: TenantKey,
+    /// Tokens granted.
+    pub tokens: u64,
+    /// Tokens that may be spent besides while no grantor answers.
+    pub reserve: u64,
+}
+
 #[derive(Debug)]
 struct Bucket {
     rate_per_s: f64,
@@ -74,15 +113,25 @@
 #[derive(Debug)]
 pub struct Grantor {
     term: u64,
+    bounds: QuotaBounds,
     grants_from: Duration,
     generation: u64,
     buckets: BTreeMap<TenantKey, Bucket>,
+    /// When each sidecar asked last.
+    population: BTreeMap<SocketAddrV4, Duration>,
 }
 
 impl Grantor {
     /// The grantor of a term that began now. Grants of the one before may still come until it starts.
-    pub fn new(now: Duration, term: u64) -> Self {
-        Grantor { term, grants_from: now + CONFIRMED_WITHIN, generation: 0, buckets: BTreeMap::new() }
+    pub fn new(now: Duration, term: u64, bounds: QuotaBounds) -> Self {
+        Grantor {
+            term,
+            bounds,
+            grants_from: now + CONFIRMED_WITHIN,
+            generation: 0,
+            buckets: BTreeMap::new(),
+            population: BTreeMap::new(),
+        }
     }
 
     /// The term.
@@ -99,10 +148,10 @@
         let mut before = std::mem::take(&mut self.buckets);
         for tenant in configuration.tenants.iter().filter(|t| t.is_limited()) {
             let key = TenantKey::of(&tenant.name);
-            let capacity = tenant.burst.max(tenant.rate_per_s * FIRST_ALLOWANCE_S);
-            let first = tenant.rate_per_s * FIRST_ALLOWANCE_S;
-            let mut bucket =
-                before.remove(&key).unwrap_or(Bucket { rate_per_s: 0.0, capacity, tokens: first, at: now });
+            let capacity = self.bounds.capacity(tenant.rate_per_s, tenant.burst);
+            let tokens = tenant.rate_per_s * FIRST_ALLOWANCE_S;
+            let first = Bucket { rate_per_s: 0.0, capacity, tokens, at: now };
+            let mut bucket = before.remove(&key).unwrap_or(first);
             bucket.refill(now);
             bucket.rate_per_s = tenant.rate_per_s;
             bucket.capacity = capacity;
@@ -116,32 +165,37 @@
         &mut self,
         now: Duration,
         confirmed_at: Option<Duration>,
+        from: SocketAddrV4,
         wanted: &[(TenantKey, u64)],
-    ) -> Option<Vec<(TenantKey, u64)>> {
+        overdrawn: &[(TenantKey, u64)],
+    ) -> Option<Vec<Allotment>> {
         let confirmed = confirmed_at.is_some_and(|at| now.saturating_sub(at) < CONFIRMED_WITHIN);
         if !confirmed || now < self.grants_from {
             return None;
         }
+        self.population.insert(from, now);
+        self.population.retain(|_, at| now.saturating_sub(*at) < POPULATION_OVER);
+        self.charge(now, overdrawn);
+        let sidecars = self.population.len() as f64;
         let mut granted = Vec::with_capacity(wanted.len());
-        for (key, tokens) in wanted {
-            let Some(bucket) = self.buckets.get_mut(key) else { continue };
+        for (tenant, tokens) in wanted {
+            let Some(bucket) = self.buckets.get_mut(tenant) else { continue };
             bucket.refill(now);
-            let given = (*tokens as f64).min(bucket.tokens).max(0.0).floor();
-            bucket.tokens -= given;
-            granted.push((*key, given as u64));
+            let tokens = (*tokens as f64).min(bucket.tokens).max(0.0).floor();
+            bucket.tokens -= tokens;
+            let reserve = (bucket.rate_per_s * RESERVE_S / sidecars) as u64;
+            granted.push(Allotment { tenant: *tenant, tokens: tokens as u64, reserve });
         }
         Some(granted)
     }
 
-    /// Takes back what was granted in the same term and not spent.
-    pub fn take_back(&mut self, now: Duration, term: u64, returned: &[(TenantKey, u64)]) {
-        if term != self.term {
-            return;
-        }
-        for (key, tokens) in returned {
-            if let Some(bucket) = self.buckets.get_mut(key) {
+    /// Charges what sidecars have spent of their reserves.
+    fn charge(&mut self, now: Duration, overdrawn: &[(TenantKey, u64)]) {
+        for (tenant, tokens) in overdrawn {
+            if let Some(bucket) = self.buckets.get_mut(tenant) {
                 bucket.refill(now);
-                bucket.tokens = (bucket.tokens + *tokens as f64).min(bucket.capacity);
+                let least = -bucket.rate_per_s * MOST_OWED_S;
+                bucket.tokens = (bucket.tokens - *tokens as f64).max(least);
             }
         }
     }
--- a/crates/control-plane/src/replication/leadership.rs
+++ b/crates/control-plane/src/replication/leadership.rs
@@ -13,7 +13,7 @@
 /// A state or record that was not confirmed after this is sent again.
 const RESEND_AFTER: Duration = Duration::from_millis(200);
 /// A member of the in-sync set that is silent, or owes a state, for this long is taken out.
-const OUT_OF_SYNC_AFTER: Duration = Duration::from_millis(600);
+const OUT_OF_SYNC_AFTER: Duration = Duration::from_millis(450);
 /// A member that was heard within this time is there.
 const HEARD_LATELY: Duration = Duration::from_millis(400);
 /// A member that was silent for this long may lose its place to a newcomer.
--- a/crates/control-plane/src/replication/replica.rs
+++ b/crates/control-plane/src/replication/replica.rs
@@ -76,7 +76,9 @@
             next_join: now,
             settings,
         };
-        replica.put_off_campaign(now);
+        // Who has just started waits less: after a loss of power nobody leads, and a living primary is heard soon.
+        let wait = replica.settings.election_timeout.mul_f64(replica.rng.random_range(0.4..0.8));
+        replica.campaign_at = now + wait;
         replica
     }
 
--- a/crates/data-plane/src/balancer.rs
+++ b/crates/data-plane/src/balancer.rs
@@ -1,9 +1,10 @@
 //! Which endpoint gets the next request.
 //!
 //! Load reports feed a formula on a time or count trigger and weighted turns pick, as in the sidecar that this
-//! fleet grew from. Around it stand the ready set (who may be picked now) and the affinity of shared prompt parts:
-//! a few endpoints for each, in rendezvous order, under a bound on load.
+//! fleet grew from. Around it stands the ready set: who may be picked now. For prompts it holds those endpoints at
+//! which the prompt would be read soonest: least tokens ahead of it, and shared parts that are kept there already.
 
+use crate::prompt::Prompt;
 use passrelay_core::turns::{take_turn, Candidate};
 use passrelay_dissemination::{EndpointRecord, EndpointState};
 use rustc_hash::FxHasher;
@@ -29,10 +30,16 @@
 const LONGEST_PAUSE: Duration = Duration::from_secs(5);
 /// Weight of endpoints in other zones against those of the own zone, where nothing else tells them apart.
 const OTHER_ZONE: f64 = 0.35;
-/// Endpoints that a shared prompt part is kept at, at most.
-const AFFINE_ENDPOINTS: usize = 3;
-/// An endpoint may be this much busier than the mean before a shared part moves on, in parts of its slots.
-const BUSY_OVER_MEAN: f64 = 0.2;
+/// Prompt tokens by which endpoints may differ and still take turns.
+const ALIKE_TOKENS: f64 = 300.0;
+/// A token that has to be read again weighs this much: it costs the endpoint's time and a price besides.
+const READ_AGAIN: f64 = 1.3;
+/// A shared part counts as kept for this long after it was sent to an endpoint.
+const KEPT_FOR: Duration = Duration::from_secs(10);
+/// Shared parts whose endpoints are remembered.
+const REMEMBERED_PARTS: usize = 4_096;
+/// Weight of the newest prompt in the mean length.
+const MEAN_STEP: f64 = 0.05;
 
 /// What an endpoint reports in its answers.
 #[derive(Clone, Copy, Debug, PartialEq)]
@@ -72,12 +79,23 @@
 pub struct PickRequest<'a> {
     /// Name of the service.
     pub service: &'a str,
-    /// The shared prompt part to keep together, if any.
-    pub shared_part: Option<u64>,
+    /// The prompt, where requests with the same parts are to be kept together.
+    pub prompt: Option<Prompt>,
     /// Endpoints that were tried already.
     pub tried: &'a [Arc<str>],
 }
 
+/// How a call ended, and what it leaves behind.
+#[derive(Clone, Copy, Debug)]
+pub struct CallEnded {
+    /// How it ended.
+    pub end: CallEnd,
+    /// Whether the head of an answer had come.
+    pub answered: bool,
+    /// The prompt, if it was never read through.
+    pub unread: Option<Prompt>,
+}
+
 /// An endpoint that was picked.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Pick {
@@ -105,6 +123,9 @@
     last_heard: Duration,
     last_sent: Duration,
     unanswered: u32,
+    unanswered_at_report: u32,
+    /// Prompt tokens of own calls that have no answer yet.
+    unread_tokens: f64,
     failures: u32,
     paused_until: Duration,
 }
@@ -127,6 +148,8 @@
             last_heard: Duration::ZERO,
             last_sent: Duration::ZERO,
             unanswered: 0,
+            unanswered_at_report: 0,
+            unread_tokens: 0.0,
             failures: 0,
             paused_until: Duration::ZERO,
         }
@@ -143,6 +166,15 @@
         (others * fresh + own) / report.slots.max(1.0)
     }
 
+    /// Prompt tokens that are to be read before a new one: the own ones, and those of requests of others that waited
+    /// when the last report was made.
+    fn tokens_ahead(&self, now: Duration, mean_tokens: f64) -> f64 {
+        let Some((report, at)) = self.report else { return self.unread_tokens };
+        let fresh = (-now.saturating_sub(at).as_secs_f64() / REPORT_FADES.as_secs_f64()).exp();
+        let others = (report.waiting - f64::from(self.unanswered_at_report)).max(0.0);
+        self.unread_tokens + others * mean_tokens * fresh
+    }
+
     /// The formula: spare capacity, 0 to 100.
     fn formula(&self, now: Duration) -> f64 {
         if self.report.is_none() && self.in_flight == 0 {
@@ -175,12 +207,21 @@
     zone: String,
     endpoints: HashMap<Arc<str>, Endpoint>,
     services: HashMap<String, Vec<Arc<str>>>,
+    /// Where shared parts were sent lately, and when.
+    kept: HashMap<u64, Vec<(Arc<str>, Duration)>>,
+    mean_tokens: f64,
 }
 
 impl Balancer {
     /// A balancer of a sidecar in a zone.
     pub fn new(zone: &str) -> Self {
-        Balancer { zone: zone.to_owned(), endpoints: HashMap::new(), services: HashMap::new() }
+        Balancer {
+            zone: zone.to_owned(),
+            endpoints: HashMap::new(),
+            services: HashMap::new(),
+            kept: HashMap::new(),
+            mean_tokens: 0.0,
+        }
     }
 
     /// Takes the registry as it is now. What was seen of endpoints that stay is kept.
@@ -229,8 +270,8 @@
                 endpoint.refresh(now);
             }
         }
-        let chosen = match request.shared_part {
-            Some(part) => self.pick_affine(now, &ready, part),
+        let chosen = match &request.prompt {
+            Some(prompt) => self.pick_for_prompt(now, &ready, prompt),
             None => self.pick_by_turn(&ready),
         }?;
         let endpoint = self.endpoints.get(&chosen)?;
@@ -248,18 +289,39 @@
         self.turn(ready, weight)
     }
 
-    /// Turns among the first endpoints in the part's rendezvous order that are not much busier than the mean.
-    fn pick_affine(&mut self, now: Duration, ready: &[Arc<str>], part: u64) -> Option<Arc<str>> {
-        let mut order: Vec<&Arc<str>> = ready.iter().collect();
-        order.sort_by_cached_key(|id| std::cmp::Reverse(rendezvous(part, id)));
-        let busy = |id: &Arc<str>| self.endpoints[id].utilization(now);
-        let mean = ready.iter().map(busy).sum::<f64>() / ready.len().max(1) as f64;
-        let bearable = |id: &&&Arc<str>| busy(id) <= mean + BUSY_OVER_MEAN;
-        let first = order.iter().take(AFFINE_ENDPOINTS).find(bearable).map(|id| (*id).clone());
-        match first {
-            Some(id) => self.turn(&[id], |_| 1.0),
-            None => self.pick_by_turn(ready),
+    /// Turns among the endpoints at which the prompt would be read soonest.
+    fn pick_for_prompt(&mut self, now: Duration, ready: &[Arc<str>], prompt: &Prompt) -> Option<Arc<str>> {
+        let home = prompt.shared_part.and_then(|part| ready.iter().max_by_key(|id| rendezvous(part, id)));
+        let kept = prompt.shared_part.and_then(|part| self.kept.get(&part));
+        let is_kept = |id: &Arc<str>| {
+            let sent_lately = kept
+                .is_some_and(|k| k.iter().any(|(at, when)| at == id && now.saturating_sub(*when) < KEPT_FOR));
+            Some(id) == home || sent_lately
+        };
+        let cost = |id: &Arc<str>| {
+            let ahead = self.endpoints[id].tokens_ahead(now, self.mean_tokens);
+            ahead + if is_kept(id) { 0.0 } else { READ_AGAIN * prompt.shared_tokens as f64 }
+        };
+        let costs: Vec<f64> = ready.iter().map(cost).collect();
+        let least = costs.iter().copied().fold(f64::INFINITY, f64::min);
+        let near = ready.iter().zip(&costs).filter(|(_, cost)| **cost <= least + ALIKE_TOKENS);
+        let soonest: Vec<Arc<str>> = near.map(|(id, _)| id.clone()).collect();
+        self.pick_by_turn(&soonest)
+    }
+
+    fn remember_part(&mut self, now: Duration, part: u64, id: &Arc<str>) {
+        if self.kept.len() >= REMEMBERED_PARTS && !self.kept.contains_key(&part) {
+            self.kept.retain(|_, places| {
+                places.retain(|(_, when)| now.saturating_sub(*when) < KEPT_FOR);
+                !places.is_empty()
+            });
+            if self.kept.len() >= REMEMBERED_PARTS {
+                return;
+            }
         }
+        let places = self.kept.entry(part).or_default();
+        places.retain(|(at, when)| at != id && now.saturating_sub(*when) < KEPT_FOR);
+        places.push((id.clone(), now));
     }
 
     fn turn(&mut self, among: &[Arc<str>], weight: impl Fn(&Endpoint) -> f64) -> Option<Arc<str>> {
@@ -275,8 +337,16 @@
     }
 
     /// A call was sent.
-    pub fn sent(&mut self, now: Duration, id: &str) {
+    pub fn sent(&mut self, now: Duration, id: &str, prompt: Option<&Prompt>) {
+        if let Some(prompt) = prompt {
+            self.mean_tokens += MEAN_STEP * (prompt.input_tokens as f64 - self.mean_tokens);
+            if let (Some(part), Some((id, _))) = (prompt.shared_part, self.endpoints.get_key_value(id)) {
+                let id = id.clone();
+                self.remember_part(now, part, &id);
+            }
+        }
         if let Some(endpoint) = self.endpoints.get_mut(id) {
+            endpoint.unread_tokens += prompt.map_or(0.0, |p| p.input_tokens as f64);
             endpoint.in_flight += 1;
             endpoint.calls_since += 1;
             if endpoint.unanswered == 0 {
@@ -287,15 +357,17 @@
     }
 
     /// The head of an answer came.
-    pub fn answered(&mut self, now: Duration, id: &str, report: Option<LoadReport>) {
+    pub fn answered(&mut self, now: Duration, id: &str, prompt: Option<&Prompt>, report: Option<LoadReport>) {
         if let Some(endpoint) = self.endpoints.get_mut(id) {
             endpoint.last_heard = now;
+            endpoint.forget_unread(prompt);
             endpoint.unanswered = endpoint.unanswered.saturating_sub(1);
             endpoint.failures = 0;
             endpoint.paused_until = Duration::ZERO;
             if let Some(report) = report {
                 endpoint.report = Some((report, now));
                 endpoint.in_flight_at_report = endpoint.in_flight;
+                endpoint.unanswered_at_report = endpoint.unanswered;
             }
         }
     }
@@ -307,15 +379,16 @@
         }
     }
 
-    /// A call that was sent has ended; `answered` tells whether the head of an answer had come.
-    pub fn ended(&mut self, now: Duration, id: &str, answered: bool, end: CallEnd) {
+    /// A call that was sent has ended.
+    pub fn ended(&mut self, now: Duration, id: &str, ended: &CallEnded) {
         let Some(endpoint) = self.endpoints.get_mut(id) else { return };
         endpoint.in_flight = endpoint.in_flight.saturating_sub(1);
-        if !answered {
+        if !ended.answered {
             endpoint.unanswered = endpoint.unanswered.saturating_sub(1);
+            endpoint.forget_unread(ended.unread.as_ref());
         }
-        let silent = !answered && endpoint.last_heard < endpoint.last_sent;
-        if end == CallEnd::Failed || (end == CallEnd::Abandoned && silent) {
+        let silent = !ended.answered && endpoint.last_heard < endpoint.last_sent;
+        if ended.end == CallEnd::Failed || (ended.end == CallEnd::Abandoned && silent) {
             endpoint.pause(now);
         }
     }
@@ -329,6 +402,11 @@
 }
 
 impl Endpoint {
+    fn forget_unread(&mut self, prompt: Option<&Prompt>) {
+        let tokens = prompt.map_or(0.0, |p| p.input_tokens as f64);
+        self.unread_tokens = (self.unread_tokens - tokens).max(0.0);
+    }
+
     fn pause(&mut self, now: Duration) {
         let pause = FIRST_PAUSE * 2_u32.saturating_pow(self.failures.min(8));
         self.failures = self.failures.saturating_add(1);
--- a/crates/data-plane/src/quota.rs
+++ b/crates/data-plane/src/quota.rs
@@ -3,14 +3,14 @@
 use std::collections::{HashMap, VecDeque};
 use std::time::Duration;
 
-/// Time over which demand is averaged.
-const DEMAND_OVER: Duration = Duration::from_secs(2);
-/// Tokens are held ahead for this long at the demand seen.
-const AHEAD_S: f64 = 0.5;
-/// A question without an answer after this is asked again.
-const ASK_AGAIN_AFTER: Duration = Duration::from_millis(80);
+/// A question without an answer after this is asked again; the grantor may be gone.
+const ASK_AGAIN_AFTER: Duration = Duration::from_millis(60);
 /// A grant is taken for spent this much before its end.
 const MARGIN: Duration = Duration::from_millis(50);
+/// A reserve may be spent for this long after the grant that it came with.
+const RESERVE_LASTS: Duration = Duration::from_secs(6);
+/// While the grantor hasn't answered for this long, requests don't wait for it.
+const GRANTOR_GONE: Duration = Duration::from_millis(250);
 
 /// One grant: what is left of it and when it ends.
 #[derive(Clone, Copy, Debug)]
@@ -19,17 +19,36 @@
     ends: Duration,
 }
 
+/// A grant as it comes.
+#[derive(Clone, Copy, Debug)]
+pub struct Grant {
+    /// When it was asked for.
+    pub asked_at: Duration,
+    /// How long it may be spent, from then on.
+    pub lasts: Duration,
+    /// Tokens asked for.
+    pub wanted: u64,
+    /// Tokens granted.
+    pub tokens: u64,
+    /// Tokens that may be spent besides while no grantor answers.
+    pub reserve: u64,
+}
+
 /// What is held of one tenant's quota.
 #[derive(Debug, Default)]
 struct Share {
     held: VecDeque<Held>,
-    demand_per_s: f64,
-    demand_at: Duration,
     /// Tokens that waiting requests need.
     waiting: u64,
     asked_at: Option<Duration>,
+    /// The first question that has had no answer.
+    unanswered_since: Option<Duration>,
     /// The grantor gave less than was wanted at this time.
     short_at: Option<Duration>,
+    reserve: u64,
+    reserve_at: Duration,
+    /// Tokens spent of reserves that the grantor doesn't know of yet.
+    overdrawn: u64,
 }
 
 impl Share {
@@ -41,16 +60,44 @@
         self.held.retain(|h| h.ends > now && h.tokens > 0);
     }
 
-    fn note_demand(&mut self, now: Duration, tokens: u64) {
-        let elapsed = now.saturating_sub(self.demand_at).as_secs_f64();
-        let span = DEMAND_OVER.as_secs_f64();
-        self.demand_per_s = self.demand_per_s * (-elapsed / span).exp() + tokens as f64 / span;
-        self.demand_at = now;
+    fn spend_held(&mut self, now: Duration, tokens: u64) -> bool {
+        self.expire(now);
+        if self.available(now) < tokens {
+            return false;
+        }
+        let mut left = tokens;
+        for held in &mut self.held {
+            let taken = held.tokens.min(left);
+            held.tokens -= taken;
+            left -= taken;
+        }
+        true
+    }
+
+    fn spend_reserve(&mut self, now: Duration, tokens: u64) -> bool {
+        let valid = now.saturating_sub(self.reserve_at) < RESERVE_LASTS;
+        if !valid || self.reserve < tokens {
+            return false;
+        }
+        self.reserve -= tokens;
+        self.overdrawn += tokens;
+        true
     }
+}
+
+/// What the grantor is to be told now, by tenant.
+#[derive(Debug, Default)]
+pub struct Questions {
+    /// Tokens wanted.
+    pub wanted: Vec<(u64, u64)>,
+    /// Tokens spent of reserves.
+    pub overdrawn: Vec<(u64, u64)>,
+}
 
-    fn demand(&self, now: Duration) -> f64 {
-        let elapsed = now.saturating_sub(self.demand_at).as_secs_f64();
-        self.demand_per_s * (-elapsed / DEMAND_OVER.as_secs_f64()).exp()
+impl Questions {
+    /// Whether there is nothing to tell.
+    pub fn is_empty(&self) -> bool {
+        self.wanted.is_empty() && self.overdrawn.is_empty()
     }
 }
 
@@ -61,11 +108,9 @@
 }
 
 impl QuotaShares {
-    /// Notes that a request needs tokens.
-    pub fn want(&mut self, now: Duration, tenant: u64, tokens: u64) {
-        let share = self.shares.entry(tenant).or_default();
-        share.note_demand(now, tokens);
-        share.waiting += tokens;
+    /// Notes that a request waits for tokens.
+    pub fn want(&mut self, tenant: u64, tokens: u64) {
+        self.shares.entry(tenant).or_default().waiting += tokens;
     }
 
     /// A request that wanted tokens stops waiting, whether it got them or not.
@@ -75,20 +120,11 @@
         }
     }
 
-    /// Spends tokens if so many are held, oldest grants first.
+    /// Spends tokens if so many are held, oldest grants first; out of the reserve where the grantor doesn't answer.
     pub fn spend(&mut self, now: Duration, tenant: u64, tokens: u64) -> bool {
         let Some(share) = self.shares.get_mut(&tenant) else { return false };
-        share.expire(now);
-        if share.available(now) < tokens {
-            return false;
-        }
-        let mut left = tokens;
-        for held in &mut share.held {
-            let taken = held.tokens.min(left);
-            held.tokens -= taken;
-            left -= taken;
-        }
-        true
+        let gone = share.unanswered_since.is_some_and(|at| now.saturating_sub(at) >= ASK_AGAIN_AFTER);
+        share.spend_held(now, tokens) || (gone && share.spend_reserve(now, tokens))
     }
 
     /// Gives back tokens of a request that was never sent.
@@ -105,41 +141,45 @@
         self.shares.get(&tenant).and_then(|s| s.short_at).is_some_and(|at| at >= since)
     }
 
-    /// The tokens to ask the grantor for now, by tenant.
-    pub fn questions(&mut self, now: Duration) -> Vec<(u64, u64)> {
-        let mut wanted = Vec::new();
+    /// Whether the grantor has been silent for so long that waiting for it makes no sense.
+    pub fn is_deserted(&self, tenant: u64, now: Duration) -> bool {
+        let since = self.shares.get(&tenant).and_then(|s| s.unanswered_since);
+        since.is_some_and(|at| now.saturating_sub(at) >= GRANTOR_GONE)
+    }
+
+    /// What to tell the grantor now.
+    pub fn questions(&mut self, now: Duration) -> Questions {
+        let mut questions = Questions::default();
         for (tenant, share) in &mut self.shares {
             share.expire(now);
             let asked = share.asked_at.is_some_and(|at| now.saturating_sub(at) < ASK_AGAIN_AFTER);
-            let ahead = (share.demand(now) * AHEAD_S) as u64;
             let available = share.available(now);
-            let low = available < share.waiting + ahead / 2;
-            if low && !asked {
+            if share.waiting > available && !asked {
                 share.asked_at = Some(now);
-                wanted.push((*tenant, share.waiting + ahead - available));
+                share.unanswered_since.get_or_insert(now);
+                questions.wanted.push((*tenant, share.waiting - available));
+                if share.overdrawn > 0 {
+                    questions.overdrawn.push((*tenant, share.overdrawn));
+                }
             }
         }
-        wanted
+        questions
     }
 
-    /// Takes in a grant that was asked for at `asked_at` and may be spent for `lasts` from then on.
-    pub fn granted(
-        &mut self,
-        now: Duration,
-        asked_at: Duration,
-        lasts: Duration,
-        tenant: u64,
-        wanted: u64,
-        tokens: u64,
-    ) {
-        let share = self.shares.entry(tenant).or_default();
+    /// Takes in a grant.
+    pub fn granted(&mut self, now: Duration, tenant: u64, grant: Grant) {
+        let Some(share) = self.shares.get_mut(&tenant) else { return };
         share.asked_at = None;
-        if tokens < wanted {
+        share.unanswered_since = None;
+        share.overdrawn = 0;
+        if grant.tokens < grant.wanted {
             share.short_at = Some(now);
         }
-        let ends = (asked_at + lasts).saturating_sub(MARGIN);
-        if ends > now && tokens > 0 {
-            share.held.push_back(Held { tokens, ends });
+        share.reserve = grant.reserve;
+        share.reserve_at = now;
+        let ends = (grant.asked_at + grant.lasts).saturating_sub(MARGIN);
+        if ends > now && grant.tokens > 0 {
+            share.held.push_back(Held { tokens: grant.tokens, ends });
         }
     }
 
--- a/crates/node/src/answers.rs
+++ b/crates/node/src/answers.rs
@@ -51,6 +51,9 @@
     /// The tenant's quota is used up.
     #[error("the quota is used up")]
     OverQuota,
+    /// Nobody grants quota just now.
+    #[error("nobody grants quota just now")]
+    NoGrantor,
     /// No endpoint can take the request now.
     #[error("no endpoint can take the request now")]
     NoEndpoint,
@@ -68,7 +71,9 @@
         let soon = Some(Duration::from_millis(100));
         let later = Some(Duration::from_millis(500));
         match self {
-            Failure::NotConfigured | Failure::NotFresh => (StatusCode::SERVICE_UNAVAILABLE, later),
+            Failure::NotConfigured | Failure::NotFresh | Failure::NoGrantor => {
+                (StatusCode::SERVICE_UNAVAILABLE, later)
+            }
             Failure::NoRoute => (StatusCode::NOT_FOUND, None),
             Failure::UnknownKey => (StatusCode::UNAUTHORIZED, None),
             Failure::BadRequest => (StatusCode::BAD_REQUEST, None),
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -14,7 +14,7 @@
     Action, CallId, Coordinator, CoordinatorSettings, OperatorAnswer, OperatorRequest,
 };
 use passrelay_data_plane::balancer::Balancer;
-use passrelay_data_plane::quota::QuotaShares;
+use passrelay_data_plane::quota::{Grant, QuotaShares};
 use passrelay_data_plane::retry_budget::RetryBudget;
 use passrelay_data_plane::routing::RoutingTable;
 use passrelay_dissemination::{CommittedConfiguration, GossipSettings, Heartbeat};
@@ -27,7 +27,7 @@
 use thiserror::Error;
 
 /// Time without the primary after which another is elected, at least.
-const ELECTION_TIMEOUT: Duration = Duration::from_millis(500);
+const ELECTION_TIMEOUT: Duration = Duration::from_millis(400);
 /// Pause between questions for quota ahead of demand.
 const QUOTA_EVERY: Duration = Duration::from_millis(100);
 /// Questions for quota whose answers still count.
@@ -191,11 +191,13 @@
     /// Asks the grantor for the tokens that are wanted now.
     pub fn ask_for_quota(self: &Rc<Self>) {
         let now = self.now();
-        let wanted: Vec<(TenantKey, u64)> =
-            self.quota.borrow_mut().questions(now).into_iter().map(|(key, n)| (TenantKey(key), n)).collect();
-        if wanted.is_empty() {
+        let questions = self.quota.borrow_mut().questions(now);
+        if questions.is_empty() {
             return;
         }
+        let keyed = |(key, tokens): &(u64, u64)| (TenantKey(*key), *tokens);
+        let wanted: Vec<(TenantKey, u64)> = questions.wanted.iter().map(keyed).collect();
+        let overdrawn = questions.overdrawn.iter().map(keyed).collect();
         let nonce = self.next_quota_question.get();
         self.next_quota_question.set(nonce + 1);
         let mut questions = self.quota_questions.borrow_mut();
@@ -204,7 +206,7 @@
             questions.pop_first();
         }
         drop(questions);
-        let message = QuotaMessage::Want { nonce, wanted, returned_term: 0, returned: Vec::new() };
+        let message = QuotaMessage::Want { nonce, wanted, overdrawn };
         self.drive(|c, now, actions| c.want_tokens(now, message, actions));
     }
 
@@ -266,8 +268,11 @@
         let now = self.now();
         let mut quota = self.quota.borrow_mut();
         for (key, wanted) in &question.wanted {
-            let given = granted.iter().find(|(k, _)| k == key).map_or(0, |(_, tokens)| *tokens);
-            quota.granted(now, question.asked_at, GRANT_LASTS, key.0, *wanted, given);
+            let allotment = granted.iter().find(|a| a.tenant == *key);
+            let (tokens, reserve) = allotment.map_or((0, 0), |a| (a.tokens, a.reserve));
+            let grant =
+                Grant { asked_at: question.asked_at, lasts: GRANT_LASTS, wanted: *wanted, tokens, reserve };
+            quota.granted(now, key.0, grant);
         }
         drop(quota);
         self.quota_granted.notify(usize::MAX);
@@ -333,6 +338,7 @@
             replica: None,
             bootstrap: settings.bootstrap,
             tolerated_losses: settings.tolerated_losses,
+            quota_bounds: settings.quota_bounds,
         },
     );
     let node = Rc::new(Node {
--- a/crates/node/src/proxy.rs
+++ b/crates/node/src/proxy.rs
@@ -15,7 +15,7 @@
 use hyper::{HeaderMap, Method, Request, Response, StatusCode, Uri};
 use passrelay_configuration::{Backend, Route, RouteType, Tenant, TokenUnit};
 use passrelay_control_plane::quota::TenantKey;
-use passrelay_data_plane::balancer::{CallEnd, LoadReport, PickRequest};
+use passrelay_data_plane::balancer::{CallEnd, CallEnded, LoadReport, PickRequest};
 use passrelay_data_plane::prompt::Prompt;
 use passrelay_data_plane::routing::Denial;
 use smol::Timer;
@@ -235,8 +235,9 @@
         TokenUnit::TokenUsage => inbound.prompt.total_tokens().unwrap_or(tenant.uncached_tokens),
     };
     let began = node.now();
-    node.quota.borrow_mut().want(began, key.0, tokens);
+    node.quota.borrow_mut().want(key.0, tokens);
     let waiting = Waiting { node, tenant: key, tokens };
+    node.ask_for_quota();
     let patience = Duration::from_millis(terms.route.target_latency_ms).mul_f64(QUOTA_PATIENCE);
     loop {
         let granted = node.quota_granted.listen();
@@ -247,8 +248,9 @@
         if node.quota.borrow().is_short(key.0, began) {
             return Err(Failure::OverQuota);
         }
-        if node.now() >= began + patience {
-            return Err(Failure::NotFresh);
+        let now = node.now();
+        if now >= began + patience || node.quota.borrow().is_deserted(key.0, now) {
+            return Err(Failure::NoGrantor);
         }
         node.ask_for_quota();
         let look = async {
@@ -262,19 +264,21 @@
 pub struct Call {
     node: Rc<Node>,
     endpoint: Arc<str>,
+    prompt: Option<Prompt>,
     answered: Cell<bool>,
     open: Cell<bool>,
 }
 
 impl Call {
-    fn begin(node: &Rc<Node>, endpoint: Arc<str>) -> Self {
-        node.balancer.borrow_mut().sent(node.now(), &endpoint);
-        Call { node: node.clone(), endpoint, answered: Cell::new(false), open: Cell::new(true) }
+    fn begin(node: &Rc<Node>, endpoint: Arc<str>, prompt: Option<Prompt>) -> Self {
+        node.balancer.borrow_mut().sent(node.now(), &endpoint, prompt.as_ref());
+        Call { node: node.clone(), endpoint, prompt, answered: Cell::new(false), open: Cell::new(true) }
     }
 
     fn answered(&self, report: Option<LoadReport>) {
         self.answered.set(true);
-        self.node.balancer.borrow_mut().answered(self.node.now(), &self.endpoint, report);
+        let prompt = self.prompt.as_ref();
+        self.node.balancer.borrow_mut().answered(self.node.now(), &self.endpoint, prompt, report);
     }
 
     /// A piece of the answer came.
@@ -286,7 +290,9 @@
     pub fn end(&self, end: CallEnd) {
         if self.open.replace(false) {
             let now = self.node.now();
-            self.node.balancer.borrow_mut().ended(now, &self.endpoint, self.answered.get(), end);
+            let unanswered = Some(self.prompt).filter(|_| !self.answered.get());
+            let ended = CallEnded { end, answered: self.answered.get(), unread: unanswered.flatten() };
+            self.node.balancer.borrow_mut().ended(now, &self.endpoint, &ended);
         }
     }
 }
@@ -392,8 +398,8 @@
         after: Option<&str>,
     ) -> Result<Outcome, Failure> {
         let node = self.node.clone();
-        let shared_part = self.inbound.prompt.shared_part.filter(|_| terms.route.session_affinity);
-        let request = PickRequest { service, shared_part, tried: &self.tried };
+        let prompt = Some(self.inbound.prompt).filter(|_| terms.route.session_affinity);
+        let request = PickRequest { service, prompt, tried: &self.tried };
         let pick = node.balancer.borrow_mut().pick(node.now(), &request);
         let Some(pick) = pick else { return Err(self.exhausted()) };
         self.offers += 1;
@@ -418,7 +424,7 @@
             return Err(self.exhausted());
         }
         let request = self.outbound(terms, &pick.id, after);
-        let call = Call::begin(&node, pick.id.clone());
+        let call = Call::begin(&node, pick.id.clone(), prompt);
         let late = async {
             Timer::after(self.deadline.saturating_sub(node.now())).await;
             None
--- a/crates/node/src/settings.rs
+++ b/crates/node/src/settings.rs
@@ -1,5 +1,6 @@
 //! The settings file of a process: lines of the form `a.b=value`, list items separated by commas.
 
+use passrelay_control_plane::quota::QuotaBounds;
 use std::collections::HashMap;
 use std::fs::File;
 use std::io::BufReader;
@@ -93,6 +94,8 @@
     pub grace: Duration,
     /// Most arrivals beyond the first of each request, as a part of the requests.
     pub retry_budget_ratio: f64,
+    /// How far quotas may be overshot.
+    pub quota_bounds: QuotaBounds,
 }
 
 impl NodeSettings {
@@ -158,6 +161,11 @@
             strict_revocation: self.flag("bounds.strict-revocation")?,
             grace: self.span("bounds.grace-s", 1_000.0, 8.0)?,
             retry_budget_ratio: self.number("bounds.retry-budget-ratio", 0.2)?,
+            quota_bounds: QuotaBounds {
+                window_s: self.number("bounds.quota-window-s", 8.0)?,
+                overshoot: self.number("bounds.quota-overshoot", 0.1)?,
+                slack: self.number("bounds.quota-slack", 0.0)?,
+            },
         })
     }
 
