--- a/crates/control-plane/src/coordinator.rs
+++ b/crates/control-plane/src/coordinator.rs
@@ -1,6 +1,7 @@
 //! Everything that one process decides about the fleet: dissemination, replication where it counts, orders of the
 //! operators, quota grants. The program and the simulation drive the same coordinator.
 
+use crate::load::{EndpointLoad, LoadMessage, LoadSums};
 use crate::orders::{Order, Refusal, Verdict};
 use crate::quota::{Grantor, QuotaBounds, QuotaMessage};
 use crate::replication::{
@@ -89,6 +90,8 @@
     Gossip(GossipMessage),
     /// Quotas.
     Quota(QuotaMessage),
+    /// Loads of endpoints.
+    Load(LoadMessage),
     /// Operators' calls.
     Operator(OperatorMessage),
 }
@@ -121,6 +124,8 @@
     },
     /// Tokens were granted to this sidecar.
     Granted(QuotaMessage),
+    /// The loads of endpoints over all sidecars.
+    LoadSums(LoadMessage),
 }
 
 /// What a coordinator has to know from the start.
@@ -193,6 +198,7 @@
     founder: Option<Founder>,
     quota_bounds: QuotaBounds,
     grantor: Option<Grantor>,
+    load_sums: LoadSums,
     calls: Vec<Call>,
 }
 
@@ -212,6 +218,7 @@
             founder,
             quota_bounds: settings.quota_bounds,
             grantor: None,
+            load_sums: LoadSums::default(),
             calls: Vec::new(),
         }
     }
@@ -290,6 +297,7 @@
             }
             Message::Replication(envelope) => self.receive_replication(now, envelope, actions),
             Message::Quota(message) => self.receive_quota(now, from, message, actions),
+            Message::Load(message) => self.receive_load(now, from, message, actions),
             Message::Operator(OperatorMessage::Call { call, request }) => {
                 self.take_call(now, Caller::Remote(from, call), request, actions);
             }
@@ -346,6 +354,45 @@
         }
     }
 
+    /// Tells the primary what this sidecar has out.
+    pub fn tell_load(
+        &mut self,
+        now: Duration,
+        nonce: u64,
+        loads: Vec<EndpointLoad>,
+        actions: &mut Vec<Action>,
+    ) {
+        let Some(primary) = self.gossip.core().map(|c| c.primary) else { return };
+        let message = LoadMessage::Tell { nonce, loads };
+        if primary == self.own {
+            self.receive_load(now, self.own, message, actions);
+        } else {
+            actions.push(Action::Send { to: primary, message: Message::Load(message) });
+        }
+    }
+
+    fn receive_load(
+        &mut self,
+        now: Duration,
+        from: SocketAddrV4,
+        message: LoadMessage,
+        actions: &mut Vec<Action>,
+    ) {
+        let LoadMessage::Tell { nonce, loads } = message else {
+            actions.push(Action::LoadSums(message));
+            return;
+        };
+        if !self.replica.as_ref().is_some_and(Replica::is_established) {
+            return;
+        }
+        let sums = self.load_sums.tell(now, from, nonce, loads);
+        if from == self.own {
+            actions.push(Action::LoadSums(sums));
+        } else {
+            actions.push(Action::Send { to: from, message: Message::Load(sums) });
+        }
+    }
+
     fn carry_gossip(&self, from: Vec<GossipAction>, actions: &mut Vec<Action>) {
         actions.extend(from.into_iter().map(|action| match action {
             GossipAction::Send { to, message } => Action::Send { to, message: Message::Gossip(message) },
--- a/crates/control-plane/src/lib.rs
+++ b/crates/control-plane/src/lib.rs
@@ -3,6 +3,7 @@
 //! process started; what is to be sent and written comes back as actions.
 
 mod coordinator;
+pub mod load;
 pub mod orders;
 pub mod quota;
 pub mod replication;
--- a/crates/data-plane/src/balancer.rs
+++ b/crates/data-plane/src/balancer.rs
@@ -33,9 +33,11 @@
 /// Prompt tokens by which endpoints may differ and still take turns.
 const ALIKE_TOKENS: f64 = 300.0;
 /// A token that has to be read again weighs this much: it costs the endpoint's time and a price besides.
-const READ_AGAIN: f64 = 1.3;
+const READ_AGAIN: f64 = 8.0;
 /// A shared part counts as kept for this long after it was sent to an endpoint.
 const KEPT_FOR: Duration = Duration::from_secs(10);
+/// What is known of other sidecars' calls counts for this long.
+const SUMS_LAST: Duration = Duration::from_millis(1_200);
 /// Shared parts whose endpoints are remembered.
 const REMEMBERED_PARTS: usize = 4_096;
 /// Weight of the newest prompt in the mean length.
@@ -61,6 +63,17 @@
     }
 }
 
+/// What is out at one endpoint.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct OutLoad {
+    /// Names the endpoint.
+    pub endpoint: u64,
+    /// Prompt tokens of requests that have no answer yet.
+    pub unread_tokens: u32,
+    /// Requests out.
+    pub in_flight: u32,
+}
+
 /// How a call to an endpoint ended, as far as placing the next one goes.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum CallEnd {
@@ -126,6 +139,8 @@
     unanswered_at_report: u32,
     /// Prompt tokens of own calls that have no answer yet.
     unread_tokens: f64,
+    /// What other sidecars have out here, and when that was known.
+    others: Option<(OutLoad, Duration)>,
     failures: u32,
     paused_until: Duration,
 }
@@ -150,15 +165,30 @@
             unanswered: 0,
             unanswered_at_report: 0,
             unread_tokens: 0.0,
+            others: None,
             failures: 0,
             paused_until: Duration::ZERO,
         }
     }
 
+    fn others(&self, now: Duration) -> Option<OutLoad> {
+        let (load, at) = self.others?;
+        (now.saturating_sub(at) < SUMS_LAST).then_some(load)
+    }
+
+    fn own_load(&self) -> OutLoad {
+        let unread_tokens = self.unread_tokens as u32;
+        OutLoad { endpoint: key_of(&self.id), unread_tokens, in_flight: self.in_flight }
+    }
+
     /// Parts of its slots that are taken: the last report, corrected by what was sent and ended here since, fading
     /// to the own calls alone.
     fn utilization(&self, now: Duration) -> f64 {
         let own = f64::from(self.in_flight);
+        if let Some(others) = self.others(now) {
+            let slots = self.report.map_or(self.capacity, |(report, _)| report.slots.max(1.0));
+            return (own + f64::from(others.in_flight)) / slots;
+        }
         let Some((report, at)) = self.report else { return own / self.capacity };
         let reported = report.running + report.waiting;
         let fresh = (-now.saturating_sub(at).as_secs_f64() / REPORT_FADES.as_secs_f64()).exp();
@@ -169,6 +199,9 @@
     /// Prompt tokens that are to be read before a new one: the own ones, and those of requests of others that waited
     /// when the last report was made.
     fn tokens_ahead(&self, now: Duration, mean_tokens: f64) -> f64 {
+        if let Some(others) = self.others(now) {
+            return self.unread_tokens + f64::from(others.unread_tokens);
+        }
         let Some((report, at)) = self.report else { return self.unread_tokens };
         let fresh = (-now.saturating_sub(at).as_secs_f64() / REPORT_FADES.as_secs_f64()).exp();
         let others = (report.waiting - f64::from(self.unanswered_at_report)).max(0.0);
@@ -336,6 +369,27 @@
         take_turn(candidates).map(|index| ids[index].clone())
     }
 
+    /// What this sidecar has out, by endpoint.
+    pub fn own_loads(&self) -> Vec<OutLoad> {
+        self.endpoints.values().filter(|e| e.in_flight > 0).map(Endpoint::own_load).collect()
+    }
+
+    /// Takes in what all sidecars have out, this one with what it told among them.
+    pub fn learn_sums(&mut self, now: Duration, told: &[OutLoad], sums: &HashMap<u64, OutLoad>) {
+        for endpoint in self.endpoints.values_mut() {
+            let key = key_of(&endpoint.id);
+            let own = told.iter().find(|l| l.endpoint == key);
+            let sum = sums.get(&key);
+            let rest = |part: fn(&OutLoad) -> u32| sum.map_or(0, part).saturating_sub(own.map_or(0, part));
+            let others = OutLoad {
+                endpoint: key,
+                unread_tokens: rest(|l| l.unread_tokens),
+                in_flight: rest(|l| l.in_flight),
+            };
+            endpoint.others = Some((others, now));
+        }
+    }
+
     /// A call was sent.
     pub fn sent(&mut self, now: Duration, id: &str, prompt: Option<&Prompt>) {
         if let Some(prompt) = prompt {
@@ -414,6 +468,12 @@
     }
 }
 
+fn key_of(id: &str) -> u64 {
+    let mut hasher = FxHasher::default();
+    id.hash(&mut hasher);
+    hasher.finish()
+}
+
 fn rendezvous(part: u64, id: &str) -> u64 {
     let mut hasher = FxHasher::default();
     (part, id).hash(&mut hasher);
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -8,12 +8,13 @@
 use crate::{control_api, front, signals};
 use event_listener::Event;
 use passrelay_configuration::{parse_document, Configuration};
+use passrelay_control_plane::load::{EndpointLoad, LoadMessage};
 use passrelay_control_plane::quota::{QuotaMessage, TenantKey, GRANT_LASTS};
 use passrelay_control_plane::replication::{DurableState, Member, MemberId, ReplicaSettings};
 use passrelay_control_plane::{
     Action, CallId, Coordinator, CoordinatorSettings, OperatorAnswer, OperatorRequest,
 };
-use passrelay_data_plane::balancer::Balancer;
+use passrelay_data_plane::balancer::{Balancer, OutLoad};
 use passrelay_data_plane::quota::{Grant, QuotaShares};
 use passrelay_data_plane::retry_budget::RetryBudget;
 use passrelay_data_plane::routing::RoutingTable;
@@ -36,6 +37,9 @@
 const REVOKE_MARGIN: Duration = Duration::from_millis(600);
 /// A sidecar calls itself not ready this much before its requests would be refused.
 const READY_MARGIN: Duration = Duration::from_millis(700);
+/// Pause between accounts of the load to the primary, and what each sidecar adds to it.
+const LOAD_EVERY: Duration = Duration::from_millis(50);
+const LOAD_EVERY_PER_SIDECAR: Duration = Duration::from_millis(2);
 /// Pause between lines with the status in the log.
 const STATUS_EVERY: Duration = Duration::from_secs(10);
 
@@ -101,6 +105,10 @@
     quota_questions: RefCell<BTreeMap<u64, QuotaQuestion>>,
     next_quota_question: Cell<u64>,
     draining: Cell<bool>,
+    /// The account of the load that was sent last, and its number.
+    told_load: RefCell<(u64, Vec<OutLoad>)>,
+    /// Sidecars that tell the primary their loads.
+    sidecars: Cell<u32>,
 }
 
 impl Node {
@@ -242,6 +250,7 @@
                 }
             }
             Action::Granted(grant) => self.take_grant(grant),
+            Action::LoadSums(sums) => self.take_sums(sums),
         }
     }
 
@@ -278,6 +287,36 @@
         self.quota_granted.notify(usize::MAX);
     }
 
+    fn tell_load(self: &Rc<Self>) {
+        let loads = self.balancer.borrow().own_loads();
+        let told = loads.iter().map(|l| EndpointLoad {
+            endpoint: l.endpoint,
+            unread_tokens: l.unread_tokens,
+            in_flight: l.in_flight,
+        });
+        let told = told.collect();
+        let nonce = self.told_load.borrow().0 + 1;
+        *self.told_load.borrow_mut() = (nonce, loads);
+        self.drive(|c, now, actions| c.tell_load(now, nonce, told, actions));
+    }
+
+    fn take_sums(&self, sums: LoadMessage) {
+        let LoadMessage::Sums { nonce, sidecars, loads } = sums else { return };
+        let told = self.told_load.borrow();
+        if told.0 != nonce {
+            return;
+        }
+        self.sidecars.set(sidecars.max(1));
+        let sum = |l: &EndpointLoad| {
+            (
+                l.endpoint,
+                OutLoad { endpoint: l.endpoint, unread_tokens: l.unread_tokens, in_flight: l.in_flight },
+            )
+        };
+        let sums: HashMap<u64, OutLoad> = loads.iter().map(sum).collect();
+        self.balancer.borrow_mut().learn_sums(self.now(), &told.1, &sums);
+    }
+
     fn follow_registry(&self) {
         let coordinator = self.coordinator.borrow();
         let registry = coordinator.gossip().registry();
@@ -360,6 +399,8 @@
         quota_questions: RefCell::default(),
         next_quota_question: Cell::new(1),
         draining: Cell::new(false),
+        told_load: RefCell::default(),
+        sidecars: Cell::new(1),
         settings: RefCell::new(settings),
     });
     open_disk(&node)?;
@@ -431,6 +472,13 @@
         }
     }));
     let n = node.clone();
+    spawn(Box::pin(async move {
+        loop {
+            Timer::after(LOAD_EVERY + LOAD_EVERY_PER_SIDECAR * n.sidecars.get()).await;
+            n.tell_load();
+        }
+    }));
+    let n = node.clone();
     spawn(Box::pin(async move {
         loop {
             Timer::after(STATUS_EVERY).await;
