--- a/crates/control-plane/src/coordinator.rs
+++ b/crates/control-plane/src/coordinator.rs
@@ -10,7 +10,8 @@
 };
 use passrelay_configuration::{parse_document, Configuration};
 use passrelay_dissemination::{
-    CommittedConfiguration, CoreHint, Gossip, GossipAction, GossipMessage, GossipSettings, Heartbeat,
+    CommittedConfiguration, CoreHint, EndpointRecord, EndpointState, Gossip, GossipAction, GossipMessage,
+    GossipSettings, Heartbeat,
 };
 use serde::{Deserialize, Serialize};
 use std::net::SocketAddrV4;
@@ -238,6 +239,11 @@
         self.replica = Some(Replica::new(now, settings, durable));
     }
 
+    /// Takes in the endpoints that were known before a restart.
+    pub fn restore_endpoints(&mut self, now: Duration, records: Vec<EndpointRecord>) {
+        self.gossip.restore_endpoints(now, records);
+    }
+
     /// Takes other seeds.
     pub fn set_seeds(&mut self, seeds: Vec<SocketAddrV4>) {
         self.gossip.set_seeds(seeds);
@@ -248,9 +254,7 @@
         let configuration = self.gossip.configuration();
         let age = self.gossip.fresh_at().map(|at| now.saturating_sub(at));
         let core = self.gossip.core();
-        let alive = |r: &&passrelay_dissemination::EndpointRecord| {
-            r.state != passrelay_dissemination::EndpointState::Gone
-        };
+        let alive = |r: &&EndpointRecord| r.state != EndpointState::Gone;
         Status {
             generation: configuration.map_or(0, |c| c.generation),
             index: configuration.map_or(0, |c| c.index),
--- a/crates/control-plane/src/replication/replica.rs
+++ b/crates/control-plane/src/replication/replica.rs
@@ -545,11 +545,11 @@
     fn own_progress(&mut self, now: Duration, actions: &mut Vec<ReplicaAction>) {
         let own = self.settings.own.id;
         match &mut self.role {
-            Role::Candidate { term, promises, .. } => {
-                if self.durable_witness.promised >= *term && !promises.contains_key(&own) {
-                    promises.insert(own, self.durable_witness.record.clone());
-                    self.count_promises(now, actions);
-                }
+            Role::Candidate { term, promises, .. }
+                if self.durable_witness.promised >= *term && !promises.contains_key(&own) =>
+            {
+                promises.insert(own, self.durable_witness.record.clone());
+                self.count_promises(now, actions);
             }
             Role::Primary(leadership) => {
                 let term = leadership.term();
--- a/crates/data-plane/src/balancer.rs
+++ b/crates/data-plane/src/balancer.rs
@@ -29,7 +29,7 @@
 /// Longest such pause.
 const LONGEST_PAUSE: Duration = Duration::from_secs(5);
 /// Weight of endpoints in other zones against those of the own zone, where nothing else tells them apart.
-const OTHER_ZONE: f64 = 0.35;
+const OTHER_ZONE: f64 = 0.1;
 /// Prompt tokens by which endpoints may differ and still take turns.
 const ALIKE_TOKENS: f64 = 300.0;
 /// A token that has to be read again weighs this much: it costs the endpoint's time and a price besides.
--- a/crates/dissemination/src/gossip.rs
+++ b/crates/dissemination/src/gossip.rs
@@ -192,6 +192,11 @@
         self.fresh_at
     }
 
+    /// Takes in the endpoints that were known before a restart.
+    pub fn restore_endpoints(&mut self, now: Duration, records: Vec<EndpointRecord>) {
+        self.registry.restore(now, records);
+    }
+
     /// Takes other seeds.
     pub fn set_seeds(&mut self, seeds: Vec<SocketAddrV4>) {
         self.seeds = seeds;
--- a/crates/dissemination/src/registry.rs
+++ b/crates/dissemination/src/registry.rs
@@ -17,6 +17,8 @@
 const STALE_AFTER: Duration = Duration::from_secs(70);
 /// Records of endpoints that are gone are kept this long, so that late heartbeats are known as such.
 const TOMBSTONE_FOR: Duration = Duration::from_secs(60);
+/// A restored record that nobody confirms within this time is silent.
+const CONFIRM_WITHIN: Duration = Duration::from_millis(2_600);
 /// Parts of the registry that are compared and reconciled by themselves.
 const BUCKETS: usize = 16;
 
@@ -74,6 +76,8 @@
 struct Entry {
     record: EndpointRecord,
     changed_at: Duration,
+    /// It comes from the disk and nobody has confirmed it since.
+    restored: bool,
 }
 
 #[derive(Debug)]
@@ -121,6 +125,16 @@
         self.heard.len()
     }
 
+    /// Takes in what was known before a restart. Each record has to be confirmed by a heartbeat soon, here or elsewhere.
+    pub fn restore(&mut self, now: Duration, records: Vec<EndpointRecord>) {
+        for record in records {
+            if record.state < EndpointState::Silent && !self.entries.contains_key(&record.id) {
+                self.entries.insert(record.id.clone(), Entry { record, changed_at: now, restored: true });
+                self.touch();
+            }
+        }
+    }
+
     /// Takes in a heartbeat and returns what is to be told on. A late one changes nothing.
     pub fn heartbeat(&mut self, now: Duration, beat: &Heartbeat) -> Vec<EndpointRecord> {
         let told = &beat.record;
@@ -222,7 +236,8 @@
             .iter()
             .filter(|(id, e)| {
                 let live = matches!(e.record.state, EndpointState::Ready | EndpointState::Draining);
-                live && !self.heard.contains_key(*id) && now.saturating_sub(e.changed_at) > STALE_AFTER
+                let patience = if e.restored { CONFIRM_WITHIN } else { STALE_AFTER };
+                live && !self.heard.contains_key(*id) && now.saturating_sub(e.changed_at) > patience
             })
             .map(|(id, _)| id.clone())
             .collect();
@@ -282,7 +297,7 @@
     }
 
     fn put(&mut self, now: Duration, record: EndpointRecord) {
-        self.entries.insert(record.id.clone(), Entry { record, changed_at: now });
+        self.entries.insert(record.id.clone(), Entry { record, changed_at: now, restored: false });
         self.touch();
     }
 
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -2,7 +2,7 @@
 
 use crate::client_connections::ClientConnections;
 use crate::settings::{NodeSettings, SettingsError};
-use crate::storage::{DiskEvent, Storage};
+use crate::storage::{DiskEvent, Opened, Storage};
 use crate::transport::{read_frame, Transport};
 use crate::upstream::Pool;
 use crate::{control_api, front, signals};
@@ -10,7 +10,7 @@
 use passrelay_configuration::{parse_document, Configuration};
 use passrelay_control_plane::load::{EndpointLoad, LoadMessage};
 use passrelay_control_plane::quota::{QuotaMessage, TenantKey, GRANT_LASTS};
-use passrelay_control_plane::replication::{DurableState, Member, MemberId, ReplicaSettings};
+use passrelay_control_plane::replication::{Member, ReplicaSettings};
 use passrelay_control_plane::{
     Action, CallId, Coordinator, CoordinatorSettings, OperatorAnswer, OperatorRequest,
 };
@@ -18,7 +18,7 @@
 use passrelay_data_plane::quota::{Grant, QuotaShares};
 use passrelay_data_plane::retry_budget::RetryBudget;
 use passrelay_data_plane::routing::RoutingTable;
-use passrelay_dissemination::{CommittedConfiguration, GossipSettings, Heartbeat};
+use passrelay_dissemination::{CommittedConfiguration, EndpointState, GossipSettings, Heartbeat};
 use smol::channel::Sender;
 use smol::{LocalExecutor, Timer};
 use std::cell::{Cell, RefCell};
@@ -40,6 +40,8 @@
 /// Pause between accounts of the load to the primary, and what each sidecar adds to it.
 const LOAD_EVERY: Duration = Duration::from_millis(50);
 const LOAD_EVERY_PER_SIDECAR: Duration = Duration::from_millis(2);
+/// Pause between looks whether the endpoints on disk are those that are known.
+const KEEP_EVERY: Duration = Duration::from_millis(1_000);
 /// Pause between lines with the status in the log.
 const STATUS_EVERY: Duration = Duration::from_secs(10);
 
@@ -100,6 +102,8 @@
     storage: RefCell<Option<Storage>>,
     snapshot: RefCell<Option<Rc<Snapshot>>>,
     registry_revision: Cell<u64>,
+    /// Revision of the registry that is on disk.
+    kept_revision: Cell<u64>,
     calls: RefCell<HashMap<CallId, Sender<OperatorAnswer>>>,
     next_call: Cell<u64>,
     quota_questions: RefCell<BTreeMap<u64, QuotaQuestion>>,
@@ -149,10 +153,12 @@
 
     /// Whether clients may come.
     pub fn is_ready(&self) -> bool {
-        !self.is_draining()
-            && self.snapshot.borrow().is_some()
-            && self.balancer.borrow().has_ready()
-            && self.is_fresh_within(REVOKE_MARGIN + READY_MARGIN)
+        !self.is_draining() && self.can_serve() && self.is_fresh_within(REVOKE_MARGIN + READY_MARGIN)
+    }
+
+    /// Whether requests can be sent on: a current configuration and endpoints are known.
+    pub fn can_serve(&self) -> bool {
+        self.snapshot.borrow().is_some() && self.balancer.borrow().has_ready() && self.is_fresh()
     }
 
     /// A short account as JSON.
@@ -328,14 +334,15 @@
 
     fn disk_event(self: &Rc<Self>, event: DiskEvent) {
         match event {
-            DiskEvent::Opened(identity, durable) => self.attach_replica(identity, durable),
+            DiskEvent::Opened(opened) => self.attach_replica(opened),
             DiskEvent::Written(ticket, succeeded) => {
                 self.drive(|c, now, actions| c.written(now, ticket, succeeded, actions));
             }
         }
     }
 
-    fn attach_replica(self: &Rc<Self>, id: MemberId, durable: DurableState) {
+    fn attach_replica(self: &Rc<Self>, opened: Opened) {
+        let Opened { identity: id, durable, endpoints } = opened;
         let settings = self.settings.borrow();
         let replica = ReplicaSettings {
             own: Member { id, address: settings.internal_address() },
@@ -347,7 +354,24 @@
         };
         drop(settings);
         log::info!("event=disk_open member={:016x} index={}", id.0, durable.state.version.index);
-        self.drive(|c, now, _| c.attach_replica(now, replica, durable));
+        self.drive(|c, now, _| {
+            c.restore_endpoints(now, endpoints);
+            c.attach_replica(now, replica, durable);
+        });
+    }
+
+    /// Keeps the endpoints on disk, if they have changed since the last time.
+    fn keep_endpoints(&self) {
+        let storage = self.storage.borrow();
+        let Some(storage) =
+            storage.as_ref().filter(|_| self.kept_revision.get() != self.registry_revision.get())
+        else {
+            return;
+        };
+        self.kept_revision.set(self.registry_revision.get());
+        let coordinator = self.coordinator.borrow();
+        let alive = coordinator.gossip().registry().records().filter(|r| r.state < EndpointState::Silent);
+        storage.keep_endpoints(alive.cloned().collect());
     }
 }
 
@@ -394,6 +418,7 @@
         storage: RefCell::new(None),
         snapshot: RefCell::new(None),
         registry_revision: Cell::new(0),
+        kept_revision: Cell::new(0),
         calls: RefCell::default(),
         next_call: Cell::new(1),
         quota_questions: RefCell::default(),
@@ -479,6 +504,13 @@
         }
     }));
     let n = node.clone();
+    spawn(Box::pin(async move {
+        loop {
+            Timer::after(KEEP_EVERY).await;
+            n.keep_endpoints();
+        }
+    }));
+    let n = node.clone();
     spawn(Box::pin(async move {
         loop {
             Timer::after(STATUS_EVERY).await;
--- a/crates/node/src/proxy.rs
+++ b/crates/node/src/proxy.rs
@@ -39,6 +39,11 @@
 
 /// Time a client waits where it tells none.
 const DEFAULT_DEADLINE: Duration = Duration::from_secs(30);
+/// A process counts as just started for this long.
+const START_LASTS: Duration = Duration::from_secs(5);
+/// Part of its time that a request waits for a process that has just started.
+const START_PATIENCE: f64 = 0.35;
+const START_LOOK_EVERY: Duration = Duration::from_millis(15);
 /// Endpoints that a request which ran nowhere is offered to, at most.
 const MOST_OFFERS: usize = 4;
 /// Part of a route's target within which a request waits for quota.
@@ -82,12 +87,24 @@
 
 /// Serves one request.
 pub async fn relay(node: &Rc<Node>, request: Request<Incoming>) -> Response<Body> {
+    wait_for_start(node, &request).await;
     match try_relay(node, request).await {
         Ok(response) => response,
         Err(failure) => failure.response(),
     }
 }
 
+/// A process that has just started gets what it needs within moments: a request waits for that, for a part of its time.
+async fn wait_for_start(node: &Rc<Node>, request: &Request<Incoming>) {
+    let told =
+        request.headers().get(&DEADLINE).and_then(|v| v.to_str().ok()).and_then(|v| v.parse::<u64>().ok());
+    let patience = told.map_or(DEFAULT_DEADLINE, Duration::from_millis).mul_f64(START_PATIENCE);
+    let until = node.now() + patience;
+    while node.now() < until.min(START_LASTS) && !node.can_serve() {
+        Timer::after(START_LOOK_EVERY).await;
+    }
+}
+
 async fn try_relay(node: &Rc<Node>, request: Request<Incoming>) -> Result<Response<Body>, Failure> {
     let (parts, body) = request.into_parts();
     let mut inbound = Inbound::read(node, parts)?;
--- a/crates/node/src/storage.rs
+++ b/crates/node/src/storage.rs
@@ -4,6 +4,7 @@
 use passrelay_control_plane::replication::{
     DurableState, DurableWrite, MemberId, ReplicatedState, Ticket, WitnessState,
 };
+use passrelay_dissemination::EndpointRecord;
 use redb::{Database, TableDefinition};
 use serde::de::DeserializeOwned;
 use serde::Serialize;
@@ -17,6 +18,7 @@
 const IDENTITY: &str = "identity";
 const WITNESS: &str = "witness";
 const STATE: &str = "state";
+const ENDPOINTS: &str = "endpoints";
 const FILE: &str = "replica.redb";
 /// Memory that the database may use for caching.
 const CACHE_BYTES: usize = 1 << 20;
@@ -43,15 +45,30 @@
 
 /// What the disk's thread tells.
 pub enum DiskEvent {
-    /// The disk is open: this machine's identity and what it holds.
-    Opened(MemberId, DurableState),
+    /// The disk is open.
+    Opened(Opened),
     /// A write has ended.
     Written(Ticket, bool),
 }
 
+/// What an opened disk holds.
+pub struct Opened {
+    /// This machine's identity.
+    pub identity: MemberId,
+    /// The replica's part.
+    pub durable: DurableState,
+    /// The endpoints that were known last; nothing rests on them.
+    pub endpoints: Vec<EndpointRecord>,
+}
+
+enum Request {
+    Replica(Ticket, DurableWrite),
+    Endpoints(Vec<EndpointRecord>),
+}
+
 /// The way to the disk's thread.
 pub struct Storage {
-    writes: mpsc::Sender<(Ticket, DurableWrite)>,
+    writes: mpsc::Sender<Request>,
 }
 
 impl Storage {
@@ -69,40 +86,41 @@
     /// Puts a write into the queue.
     pub fn write(&self, ticket: Ticket, write: DurableWrite) {
         // The thread ends only with the process.
-        let _ = self.writes.send((ticket, write));
+        let _ = self.writes.send(Request::Replica(ticket, write));
+    }
+
+    /// Keeps the endpoints that are known, for the next start. Nobody waits for it.
+    pub fn keep_endpoints(&self, records: Vec<EndpointRecord>) {
+        let _ = self.writes.send(Request::Endpoints(records));
     }
 }
 
-fn serve(
-    folder: &Path,
-    queue: &mpsc::Receiver<(Ticket, DurableWrite)>,
-    events: &smol::channel::Sender<DiskEvent>,
-) {
-    let (mut database, identity, durable) = open_with_patience(folder);
-    if events.send_blocking(DiskEvent::Opened(identity, durable)).is_err() {
+fn serve(folder: &Path, queue: &mpsc::Receiver<Request>, events: &smol::channel::Sender<DiskEvent>) {
+    let (mut database, opened) = open_with_patience(folder);
+    if events.send_blocking(DiskEvent::Opened(opened)).is_err() {
         return;
     }
-    while let Ok((ticket, write)) = queue.recv() {
-        let done = write_all(&database, &write);
-        if let Err(e) = &done {
+    while let Ok(request) = queue.recv() {
+        let (ticket, done) = match &request {
+            Request::Replica(ticket, write) => (Some(*ticket), write_replica(&database, write)),
+            Request::Endpoints(records) => (None, write_endpoints(&database, records)),
+        };
+        // A failure is told at once; the disk may take long to come back.
+        let told = ticket.is_none_or(|t| events.send_blocking(DiskEvent::Written(t, done.is_ok())).is_ok());
+        if !told {
+            return;
+        }
+        if let Err(e) = done {
             log::error!("event=write_failed problem=\"{e}\"");
             // A database that has seen a failed write takes no further one before it is opened anew.
-            if let Some(reopened) = reopen(folder, database) {
-                database = reopened;
-            } else {
-                let _ = events.send_blocking(DiskEvent::Written(ticket, false));
-                database = open_with_patience(folder).0;
-                continue;
-            }
-        }
-        if events.send_blocking(DiskEvent::Written(ticket, done.is_ok())).is_err() {
-            return;
+            drop(database);
+            database = open_with_patience(folder).0;
         }
     }
 }
 
 /// Opens the database, and waits where the disk refuses (full, in trouble).
-fn open_with_patience(folder: &Path) -> (Database, MemberId, DurableState) {
+fn open_with_patience(folder: &Path) -> (Database, Opened) {
     loop {
         match open(folder) {
             Ok(opened) => return opened,
@@ -135,12 +153,7 @@
     }
 }
 
-fn reopen(folder: &Path, database: Database) -> Option<Database> {
-    drop(database);
-    open(folder).ok().map(|(database, _, _)| database)
-}
-
-fn open(folder: &Path) -> Result<(Database, MemberId, DurableState), StoreError> {
+fn open(folder: &Path) -> Result<(Database, Opened), StoreError> {
     std::fs::create_dir_all(folder)?;
     let path = folder.join(FILE);
     let database = redb::Builder::new().set_cache_size(CACHE_BYTES).create(&path).map_err(self::database)?;
@@ -150,7 +163,9 @@
         witness: read::<WitnessState>(&database, WITNESS)?.unwrap_or_default(),
         state: read::<ReplicatedState>(&database, STATE)?.unwrap_or_default(),
     };
-    Ok((database, identity, durable))
+    // Endpoints announce themselves again: what can't be read of them is no loss.
+    let endpoints = read(&database, ENDPOINTS).ok().flatten().unwrap_or_default();
+    Ok((database, Opened { identity, durable, endpoints }))
 }
 
 fn read_identity(database: &Database) -> Result<MemberId, StoreError> {
@@ -180,7 +195,7 @@
     Ok(bytes)
 }
 
-fn write_all(database: &Database, write: &DurableWrite) -> Result<(), StoreError> {
+fn write_replica(database: &Database, write: &DurableWrite) -> Result<(), StoreError> {
     let mut values = Vec::new();
     if let Some(witness) = &write.witness {
         values.push((WITNESS, encode(witness)?));
@@ -191,6 +206,10 @@
     write_values(database, &values)
 }
 
+fn write_endpoints(database: &Database, records: &Vec<EndpointRecord>) -> Result<(), StoreError> {
+    write_values(database, &[(ENDPOINTS, encode(records)?)])
+}
+
 /// One transaction, synced before it returns.
 fn write_values(database: &Database, values: &[(&str, Vec<u8>)]) -> Result<(), StoreError> {
     let transaction = database.begin_write().map_err(self::database)?;
--- a/crates/node/src/upstream.rs
+++ b/crates/node/src/upstream.rs
@@ -19,9 +19,9 @@
 /// After an answer a connection rests this long: a second answer may come some milliseconds late.
 const REST: Duration = Duration::from_millis(12);
 /// A resting connection is used for this long where the endpoint tells nothing.
-const IDLE: Duration = Duration::from_secs(4);
-/// Part of the time told in `Keep-Alive` for which a resting connection is used.
-const IDLE_PART: f64 = 0.7;
+const IDLE: Duration = Duration::from_secs(8);
+/// A resting connection is no longer used this much before the end told in `Keep-Alive`.
+const IDLE_MARGIN_S: f64 = 0.3;
 /// Resting connections kept for one endpoint.
 const KEPT: usize = 32;
 
@@ -70,7 +70,7 @@
             timeout.parse::<f64>().ok()
         });
         if let Some(seconds) = seconds.filter(|s| s.is_finite() && *s >= 0.0) {
-            self.idle_for = Duration::from_secs_f64((seconds * IDLE_PART).min(60.0));
+            self.idle_for = Duration::from_secs_f64((seconds - IDLE_MARGIN_S).clamp(0.0, 60.0));
         }
     }
 }
