Count only what has to be read as tokens ahead, and weigh reading again by the target

Change: the pick tells the tokens to read; reading a part again weighs a token for each 50 ms of the route's target.

--- a/crates/data-plane/src/balancer.rs
+++ b/crates/data-plane/src/balancer.rs
@@ -32,8 +32,9 @@
 const OTHER_ZONE: f64 = 0.1;
 /// Prompt tokens by which endpoints may differ and still take turns.
 const ALIKE_TOKENS: f64 = 300.0;
-/// A token that has to be read again weighs this much: it costs the endpoint's time and a price besides.
-const READ_AGAIN: f64 = 8.0;
+/// A token that has to be read again weighs one token for each of these spans in the request's target: reading again
+/// has a price near the request's worth, and waiting costs the more the shorter the target is.
+const READ_AGAIN_PER: Duration = Duration::from_millis(50);
 /// A shared part counts as kept for this long after it was sent to an endpoint.
 const KEPT_FOR: Duration = Duration::from_secs(10);
 /// What is known of other sidecars' calls counts for this long.
@@ -94,21 +95,12 @@
     pub service: &'a str,
     /// The prompt, where requests with the same parts are to be kept together.
     pub prompt: Option<Prompt>,
+    /// Time within which an answer earns its full worth.
+    pub target: Duration,
     /// Endpoints that were tried already.
     pub tried: &'a [Arc<str>],
 }
 
-/// How a call ended, and what it leaves behind.
-#[derive(Clone, Copy, Debug)]
-pub struct CallEnded {
-    /// How it ended.
-    pub end: CallEnd,
-    /// Whether the head of an answer had come.
-    pub answered: bool,
-    /// The prompt, if it was never read through.
-    pub unread: Option<Prompt>,
-}
-
 /// An endpoint that was picked.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Pick {
@@ -116,6 +108,8 @@
     pub id: Arc<str>,
     /// Its address.
     pub address: SocketAddrV4,
+    /// Prompt tokens that it has to read, without the parts that it keeps.
+    pub tokens_to_read: u64,
 }
 
 #[derive(Debug)]
@@ -304,11 +298,15 @@
             }
         }
         let chosen = match &request.prompt {
-            Some(prompt) => self.pick_for_prompt(now, &ready, prompt),
+            Some(prompt) => self.pick_for_prompt(now, &ready, prompt, request.target),
             None => self.pick_by_turn(&ready),
         }?;
         let endpoint = self.endpoints.get(&chosen)?;
-        Some(Pick { id: endpoint.id.clone(), address: endpoint.address })
+        let tokens_to_read = request.prompt.as_ref().map_or(0, |prompt| {
+            let kept = self.keeps(now, &ready, prompt, &chosen);
+            prompt.input_tokens.saturating_sub(if kept { prompt.shared_tokens } else { 0 })
+        });
+        Some(Pick { id: endpoint.id.clone(), address: endpoint.address, tokens_to_read })
     }
 
     /// Turns among all ready endpoints.
@@ -322,18 +320,29 @@
         self.turn(ready, weight)
     }
 
+    /// Whether an endpoint is taken to keep the shared parts of a prompt: it is their home, or was sent them lately.
+    fn keeps(&self, now: Duration, ready: &[Arc<str>], prompt: &Prompt, id: &Arc<str>) -> bool {
+        let Some(part) = prompt.shared_part else { return false };
+        let home = ready.iter().max_by_key(|id| rendezvous(part, id));
+        let sent_lately = self.kept.get(&part).is_some_and(|places| {
+            places.iter().any(|(at, when)| at == id && now.saturating_sub(*when) < KEPT_FOR)
+        });
+        home == Some(id) || sent_lately
+    }
+
     /// Turns among the endpoints at which the prompt would be read soonest.
-    fn pick_for_prompt(&mut self, now: Duration, ready: &[Arc<str>], prompt: &Prompt) -> Option<Arc<str>> {
-        let home = prompt.shared_part.and_then(|part| ready.iter().max_by_key(|id| rendezvous(part, id)));
-        let kept = prompt.shared_part.and_then(|part| self.kept.get(&part));
-        let is_kept = |id: &Arc<str>| {
-            let sent_lately = kept
-                .is_some_and(|k| k.iter().any(|(at, when)| at == id && now.saturating_sub(*when) < KEPT_FOR));
-            Some(id) == home || sent_lately
-        };
+    fn pick_for_prompt(
+        &mut self,
+        now: Duration,
+        ready: &[Arc<str>],
+        prompt: &Prompt,
+        target: Duration,
+    ) -> Option<Arc<str>> {
+        let read_again = target.as_secs_f64() / READ_AGAIN_PER.as_secs_f64();
         let cost = |id: &Arc<str>| {
             let ahead = self.endpoints[id].tokens_ahead(now, self.mean_tokens);
-            ahead + if is_kept(id) { 0.0 } else { READ_AGAIN * prompt.shared_tokens as f64 }
+            let kept = self.keeps(now, ready, prompt, id);
+            ahead + if kept { 0.0 } else { read_again * prompt.shared_tokens as f64 }
         };
         let costs: Vec<f64> = ready.iter().map(cost).collect();
         let least = costs.iter().copied().fold(f64::INFINITY, f64::min);
@@ -390,17 +399,16 @@
         }
     }
 
-    /// A call was sent.
-    pub fn sent(&mut self, now: Duration, id: &str, prompt: Option<&Prompt>) {
+    /// A call was sent to an endpoint that was picked.
+    pub fn sent(&mut self, now: Duration, pick: &Pick, prompt: Option<&Prompt>) {
         if let Some(prompt) = prompt {
-            self.mean_tokens += MEAN_STEP * (prompt.input_tokens as f64 - self.mean_tokens);
-            if let (Some(part), Some((id, _))) = (prompt.shared_part, self.endpoints.get_key_value(id)) {
-                let id = id.clone();
-                self.remember_part(now, part, &id);
+            self.mean_tokens += MEAN_STEP * (pick.tokens_to_read as f64 - self.mean_tokens);
+            if let Some(part) = prompt.shared_part {
+                self.remember_part(now, part, &pick.id);
             }
         }
-        if let Some(endpoint) = self.endpoints.get_mut(id) {
-            endpoint.unread_tokens += prompt.map_or(0.0, |p| p.input_tokens as f64);
+        if let Some(endpoint) = self.endpoints.get_mut(&pick.id) {
+            endpoint.unread_tokens += pick.tokens_to_read as f64;
             endpoint.in_flight += 1;
             endpoint.calls_since += 1;
             if endpoint.unanswered == 0 {
@@ -411,10 +419,10 @@
     }
 
     /// The head of an answer came.
-    pub fn answered(&mut self, now: Duration, id: &str, prompt: Option<&Prompt>, report: Option<LoadReport>) {
-        if let Some(endpoint) = self.endpoints.get_mut(id) {
+    pub fn answered(&mut self, now: Duration, pick: &Pick, report: Option<LoadReport>) {
+        if let Some(endpoint) = self.endpoints.get_mut(&pick.id) {
             endpoint.last_heard = now;
-            endpoint.forget_unread(prompt);
+            endpoint.forget_unread(pick);
             endpoint.unanswered = endpoint.unanswered.saturating_sub(1);
             endpoint.failures = 0;
             endpoint.paused_until = Duration::ZERO;
@@ -433,16 +441,16 @@
         }
     }
 
-    /// A call that was sent has ended.
-    pub fn ended(&mut self, now: Duration, id: &str, ended: &CallEnded) {
-        let Some(endpoint) = self.endpoints.get_mut(id) else { return };
+    /// A call that was sent has ended; `answered` tells whether the head of an answer had come.
+    pub fn ended(&mut self, now: Duration, pick: &Pick, answered: bool, end: CallEnd) {
+        let Some(endpoint) = self.endpoints.get_mut(&pick.id) else { return };
         endpoint.in_flight = endpoint.in_flight.saturating_sub(1);
-        if !ended.answered {
+        if !answered {
             endpoint.unanswered = endpoint.unanswered.saturating_sub(1);
-            endpoint.forget_unread(ended.unread.as_ref());
+            endpoint.forget_unread(pick);
         }
-        let silent = !ended.answered && endpoint.last_heard < endpoint.last_sent;
-        if ended.end == CallEnd::Failed || (ended.end == CallEnd::Abandoned && silent) {
+        let silent = !answered && endpoint.last_heard < endpoint.last_sent;
+        if end == CallEnd::Failed || (end == CallEnd::Abandoned && silent) {
             endpoint.pause(now);
         }
     }
@@ -456,9 +464,8 @@
 }
 
 impl Endpoint {
-    fn forget_unread(&mut self, prompt: Option<&Prompt>) {
-        let tokens = prompt.map_or(0.0, |p| p.input_tokens as f64);
-        self.unread_tokens = (self.unread_tokens - tokens).max(0.0);
+    fn forget_unread(&mut self, pick: &Pick) {
+        self.unread_tokens = (self.unread_tokens - pick.tokens_to_read as f64).max(0.0);
     }
 
     fn pause(&mut self, now: Duration) {
--- a/crates/node/src/proxy.rs
+++ b/crates/node/src/proxy.rs
@@ -15,7 +15,7 @@
 use hyper::{HeaderMap, Method, Request, Response, StatusCode, Uri};
 use passrelay_configuration::{Backend, Route, RouteType, Tenant, TokenUnit};
 use passrelay_control_plane::quota::TenantKey;
-use passrelay_data_plane::balancer::{CallEnd, CallEnded, LoadReport, PickRequest};
+use passrelay_data_plane::balancer::{CallEnd, LoadReport, Pick, PickRequest};
 use passrelay_data_plane::prompt::Prompt;
 use passrelay_data_plane::routing::Denial;
 use smol::Timer;
@@ -280,36 +280,32 @@
 /// A call in the balancer's books; one that is dropped without an end was abandoned.
 pub struct Call {
     node: Rc<Node>,
-    endpoint: Arc<str>,
-    prompt: Option<Prompt>,
+    pick: Pick,
     answered: Cell<bool>,
     open: Cell<bool>,
 }
 
 impl Call {
-    fn begin(node: &Rc<Node>, endpoint: Arc<str>, prompt: Option<Prompt>) -> Self {
-        node.balancer.borrow_mut().sent(node.now(), &endpoint, prompt.as_ref());
-        Call { node: node.clone(), endpoint, prompt, answered: Cell::new(false), open: Cell::new(true) }
+    fn begin(node: &Rc<Node>, pick: Pick, prompt: Option<&Prompt>) -> Self {
+        node.balancer.borrow_mut().sent(node.now(), &pick, prompt);
+        Call { node: node.clone(), pick, answered: Cell::new(false), open: Cell::new(true) }
     }
 
     fn answered(&self, report: Option<LoadReport>) {
         self.answered.set(true);
-        let prompt = self.prompt.as_ref();
-        self.node.balancer.borrow_mut().answered(self.node.now(), &self.endpoint, prompt, report);
+        self.node.balancer.borrow_mut().answered(self.node.now(), &self.pick, report);
     }
 
     /// A piece of the answer came.
     pub fn heard(&self) {
-        self.node.balancer.borrow_mut().heard(self.node.now(), &self.endpoint);
+        self.node.balancer.borrow_mut().heard(self.node.now(), &self.pick.id);
     }
 
     /// The call is over.
     pub fn end(&self, end: CallEnd) {
         if self.open.replace(false) {
             let now = self.node.now();
-            let unanswered = Some(self.prompt).filter(|_| !self.answered.get());
-            let ended = CallEnded { end, answered: self.answered.get(), unread: unanswered.flatten() };
-            self.node.balancer.borrow_mut().ended(now, &self.endpoint, &ended);
+            self.node.balancer.borrow_mut().ended(now, &self.pick, self.answered.get(), end);
         }
     }
 }
@@ -416,7 +412,8 @@
     ) -> Result<Outcome, Failure> {
         let node = self.node.clone();
         let prompt = Some(self.inbound.prompt).filter(|_| terms.route.session_affinity);
-        let request = PickRequest { service, prompt, tried: &self.tried };
+        let target = Duration::from_millis(terms.route.target_latency_ms);
+        let request = PickRequest { service, prompt, target, tried: &self.tried };
         let pick = node.balancer.borrow_mut().pick(node.now(), &request);
         let Some(pick) = pick else { return Err(self.exhausted()) };
         self.offers += 1;
@@ -441,7 +438,7 @@
             return Err(self.exhausted());
         }
         let request = self.outbound(terms, &pick.id, after);
-        let call = Call::begin(&node, pick.id.clone(), prompt);
+        let call = Call::begin(&node, pick.clone(), prompt.as_ref());
         let late = async {
             Timer::after(self.deadline.saturating_sub(node.now())).await;
             None
