Force the hard cases of the fleet in process tests and tests of the deciders

Found by them and mended: a lone primary never confirmed a round, so it was never fresh; the first grantor made clients wait though none was before it; with more shared parts than are remembered each request searched them all.

--- a/crates/control-plane/src/quota.rs
+++ b/crates/control-plane/src/quota.rs
@@ -127,7 +127,8 @@
         Grantor {
             term,
             bounds,
-            grants_from: began + CONFIRMED_WITHIN,
+            // The first term has no grantor before it.
+            grants_from: if term <= 1 { began } else { began + CONFIRMED_WITHIN },
             generation: 0,
             buckets: BTreeMap::new(),
             population: BTreeMap::new(),
--- a/crates/control-plane/src/replication/leadership.rs
+++ b/crates/control-plane/src/replication/leadership.rs
@@ -230,7 +230,7 @@
         self.next_ping = now + PING_EVERY;
         let answered = self.rounds.confirmed_at().unwrap_or(self.began);
         let position = self.in_force.as_ref().map_or((0, 0), EpochRecord::position);
-        let round = self.rounds.begin(now, self.own.id);
+        let round = self.rounds.begin(now, self.own.id, self.in_force.as_ref());
         // Without a majority the others are to elect; members it can still reach are asked all the same, but rarely.
         if now.saturating_sub(answered) > DEPOSED_AFTER {
             self.next_ping = now + DEPOSED_AFTER;
--- a/crates/control-plane/src/replication/rounds.rs
+++ b/crates/control-plane/src/replication/rounds.rs
@@ -16,10 +16,13 @@
 }
 
 impl Rounds {
-    /// Begins a round, which the primary itself has answered.
-    pub(super) fn begin(&mut self, now: Duration, own: MemberId) -> u64 {
+    /// Begins a round, which the primary itself has answered; where it is alone, that is enough.
+    pub(super) fn begin(&mut self, now: Duration, own: MemberId, record: Option<&EpochRecord>) -> u64 {
         self.last += 1;
-        self.open.insert(self.last, (now, BTreeSet::from([own])));
+        self.open.insert(self.last, (now, BTreeSet::new()));
+        if let Some(record) = record {
+            self.answered(self.last, own, record);
+        }
         while self.open.len() > OPEN_ROUNDS {
             self.open.pop_first();
         }
--- /dev/null
+++ b/crates/control-plane/tests/quota.rs
@@ -0,0 +1,98 @@
+//! Quota grants: the bound over all sidecars, changes of grantor, reserves.
+
+use passrelay_configuration::Configuration;
+use passrelay_control_plane::quota::{Grantor, QuotaBounds, TenantKey};
+use serde_json::json;
+use std::net::SocketAddrV4;
+use std::time::Duration;
+
+const RATE: f64 = 100_000.0;
+
+fn ms(ms: u64) -> Duration {
+    Duration::from_millis(ms)
+}
+
+fn sidecar(n: u8) -> SocketAddrV4 {
+    format!("10.0.0.{n}:1").parse().unwrap()
+}
+
+fn configuration(generation: u64, rate: f64) -> Configuration {
+    let document = json!({ "generation": generation, "routes": [], "services": [], "tenants": [
+        { "name": "t", "api-keys": ["k"], "unit": "token_usage", "rate-per-s": rate, "burst": rate }] });
+    Configuration::read(&document).unwrap()
+}
+
+fn bounds() -> QuotaBounds {
+    QuotaBounds { window_s: 8.0, overshoot: 0.1, slack: 140_000.0 }
+}
+
+fn grantor(began: Duration, term: u64) -> Grantor {
+    let mut grantor = Grantor::new(began, term, bounds());
+    grantor.configure(began, &configuration(1, RATE));
+    grantor
+}
+
+fn granted(grantor: &mut Grantor, now: Duration, from: SocketAddrV4, wanted: u64) -> Option<u64> {
+    let wanted = [(TenantKey::of("t"), wanted)];
+    grantor.grant(now, Some(now), from, &wanted, &[]).map(|all| all[0].tokens)
+}
+
+#[test]
+fn what_all_sidecars_get_in_any_window_stays_within_the_bound() {
+    let mut grantor = grantor(ms(0), 1);
+    let mut grants = Vec::new();
+    for step in 0..2_000_u64 {
+        let now = ms(step * 10);
+        grants.push(granted(&mut grantor, now, sidecar((step % 12) as u8), 50_000).unwrap());
+    }
+    let bound = (RATE * 8.0 + RATE) * 1.1 + 140_000.0;
+    for window in grants.windows(800) {
+        assert!((window.iter().sum::<u64>() as f64) <= bound);
+    }
+    // And what is inside the quota is granted.
+    assert!(grants.iter().sum::<u64>() as f64 >= RATE * 19.0);
+}
+
+#[test]
+fn a_grantor_that_is_not_confirmed_lately_grants_nothing() {
+    let mut grantor = grantor(ms(0), 1);
+    let wanted = [(TenantKey::of("t"), 10)];
+    assert!(grantor.grant(ms(2_000), Some(ms(1_000)), sidecar(1), &wanted, &[]).is_none());
+    assert!(grantor.grant(ms(2_000), None, sidecar(1), &wanted, &[]).is_none());
+    assert!(grantor.grant(ms(2_000), Some(ms(1_900)), sidecar(1), &wanted, &[]).is_some());
+}
+
+#[test]
+fn a_new_grantor_waits_until_the_one_before_grants_no_more() {
+    let mut next = grantor(ms(5_000), 2);
+    assert_eq!(granted(&mut next, ms(5_100), sidecar(1), 10), None);
+    assert_eq!(granted(&mut next, ms(5_500), sidecar(1), 10), Some(10));
+}
+
+#[test]
+fn reserves_are_shared_by_those_that_ask_and_charged_afterwards() {
+    let mut grantor = grantor(ms(0), 1);
+    let wanted = [(TenantKey::of("t"), 10)];
+    for n in 1..=10 {
+        grantor.grant(ms(0), Some(ms(0)), sidecar(n), &wanted, &[]);
+    }
+    let one = grantor.grant(ms(1), Some(ms(1)), sidecar(1), &wanted, &[]).unwrap()[0];
+    assert!(one.reserve as f64 <= RATE * 2.0 / 10.0, "{}", one.reserve);
+    // Everything is spent, then a sidecar tells that it has lived on its reserve.
+    granted(&mut grantor, ms(2), sidecar(1), 10_000_000);
+    let overdrawn = [(TenantKey::of("t"), 50_000)];
+    grantor.grant(ms(3), Some(ms(3)), sidecar(2), &wanted, &overdrawn);
+    assert_eq!(granted(&mut grantor, ms(300), sidecar(3), 10), Some(0));
+}
+
+#[test]
+fn a_lower_limit_binds_at_once_and_a_dropped_tenant_gets_nothing() {
+    let mut grantor = grantor(ms(0), 1);
+    grantor.configure(ms(10), &configuration(2, 1_000.0));
+    let spare = 0.3 * (0.1 * 9_000.0 + 140_000.0) + 1_000.0;
+    assert!(granted(&mut grantor, ms(20), sidecar(1), 10_000_000).unwrap() as f64 <= spare + 1.0);
+    let empty = json!({ "generation": 3, "routes": [], "services": [] });
+    grantor.configure(ms(30), &Configuration::read(&empty).unwrap());
+    let wanted = [(TenantKey::of("t"), 10)];
+    assert_eq!(grantor.grant(ms(40), Some(ms(40)), sidecar(1), &wanted, &[]), Some(Vec::new()));
+}
--- a/crates/data-plane/src/balancer.rs
+++ b/crates/data-plane/src/balancer.rs
@@ -41,6 +41,8 @@
 const SUMS_LAST: Duration = Duration::from_millis(1_200);
 /// Shared parts whose endpoints are remembered.
 const REMEMBERED_PARTS: usize = 4_096;
+/// Pause between searches for parts that can be forgotten, where there are too many.
+const FORGET_EVERY: Duration = Duration::from_secs(1);
 /// Weight of the newest prompt in the mean length.
 const MEAN_STEP: f64 = 0.05;
 
@@ -236,6 +238,7 @@
     services: HashMap<String, Vec<Arc<str>>>,
     /// Where shared parts were sent lately, and when.
     kept: HashMap<u64, Vec<(Arc<str>, Duration)>>,
+    next_forgetting: Duration,
     mean_tokens: f64,
 }
 
@@ -247,6 +250,7 @@
             endpoints: HashMap::new(),
             services: HashMap::new(),
             kept: HashMap::new(),
+            next_forgetting: Duration::ZERO,
             mean_tokens: 0.0,
         }
     }
@@ -268,6 +272,11 @@
         self.services = services.into_iter().map(|(service, ids)| (service.to_owned(), ids)).collect();
     }
 
+    /// Shared parts whose endpoints are remembered.
+    pub fn remembered_parts(&self) -> usize {
+        self.kept.len()
+    }
+
     /// Whether any endpoint of any service may be sent to.
     pub fn has_ready(&self) -> bool {
         self.endpoints.values().any(|e| e.state == EndpointState::Ready)
@@ -353,6 +362,10 @@
 
     fn remember_part(&mut self, now: Duration, part: u64, id: &Arc<str>) {
         if self.kept.len() >= REMEMBERED_PARTS && !self.kept.contains_key(&part) {
+            if now < self.next_forgetting {
+                return;
+            }
+            self.next_forgetting = now + FORGET_EVERY;
             self.kept.retain(|_, places| {
                 places.retain(|(_, when)| now.saturating_sub(*when) < KEPT_FOR);
                 !places.is_empty()
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -334,7 +334,7 @@
 
     fn disk_event(self: &Rc<Self>, event: DiskEvent) {
         match event {
-            DiskEvent::Opened(opened) => self.attach_replica(opened),
+            DiskEvent::Opened(opened) => self.attach_replica(*opened),
             DiskEvent::Written(ticket, succeeded) => {
                 self.drive(|c, now, actions| c.written(now, ticket, succeeded, actions));
             }
--- a/crates/node/src/storage.rs
+++ b/crates/node/src/storage.rs
@@ -46,7 +46,7 @@
 /// What the disk's thread tells.
 pub enum DiskEvent {
     /// The disk is open.
-    Opened(Opened),
+    Opened(Box<Opened>),
     /// A write has ended.
     Written(Ticket, bool),
 }
@@ -97,7 +97,7 @@
 
 fn serve(folder: &Path, queue: &mpsc::Receiver<Request>, events: &smol::channel::Sender<DiskEvent>) {
     let (mut database, opened) = open_with_patience(folder);
-    if events.send_blocking(DiskEvent::Opened(opened)).is_err() {
+    if events.send_blocking(DiskEvent::Opened(Box::new(opened))).is_err() {
         return;
     }
     while let Ok(request) = queue.recv() {
--- /dev/null
+++ b/crates/passrelay/tests/fleet.rs
@@ -0,0 +1,278 @@
+//! The router fleet as processes on loopback: requests, streams, the operators' calls, the planned end.
+
+use passrelay_standin::fleet::{read_all, Fleet, Sidecar};
+use passrelay_standin::{answer, until, Message, Reply, Server};
+use serde_json::{json, Value};
+use std::io::Write;
+use std::time::Duration;
+
+const PROGRAM: &str = env!("CARGO_BIN_EXE_passrelay");
+
+fn configuration(generation: u64) -> Value {
+    let route = |name: &str, kind: &str, attempts: u64, resumable: bool| {
+        json!({ "name": name, "hostname": "lot.example", "path-prefix": format!("/{name}/"), "route-type": kind,
+            "timeout-ms": 5000, "target-latency-ms": 1000, "priority": 1, "backend": "bays",
+            "max-attempts": attempts, "resumable": resumable })
+    };
+    json!({
+        "generation": generation,
+        "routes": [route("open", "unsafe", 1, false), route("look", "safe", 2, false),
+            route("ask", "streaming", 2, true), route("sum", "streaming", 1, false)],
+        "services": [{ "name": "bays", "max-connections": 100 }],
+        "limits": { "max-header-bytes": 8192, "max-body-bytes": 2000, "header-timeout-ms": 400,
+            "idle-timeout-ms": 5000 },
+        "tenants": [{ "name": "family", "api-keys": ["key-1"], "priority": 2, "unit": "token_usage",
+            "uncached-tokens": 10, "rate-per-s": 100000, "burst": 100000 }],
+    })
+}
+
+fn request(path: &str, more: &str, body: &str) -> Vec<u8> {
+    let length = body.len();
+    format!(
+        "POST {path} HTTP/1.1\r\nHost: lot.example\r\nX-Passrelay-Request-Id: r1\r\nX-Passrelay-Deadline-Ms: 3000\r\n\
+         Authorization: Bearer key-1\r\nConnection: close\r\nContent-Length: {length}\r\n{more}\r\n{body}"
+    )
+    .into_bytes()
+}
+
+/// One sidecar with a configuration, and endpoints in service.
+fn lone(endpoints: &[&Server]) -> (Fleet, Sidecar) {
+    let fleet = Fleet::new(PROGRAM, 1);
+    let sidecar = fleet.start_all().remove(0);
+    for (index, endpoint) in endpoints.iter().enumerate() {
+        let id = format!("i-{index}");
+        assert_eq!(sidecar.heartbeat(&id, "bays", endpoint.address, "ready", 1), 200);
+    }
+    assert_eq!(sidecar.put(0, &configuration(3)), 200);
+    sidecar.until_ready();
+    (fleet, sidecar)
+}
+
+fn ok(body: &str) -> Reply {
+    answer(200, "X-Passrelay-Request-Id: r1\r\nX-Passrelay-Response-Seal: s1\r\n", body.as_bytes())
+}
+
+fn status(answer: &str) -> u16 {
+    answer.split(' ').nth(1).and_then(|s| s.parse().ok()).unwrap_or(0)
+}
+
+#[test]
+fn a_request_reaches_the_endpoint_under_its_tenant_and_comes_back_unchanged() {
+    let endpoint = Server::start(|_| ok("bay 7"));
+    let (_fleet, sidecar) = lone(&[&endpoint]);
+    let answer = sidecar.exchange(&request(
+        "/open/gate?lane=2",
+        "X-Passrelay-Tenant: other\r\nX-More: 1\r\n",
+        "hello",
+    ));
+    assert_eq!(status(&answer), 200, "{answer}");
+    assert!(answer.ends_with("bay 7") && answer.to_lowercase().contains("x-passrelay-response-seal: s1"));
+    let seen: Message = endpoint.seen().remove(0);
+    assert_eq!(seen.line, "POST /open/gate?lane=2 HTTP/1.1");
+    assert_eq!(seen.body, b"hello");
+    assert_eq!(seen.header("x-passrelay-tenant"), Some("family"));
+    assert_eq!(seen.header("x-passrelay-target-instance"), Some("i-0"));
+    assert_eq!(seen.header("priority"), Some("7"));
+    assert_eq!(seen.header("x-more"), Some("1"));
+    assert_eq!(seen.header("authorization"), None);
+    let left: u64 = seen.header("x-passrelay-deadline-ms").unwrap().parse().unwrap();
+    assert!((2_000..=3_000).contains(&left), "{left}");
+}
+
+#[test]
+fn what_no_configuration_allows_is_denied_and_what_is_too_long_or_slow_is_told_so() {
+    let endpoint = Server::start(|_| ok("x"));
+    let (_fleet, sidecar) = lone(&[&endpoint]);
+    assert_eq!(status(&sidecar.exchange(&request("/none/1", "", ""))), 404);
+    let unknown = String::from_utf8(request("/open/1", "", "")).unwrap().replace("key-1", "key-2");
+    assert_eq!(status(&sidecar.exchange(unknown.as_bytes())), 401);
+    let keyless = String::from_utf8(request("/open/1", "", "")).unwrap().replace("Authorization", "X-Other");
+    assert_eq!(status(&sidecar.exchange(keyless.as_bytes())), 401);
+    assert_eq!(status(&sidecar.exchange(&request("/open/1", "", &"b".repeat(2_001)))), 413);
+    assert_eq!(
+        status(&sidecar.exchange(&request("/open/1", &format!("X-Long: {}\r\n", "h".repeat(20_000)), ""))),
+        431
+    );
+    // A body whose second half doesn't come.
+    let mut slow = request("/open/1", "", "0123456789");
+    slow.truncate(slow.len() - 5);
+    assert_eq!(status(&sidecar.exchange(&slow)), 408);
+    assert!(endpoint.seen().is_empty());
+}
+
+#[test]
+fn a_body_in_chunks_arrives_whole() {
+    let endpoint = Server::start(|_| ok("x"));
+    let (_fleet, sidecar) = lone(&[&endpoint]);
+    let head = String::from_utf8(request("/open/1", "Transfer-Encoding: chunked\r\n", "")).unwrap();
+    let chunked = head.replace("Content-Length: 0\r\n", "") + "3\r\nabc\r\n4\r\ndefg\r\n0\r\n\r\n";
+    assert_eq!(status(&sidecar.exchange(chunked.as_bytes())), 200);
+    assert_eq!(endpoint.seen()[0].body, b"abcdefg");
+}
+
+#[test]
+fn a_request_that_may_have_run_is_never_sent_again_unless_it_may_be() {
+    let broken = Server::start(|_| Reply::Last(Vec::new()));
+    let (_fleet, sidecar) = lone(&[&broken]);
+    assert_eq!(status(&sidecar.exchange(&request("/open/1", "", ""))), 502);
+    assert_eq!(broken.seen().len(), 1);
+}
+
+#[test]
+fn an_answer_to_another_request_is_not_passed_on() {
+    let endpoint = Server::start(|_| answer(200, "X-Passrelay-Request-Id: other\r\n", b"not yours"));
+    let (_fleet, sidecar) = lone(&[&endpoint]);
+    let answer = sidecar.exchange(&request("/open/1", "", ""));
+    assert_eq!(status(&answer), 502);
+    assert!(!answer.contains("not yours"));
+}
+
+#[test]
+fn a_request_turned_away_unseen_goes_to_another_endpoint() {
+    let full = || {
+        Server::start(|_| answer(503, "X-Passrelay-Request-Id: r1\r\nX-Passrelay-Not-Executed: 1\r\n", b""))
+    };
+    let moved = || {
+        Server::start(|_| answer(421, "X-Passrelay-Request-Id: r1\r\nX-Passrelay-Instance-Id: i-9\r\n", b""))
+    };
+    for one in [full(), moved()] {
+        let other = Server::start(|_| ok("served"));
+        let (_fleet, sidecar) = lone(&[&one, &other]);
+        // Whichever comes first, both requests are served.
+        for _ in 0..2 {
+            assert!(sidecar.exchange(&request("/open/1", "", "")).ends_with("served"));
+        }
+    }
+}
+
+#[test]
+fn a_refusal_promises_that_nothing_ran_and_says_when_to_come_back() {
+    let full =
+        Server::start(|_| answer(503, "X-Passrelay-Request-Id: r1\r\nX-Passrelay-Not-Executed: 1\r\n", b""));
+    let (_fleet, sidecar) = lone(&[&full]);
+    let answer = sidecar.exchange(&request("/open/1", "", ""));
+    assert_eq!(status(&answer), 503);
+    assert!(answer.to_lowercase().contains("retry-after: "));
+}
+
+fn events(ids: std::ops::Range<u32>, whole: bool) -> Reply {
+    let mut text = String::from(
+        "HTTP/1.1 200 OK\r\nX-Passrelay-Request-Id: r1\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n",
+    );
+    for id in ids {
+        let event = format!("id: {id}\ndata: {id}\n\n");
+        text += &format!("{:x}\r\n{event}\r\n", event.len());
+    }
+    text += if whole { "0\r\n\r\n" } else { "9\r\nid: 99\nda\r\n" };
+    Reply::Last(text.into_bytes())
+}
+
+#[test]
+fn a_resumable_stream_goes_on_at_another_endpoint_after_the_last_whole_event() {
+    let endpoint = || {
+        Server::start(|message| match message.header("last-event-id") {
+            Some("2") => events(3..5, true),
+            Some(_) => answer(500, "X-Passrelay-Request-Id: r1\r\n", b"wrong place"),
+            None => events(0..3, false),
+        })
+    };
+    let (one, other) = (endpoint(), endpoint());
+    let (_fleet, sidecar) = lone(&[&one, &other]);
+    let answer = sidecar.exchange(&request("/ask/1", "", ""));
+    let data: Vec<&str> = answer.lines().filter_map(|line| line.strip_prefix("data: ")).collect();
+    assert_eq!(data, ["0", "1", "2", "3", "4"], "{answer}");
+    assert!(answer.ends_with("0\r\n\r\n"));
+    assert_eq!(one.seen().len() + other.seen().len(), 2);
+}
+
+#[test]
+fn a_stream_that_may_not_be_resumed_is_broken_off_and_never_looks_whole() {
+    let endpoint = Server::start(|_| events(0..3, false));
+    let other = Server::start(|_| events(0..3, false));
+    let (_fleet, sidecar) = lone(&[&endpoint, &other]);
+    let answer = sidecar.exchange(&request("/sum/1", "", ""));
+    assert!(answer.contains("data: 2") && !answer.ends_with("0\r\n\r\n"), "{answer}");
+    assert_eq!(endpoint.seen().len() + other.seen().len(), 1);
+}
+
+#[test]
+fn a_draining_endpoint_gets_nothing_new() {
+    let (leaves, stays) = (Server::start(|_| ok("leaves")), Server::start(|_| ok("stays")));
+    let (_fleet, sidecar) = lone(&[&leaves, &stays]);
+    assert_eq!(sidecar.heartbeat("i-0", "bays", leaves.address, "draining", 2), 200);
+    // A late heartbeat from before changes nothing.
+    assert_eq!(sidecar.heartbeat("i-0", "bays", leaves.address, "ready", 1), 200);
+    for _ in 0..6 {
+        assert!(sidecar.exchange(&request("/look/1", "", "")).ends_with("stays"));
+    }
+    assert!(leaves.seen().is_empty());
+}
+
+#[test]
+fn without_a_configuration_requests_are_refused_and_never_denied() {
+    let fleet = Fleet::new(PROGRAM, 1);
+    let sidecar = fleet.start_all().remove(0);
+    assert!(!sidecar.is_ready());
+    let answer = sidecar.exchange(&request("/open/1", "", ""));
+    assert_eq!(status(&answer), 503, "{answer}");
+    assert_eq!(sidecar.control("GET", "/config", "", "").map(|a| a.status()), Some(404));
+}
+
+#[test]
+fn faulty_orders_are_refused_with_their_place_and_stale_ones_with_the_version() {
+    let endpoint = Server::start(|_| ok("x"));
+    let (_fleet, sidecar) = lone(&[&endpoint]);
+    let mut faulty = configuration(5);
+    faulty["routes"][1]["backend"] = json!("nobody");
+    let answer = sidecar.control("PUT", "/config", "If-Match: 3\r\n", &faulty.to_string()).unwrap();
+    assert_eq!(answer.status(), 400);
+    let text = String::from_utf8(answer.body).unwrap();
+    assert!(text.contains("routes[1].backend") && text.contains("nobody"), "{text}");
+    assert_eq!(sidecar.put(0, &configuration(5)), 412);
+    assert_eq!(sidecar.put(3, &configuration(2)), 400);
+    assert_eq!(
+        sidecar.control("PUT", "/config", "If-Match: 3\r\n", "{\"generation\": 4").unwrap().status(),
+        400
+    );
+    // The order that was taken is acknowledged again, also after another one.
+    assert_eq!(sidecar.put(0, &configuration(3)), 200);
+    assert_eq!(sidecar.put(3, &configuration(6)), 200);
+    assert_eq!(sidecar.put(0, &configuration(3)), 200);
+}
+
+#[test]
+fn three_sidecars_keep_the_configuration_through_the_death_of_the_primary() {
+    let fleet = Fleet::new(PROGRAM, 3);
+    let mut sidecars = fleet.start_all();
+    let put_anywhere = |sidecars: &[Sidecar], base: u64, generation: u64| {
+        until("the order is taken", || {
+            sidecars.iter().any(|s| s.put(base, &configuration(generation)) == 200)
+        });
+    };
+    put_anywhere(&sidecars, 0, 3);
+    until("all have it", || sidecars.iter().all(|s| s.status()["generation"] == json!(3)));
+    let leader = sidecars.iter().position(|s| s.status()["leads"] == json!(true)).unwrap();
+    let dead = sidecars.remove(leader);
+    dead.signal("KILL");
+    drop(dead);
+    put_anywhere(&sidecars, 3, 8);
+    let machine = u8::try_from(leader + 1).unwrap();
+    let back = fleet.start(machine, false);
+    until("the one that was dead has it", || back.status()["generation"] == json!(8));
+}
+
+#[test]
+fn a_planned_end_lets_a_stream_finish_and_says_at_once_that_it_is_not_ready() {
+    let endpoint = Server::start(|_| {
+        std::thread::sleep(Duration::from_millis(700));
+        ok("late but whole")
+    });
+    let (_fleet, mut sidecar) = lone(&[&endpoint]);
+    let mut client = sidecar.client();
+    client.write_all(&request("/look/1", "", "")).unwrap();
+    until("the endpoint has it", || !endpoint.seen().is_empty());
+    sidecar.signal("TERM");
+    until("it isn't ready", || !sidecar.is_ready());
+    assert!(read_all(&mut client).ends_with("late but whole"));
+    assert!(sidecar.ended_well());
+}
--- /dev/null
+++ b/crates/standin/src/fleet.rs
@@ -0,0 +1,200 @@
+//! Processes of the router fleet on loopback: each fleet has addresses of its own, one for each machine.
+
+use crate::{until, Message};
+use serde_json::{json, Value};
+use std::io::{BufRead, BufReader, Read, Write};
+use std::net::{Shutdown, SocketAddr, TcpStream};
+use std::path::PathBuf;
+use std::process::{Child, Command, Stdio};
+use std::sync::atomic::{AtomicU8, Ordering};
+use std::sync::{Arc, Mutex};
+use std::thread;
+use std::time::Duration;
+
+const FRONT: u16 = 8_662;
+const READINESS: u16 = 8_663;
+const CONTROL: u16 = 8_665;
+const INTERNAL: u16 = 7_680;
+/// A client waits so long for bytes.
+const READ_WITHIN: Duration = Duration::from_secs(20);
+
+static FLEETS: AtomicU8 = AtomicU8::new(1);
+
+/// A fleet's addresses and files.
+pub struct Fleet {
+    program: &'static str,
+    folder: PathBuf,
+    network: String,
+    machines: u8,
+}
+
+impl Fleet {
+    /// A fleet of so many machines; none runs yet.
+    pub fn new(program: &'static str, machines: u8) -> Self {
+        let number = FLEETS.fetch_add(1, Ordering::SeqCst);
+        let id = std::process::id();
+        let network = format!("127.{}.{}", 1 + id % 250, number);
+        let folder = std::env::temp_dir().join(format!("passrelay-fleet-{id}-{number}"));
+        std::fs::create_dir_all(&folder).expect("a folder for the fleet");
+        Fleet { program, folder, network, machines }
+    }
+
+    /// Starts one machine's process, machines counted from 1. All count and have a disk.
+    pub fn start(&self, machine: u8, bootstrap: bool) -> Sidecar {
+        let ip = format!("{}.{machine}", self.network);
+        let seeds: Vec<String> =
+            (1..=self.machines.min(3)).map(|m| format!("{}.{m}:{CONTROL}", self.network)).collect();
+        let tolerated = (self.machines - 1) / 2;
+        let settings = [
+            format!("node-name=node-{machine}"),
+            format!("ip={ip}"),
+            "zone=here".to_owned(),
+            format!("listen.front={ip}:{FRONT}"),
+            format!("listen.readiness={ip}:{READINESS}"),
+            format!("listen.control={ip}:{CONTROL}"),
+            format!("internal-ports={INTERNAL},{}", INTERNAL + 15),
+            format!("seeds={}", seeds.join(",")),
+            format!("bootstrap={bootstrap}"),
+            "counts-for-quorum=true".to_owned(),
+            format!("data-dir={}", self.folder.join(format!("data-{machine}")).display()),
+            format!("fault-tolerance.machines={tolerated}"),
+            "heartbeat-ms=1200".to_owned(),
+            "bounds.strict-revocation=true".to_owned(),
+            "bounds.grace-s=4".to_owned(),
+            "bounds.quota-slack=1000".to_owned(),
+        ];
+        let path = self.folder.join(format!("node-{machine}.conf"));
+        std::fs::write(&path, settings.join("\n")).expect("the settings are written");
+        let mut child = Command::new(self.program)
+            .arg("node")
+            .env("PASSRELAY_CONFIG", &path)
+            .stderr(Stdio::piped())
+            .spawn()
+            .expect("the program starts");
+        let log = Arc::new(Mutex::new(Vec::new()));
+        let lines = BufReader::new(child.stderr.take().expect("its log"));
+        let kept = log.clone();
+        thread::spawn(move || lines.lines().map_while(Result::ok).for_each(|l| kept.lock().unwrap().push(l)));
+        Sidecar { child, ip, log }
+    }
+
+    /// Starts all machines for the first time and waits until one leads.
+    pub fn start_all(&self) -> Vec<Sidecar> {
+        let sidecars: Vec<Sidecar> = (1..=self.machines).map(|m| self.start(m, true)).collect();
+        until("a primary leads", || sidecars.iter().any(|s| s.status()["leads"] == json!(true)));
+        sidecars
+    }
+}
+
+impl Drop for Fleet {
+    fn drop(&mut self) {
+        let _ = std::fs::remove_dir_all(&self.folder);
+    }
+}
+
+/// One process of a fleet.
+pub struct Sidecar {
+    child: Child,
+    ip: String,
+    log: Arc<Mutex<Vec<String>>>,
+}
+
+impl Sidecar {
+    /// Its log so far.
+    pub fn log(&self) -> Vec<String> {
+        self.log.lock().unwrap().clone()
+    }
+
+    /// A new connection to a port of it.
+    fn connect(&self, port: u16) -> Option<TcpStream> {
+        let address: SocketAddr = format!("{}:{port}", self.ip).parse().ok()?;
+        let stream = TcpStream::connect_timeout(&address, Duration::from_secs(2)).ok()?;
+        stream.set_read_timeout(Some(READ_WITHIN)).ok()?;
+        stream.set_nodelay(true).ok()?;
+        Some(stream)
+    }
+
+    /// A connection like a client's.
+    pub fn client(&self) -> TcpStream {
+        self.connect(FRONT).expect("the clients' port is open")
+    }
+
+    /// Writes bytes as a client and reads everything up to the end of the connection.
+    pub fn exchange(&self, bytes: &[u8]) -> String {
+        let mut stream = self.client();
+        // The other side may end while it is still being written to.
+        let _ = stream.write_all(bytes);
+        read_all(&mut stream)
+    }
+
+    /// A call to its control port.
+    pub fn control(&self, method: &str, path: &str, headers: &str, body: &str) -> Option<Message> {
+        let mut stream = self.connect(CONTROL)?;
+        let length = body.len();
+        let head =
+            format!("{method} {path} HTTP/1.1\r\nHost: c\r\n{headers}Content-Length: {length}\r\n\r\n{body}");
+        stream.write_all(head.as_bytes()).ok()?;
+        Message::read(&mut BufReader::new(stream))
+    }
+
+    /// What it says of itself; null while it doesn't.
+    pub fn status(&self) -> Value {
+        let answer = self.control("GET", "/status", "", "");
+        answer.and_then(|a| serde_json::from_slice(&a.body).ok()).unwrap_or(Value::Null)
+    }
+
+    /// Sends a whole configuration; the status of the answer, 0 for none.
+    pub fn put(&self, base: u64, configuration: &Value) -> u16 {
+        let headers = format!("If-Match: {base}\r\n");
+        self.control("PUT", "/config", &headers, &configuration.to_string()).map_or(0, |a| a.status())
+    }
+
+    /// Sends an endpoint's heartbeat; the status of the answer, 0 for none.
+    pub fn heartbeat(&self, id: &str, service: &str, address: SocketAddr, state: &str, sequence: u64) -> u16 {
+        let body = json!({ "backend": service, "address": address.to_string(), "zone": "here", "capacity": 8,
+            "state": state, "sequence": sequence });
+        let path = format!("/instances/{id}");
+        self.control("PUT", &path, "", &body.to_string()).map_or(0, |a| a.status())
+    }
+
+    /// Whether clients may come.
+    pub fn is_ready(&self) -> bool {
+        let Some(mut stream) = self.connect(READINESS) else { return false };
+        let asked = stream.write_all(b"GET /ready HTTP/1.1\r\nHost: r\r\n\r\n");
+        asked.is_ok() && Message::read(&mut BufReader::new(stream)).is_some_and(|a| a.status() == 200)
+    }
+
+    /// Waits until clients may come.
+    pub fn until_ready(&self) {
+        until("it is ready", || self.is_ready());
+    }
+
+    /// Sends a signal by its name without SIG.
+    pub fn signal(&self, name: &str) {
+        let sent = Command::new("kill").args([&format!("-{name}"), &self.child.id().to_string()]).status();
+        assert!(sent.is_ok_and(|s| s.success()));
+    }
+
+    /// Waits for its end; true if it ended well.
+    pub fn ended_well(&mut self) -> bool {
+        self.child.wait().is_ok_and(|status| status.success())
+    }
+}
+
+impl Drop for Sidecar {
+    fn drop(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+        if thread::panicking() {
+            eprintln!("log of {}:\n{}", self.ip, self.log().join("\n"));
+        }
+    }
+}
+
+/// Everything that still comes.
+pub fn read_all(stream: &mut TcpStream) -> String {
+    let mut bytes = Vec::new();
+    let _ = stream.read_to_end(&mut bytes);
+    let _ = stream.shutdown(Shutdown::Both);
+    String::from_utf8_lossy(&bytes).into_owned()
+}
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -1,5 +1,7 @@
 //! The real program as a process, with nodes, discovery and callers round it, all on loopback.
 
+pub mod fleet;
+
 use serde_json::{json, Value};
 use socket2::SockRef;
 use std::io::{BufRead, BufReader, ErrorKind, Read, Write};
