Change many items by name in linear time; pack large frames; give large states time

Change: names are looked up; frames over 1,300 bytes are LZ4-packed; resends and the in-sync check allow for the state's size.

--- a/crates/configuration/src/patch.rs
+++ b/crates/configuration/src/patch.rs
@@ -3,7 +3,7 @@
 use crate::reader::{Fault, FaultKind, Faults, Reader};
 use serde_json::{Map, Value};
 use std::cell::RefCell;
-use std::collections::HashSet;
+use std::collections::{HashMap, HashSet};
 
 /// The lists whose items a change may name.
 const LISTS: [&str; 3] = ["routes", "services", "tenants"];
@@ -78,13 +78,21 @@
         Some(Value::Array(items)) => items,
         _ => Vec::new(),
     };
-    let name_of = |item: &Value| item.get("name").and_then(Value::as_str).map(str::to_owned);
-    items.retain(|item| name_of(item).is_none_or(|name| !removed.contains(&name)));
+    items.retain(|item| name_of(item).is_none_or(|name| !removed.contains(name)));
+    let places: HashMap<String, usize> = items
+        .iter()
+        .enumerate()
+        .filter_map(|(place, item)| Some((name_of(item)?.to_owned(), place)))
+        .collect();
     for (name, value) in upserts {
-        match items.iter_mut().find(|item| name_of(item).as_deref() == Some(&name)) {
-            Some(item) => *item = value,
+        match places.get(&name) {
+            Some(place) => items[*place] = value,
             None => items.push(value),
         }
     }
     document.insert(list.to_owned(), Value::Array(items));
 }
+
+fn name_of(item: &Value) -> Option<&str> {
+    item.get("name").and_then(Value::as_str)
+}
--- a/crates/configuration/tests/faults.rs
+++ b/crates/configuration/tests/faults.rs
@@ -97,3 +97,24 @@
     let faults = apply_patch(&sound(), &change).unwrap_err();
     assert_eq!(faults.0[0].kind, FaultKind::ChangedAndRemoved("s".into()));
 }
+
+#[test]
+fn a_change_of_many_items_takes_time_in_proportion() {
+    let route = |n: usize, prefix: &str| {
+        json!({ "name": format!("r{n}"), "hostname": "h.example", "path-prefix": format!("/{prefix}{n}/"),
+            "timeout-ms": 1, "backend": "s" })
+    };
+    let time = |count: usize| {
+        let mut document = sound();
+        document["routes"] = (0..count).map(|n| route(n, "a")).collect();
+        let upserts: Vec<Value> = (0..count).map(|n| route(n + count / 2, "b")).collect();
+        let change = json!({ "generation": 6, "upsert": { "routes": upserts } });
+        let began = std::time::Instant::now();
+        let next = apply_patch(&document, &change).unwrap();
+        assert_eq!(next["routes"].as_array().unwrap().len(), count + count / 2);
+        began.elapsed()
+    };
+    let small = time(1_000).max(std::time::Duration::from_millis(1));
+    // Eight times the items; sixty-four times the time would be the square.
+    assert!(time(8_000) < small * 30);
+}
--- a/crates/control-plane/src/replication/leadership.rs
+++ b/crates/control-plane/src/replication/leadership.rs
@@ -281,7 +281,7 @@
             let has = self.synced.get(&member.id).copied().unwrap_or_default();
             let sent = self.sent.get(&member.id);
             let recently = sent.is_some_and(|(version, at)| {
-                *version >= state.version && now.saturating_sub(*at) < RESEND_AFTER
+                *version >= state.version && now.saturating_sub(*at) < RESEND_AFTER + state.hand_over_time()
             });
             if has < state.version && !recently {
                 self.send_state(now, *member, state, actions);
@@ -331,7 +331,8 @@
         if record.in_sync.len() <= self.min_in_sync {
             return None;
         }
-        let owed_since = self.newest.as_ref().map(|(state, at)| (state.version, *at));
+        let owed_since =
+            self.newest.as_ref().map(|(state, at)| (state.version, *at + state.hand_over_time()));
         let lags = |id: &MemberId| {
             let patience = if self.heard.contains_key(id) { OUT_OF_SYNC_AFTER } else { NEVER_HEARD };
             let silent = !self.was_heard_within(now, *id, patience);
--- a/crates/control-plane/src/replication/types.rs
+++ b/crates/control-plane/src/replication/types.rs
@@ -9,6 +9,9 @@
 /// Taken orders that are remembered, so that the same one sent again is acknowledged again.
 const REMEMBERED_ORDERS: usize = 512;
 
+/// Time allowed for handing a state over, by its size.
+const MICROS_PER_KILOBYTE: u64 = 1_500;
+
 /// A member of the core. Drawn when its disk is first used, so a machine whose disk was lost is another member.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 pub struct MemberId(pub u64);
@@ -103,6 +106,12 @@
 }
 
 impl ReplicatedState {
+    /// About the time that handing it over may take on a slow link, in addition to what a small one takes.
+    pub fn hand_over_time(&self) -> Duration {
+        let bytes = self.document.as_ref().map_or(0, |d| d.len());
+        Duration::from_micros(u64::try_from(bytes).unwrap_or(u64::MAX) * MICROS_PER_KILOBYTE / 1_024)
+    }
+
     /// The state that follows by one more order.
     pub fn after(&self, term: u64, generation: u64, document: Arc<str>, order: TakenOrder) -> Self {
         let mut orders = self.orders.clone();
--- a/crates/dissemination/src/gossip.rs
+++ b/crates/dissemination/src/gossip.rs
@@ -30,7 +30,7 @@
 /// With fewer known peers than this, seeds are asked too.
 const FEW_PEERS: usize = 3;
 /// How long an asked sidecar has for handing over the configuration before another is asked.
-const FETCH_PATIENCE: Duration = Duration::from_millis(250);
+const FETCH_PATIENCE: Duration = Duration::from_millis(500);
 
 /// A configuration that the core has committed. The same index always holds the same document.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
--- a/crates/node/src/transport.rs
+++ b/crates/node/src/transport.rs
@@ -1,5 +1,5 @@
-//! Messages between sidecars: small ones as datagrams, large ones over a connection of their own. Either may be lost;
-//! whoever needs an answer asks again.
+//! Messages between sidecars: small ones as datagrams, large ones packed (LZ4) over a connection of their own. Either
+//! may be lost; whoever needs an answer asks again.
 
 use passrelay_control_plane::Message;
 use serde::{Deserialize, Serialize};
@@ -14,7 +14,7 @@
 const VERSION: u16 = 1;
 /// Frames up to this size go as datagrams.
 const DATAGRAM_BYTES: usize = 1_300;
-/// Frames over this size are refused.
+/// Frames over this size, packed or not, are refused.
 const FRAME_BYTES: usize = 24 << 20;
 /// Bytes of a frame's length.
 const LENGTH_BYTES: usize = 4;
@@ -73,7 +73,7 @@
             let send = self.datagrams.send_to(&bytes, to);
             let _ = smol::future::block_on(smol::future::poll_once(send));
         } else {
-            executor.spawn(hand_over(to, bytes)).detach();
+            executor.spawn(hand_over(to, lz4_flex::compress_prepend_size(&bytes))).detach();
         }
     }
 
@@ -117,7 +117,7 @@
         }
         let mut bytes = Vec::new();
         (&mut stream).take(length as u64).read_to_end(&mut bytes).await?;
-        decode(&bytes)
+        decode(&unpack(&bytes)?)
     };
     let timeout = async {
         Timer::after(HAND_OVER).await;
@@ -132,6 +132,14 @@
     }
 }
 
+fn unpack(bytes: &[u8]) -> Result<Vec<u8>, FrameError> {
+    let told = bytes.first_chunk::<LENGTH_BYTES>().map_or(0, |l| u32::from_le_bytes(*l) as usize);
+    if told > FRAME_BYTES {
+        return Err(FrameError::TooLong(told));
+    }
+    lz4_flex::decompress_size_prepended(bytes).map_err(|e| FrameError::Unreadable(e.to_string()))
+}
+
 fn decode(bytes: &[u8]) -> Result<(SocketAddrV4, Message), FrameError> {
     let frame: Frame = ciborium::from_reader(bytes).map_err(|e| FrameError::Unreadable(e.to_string()))?;
     if frame.version != VERSION {
--- a/crates/passrelay/tests/fleet.rs
+++ b/crates/passrelay/tests/fleet.rs
@@ -276,3 +276,31 @@
     assert!(read_all(&mut client).ends_with("late but whole"));
     assert!(sidecar.ended_well());
 }
+
+#[test]
+fn a_configuration_of_many_routes_is_taken_and_reaches_everyone() {
+    let fleet = Fleet::new(PROGRAM, 3);
+    let sidecars = fleet.start_all();
+    until("the first order is taken", || sidecars[0].put(0, &configuration(3)) == 200);
+    let mut large = configuration(7);
+    let routes = large["routes"].as_array_mut().unwrap();
+    let template = routes[0].clone();
+    for n in 0..2_000 {
+        let mut route = template.clone();
+        route["name"] = json!(format!("more-{n}"));
+        route["path-prefix"] = json!(format!("/more-{n}/"));
+        routes.push(route);
+    }
+    for sidecar in &sidecars {
+        until("the large order is taken", || sidecar.put(3, &large) == 200);
+    }
+    until("all have it", || sidecars.iter().all(|s| s.status()["generation"] == json!(7)));
+    let change = json!({ "generation": 9, "remove": { "routes": ["more-1", "more-1999"] } });
+    let headers = "If-Match: 7\r\n";
+    let patched =
+        || sidecars[2].control("PATCH", "/config", headers, &change.to_string()).map_or(0, |a| a.status());
+    until("the change is taken", || patched() == 200);
+    let read = sidecars[1].control("GET", "/config", "", "").unwrap();
+    let read: Value = serde_json::from_slice(&read.body).unwrap();
+    assert_eq!(read["routes"].as_array().unwrap().len(), 2_002);
+}
