--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -6,6 +6,7 @@
 mod control_api;
 mod front;
 mod node;
+pub mod operator;
 mod proxy;
 mod relay_body;
 mod settings;
--- a/crates/passrelay/src/cli.rs
+++ b/crates/passrelay/src/cli.rs
@@ -1,6 +1,6 @@
 //! The command line: a word for what to do, `run` if there is none.
 
-use crate::{fleet, lease};
+use crate::{config, fleet, lease};
 use clap::{Parser, Subcommand, ValueEnum};
 use passrelay_links::plan::Plan;
 use passrelay_links::resident::Resident;
@@ -28,6 +28,15 @@
     Run,
     /// Serves as one process of the router fleet: PASSRELAY_CONFIG names the file with its settings.
     Node,
+    /// The configuration of a router fleet.
+    #[command(subcommand)]
+    Config(config::Command),
+    /// Prints what a sidecar knows of its router fleet, as JSON.
+    Status {
+        /// Control address of the sidecar.
+        #[arg(long, value_name = "ADDRESS")]
+        at: std::net::SocketAddr,
+    },
     /// Prints the version.
     Version,
     /// Votes on the fleet's leases until SIGTERM. Exit code 1 where the disk or the address can't be used.
@@ -75,6 +84,8 @@
     let done = match command {
         Command::Run => run().map(|()| ExitCode::SUCCESS),
         Command::Node => node().map(|()| ExitCode::SUCCESS),
+        Command::Config(command) => config::run(command),
+        Command::Status { at } => config::status(at),
         Command::Version => {
             println!("passrelay {}", env!("CARGO_PKG_VERSION"));
             Ok(ExitCode::SUCCESS)
--- a/crates/passrelay/src/main.rs
+++ b/crates/passrelay/src/main.rs
@@ -1,6 +1,7 @@
 //! One sidecar. Its settings come from the environment and the file that it names.
 
 mod cli;
+mod config;
 mod fleet;
 mod lease;
 
--- a/crates/passrelay/tests/fleet.rs
+++ b/crates/passrelay/tests/fleet.rs
@@ -304,3 +304,35 @@
     let read: Value = serde_json::from_slice(&read.body).unwrap();
     assert_eq!(read["routes"].as_array().unwrap().len(), 2_002);
 }
+
+fn run(words: &[&str]) -> (Option<i32>, String) {
+    let done = std::process::Command::new(PROGRAM).args(words).output().unwrap();
+    (done.status.code(), String::from_utf8_lossy(&done.stdout).into_owned())
+}
+
+#[test]
+fn the_command_line_checks_puts_and_reads_configurations() {
+    let fleet = Fleet::new(PROGRAM, 1);
+    let sidecar = fleet.start_all().remove(0);
+    let at = sidecar.control_address().to_string();
+    let file = fleet.file("configuration.json", &configuration(3).to_string());
+    assert_eq!(run(&["config", "check", &file]).0, Some(0));
+    let mut faulty = configuration(4);
+    faulty["routes"][0]["timeout-ms"] = json!(0);
+    faulty["routes"][1]["backend"] = json!("nobody");
+    let bad = fleet.file("faulty.json", &faulty.to_string());
+    let (code, text) = run(&["config", "check", &bad]);
+    assert_eq!(code, Some(3));
+    assert!(text.contains("routes[0].timeout-ms") && text.contains("routes[1].backend"), "{text}");
+    assert_eq!(run(&["config", "put", &file, "--base", "0", "--at", &at]).0, Some(0));
+    assert_eq!(run(&["config", "put", &bad, "--base", "3", "--at", &at]).0, Some(3));
+    let (code, text) = run(&["config", "get", "--at", &at]);
+    assert_eq!(code, Some(0));
+    assert_eq!(serde_json::from_str::<Value>(&text).unwrap()["generation"], json!(3));
+    let (code, text) = run(&["status", "--at", &at]);
+    assert_eq!(code, Some(0));
+    assert_eq!(serde_json::from_str::<Value>(&text).unwrap()["leads"], json!(true));
+    for words in [&["config", "--help"][..], &["status", "--help"], &["node", "--help"]] {
+        assert_eq!(run(words).0, Some(0));
+    }
+}
--- a/crates/standin/src/fleet.rs
+++ b/crates/standin/src/fleet.rs
@@ -78,6 +78,13 @@
         Sidecar { child, ip, log }
     }
 
+    /// Writes a file beside the fleet's; returns its path.
+    pub fn file(&self, name: &str, text: &str) -> String {
+        let path = self.folder.join(name);
+        std::fs::write(&path, text).expect("the file is written");
+        path.display().to_string()
+    }
+
     /// Starts all machines for the first time and waits until one leads.
     pub fn start_all(&self) -> Vec<Sidecar> {
         let sidecars: Vec<Sidecar> = (1..=self.machines).map(|m| self.start(m, true)).collect();
@@ -105,6 +112,11 @@
         self.log.lock().unwrap().clone()
     }
 
+    /// Where operators call.
+    pub fn control_address(&self) -> SocketAddr {
+        format!("{}:{CONTROL}", self.ip).parse().expect("an address")
+    }
+
     /// A new connection to a port of it.
     fn connect(&self, port: u16) -> Option<TcpStream> {
         let address: SocketAddr = format!("{}:{port}", self.ip).parse().ok()?;
