--- a/crates/control-plane/src/replication/replica.rs
+++ b/crates/control-plane/src/replication/replica.rs
@@ -402,11 +402,7 @@
                 message: ReplicationMessage::PreVoteGranted { term },
             });
         } else if term <= self.witness.promised {
-            let promised = self.witness.promised;
-            actions.push(ReplicaAction::Send {
-                to: from.address,
-                message: ReplicationMessage::Refused { promised },
-            });
+            self.refuse(from, actions);
         }
     }
 
@@ -454,11 +450,7 @@
     ) {
         let again = term == self.witness.promised && self.witness.promised_to == Some(candidate);
         if term <= self.witness.promised && !again {
-            let promised = self.witness.promised;
-            actions.push(ReplicaAction::Send {
-                to: from.address,
-                message: ReplicationMessage::Refused { promised },
-            });
+            self.refuse(from, actions);
             return;
         }
         self.witness.promised = term;
@@ -572,11 +564,7 @@
         actions: &mut Vec<ReplicaAction>,
     ) {
         if record.term < self.witness.promised {
-            let promised = self.witness.promised;
-            actions.push(ReplicaAction::Send {
-                to: from.address,
-                message: ReplicationMessage::Refused { promised },
-            });
+            self.refuse(from, actions);
             return;
         }
         let position = record.position();
@@ -611,11 +599,7 @@
         actions: &mut Vec<ReplicaAction>,
     ) {
         if term < self.witness.promised {
-            let promised = self.witness.promised;
-            actions.push(ReplicaAction::Send {
-                to: from.address,
-                message: ReplicationMessage::Refused { promised },
-            });
+            self.refuse(from, actions);
             return;
         }
         self.follow(now);
@@ -634,11 +618,7 @@
         actions: &mut Vec<ReplicaAction>,
     ) {
         if term < self.witness.promised || state.version.term != term {
-            let promised = self.witness.promised;
-            actions.push(ReplicaAction::Send {
-                to: from.address,
-                message: ReplicationMessage::Refused { promised },
-            });
+            self.refuse(from, actions);
             return;
         }
         self.follow(now);
@@ -662,6 +642,12 @@
         self.write(now, write, vec![(from.address, reply)], actions);
     }
 
+    /// Something of a lower term than promised came.
+    fn refuse(&self, from: Member, actions: &mut Vec<ReplicaAction>) {
+        let message = ReplicationMessage::Refused { promised: self.witness.promised };
+        actions.push(ReplicaAction::Send { to: from.address, message });
+    }
+
     /// A primary of the promised term or a later one was heard.
     fn follow(&mut self, now: Duration) {
         self.heard_primary = now;
--- a/crates/node/src/control_api.rs
+++ b/crates/node/src/control_api.rs
@@ -1,6 +1,7 @@
 //! What endpoints and operators call: heartbeats, the configuration, the status; and readiness.
 
 use crate::answers::{json, Body};
+use crate::listener::accept_all;
 use crate::node::Node;
 use http_body_util::{BodyExt, Limited};
 use hyper::body::Incoming;
@@ -33,24 +34,11 @@
     };
     for address in readiness.into_iter().chain(control) {
         let listener = TcpListener::bind(SocketAddr::V4(address)).await?;
-        let accepting = node.clone();
-        node.executor.spawn(accept(accepting, listener)).detach();
+        node.executor.spawn(accept_all(node.clone(), listener, "control", serve)).detach();
     }
     Ok(())
 }
 
-async fn accept(node: Rc<Node>, listener: TcpListener) {
-    loop {
-        match listener.accept().await {
-            Ok((stream, _)) => node.executor.spawn(serve(node.clone(), stream)).detach(),
-            Err(e) => {
-                log::warn!("event=accept_failed listener=control problem=\"{e}\"");
-                Timer::after(Duration::from_millis(50)).await;
-            }
-        }
-    }
-}
-
 async fn serve(node: Rc<Node>, stream: TcpStream) {
     let _ = stream.set_nodelay(true);
     let handler = service_fn(move |request| {
--- a/crates/node/src/front.rs
+++ b/crates/node/src/front.rs
@@ -2,6 +2,7 @@
 
 use crate::answers::{Body, BodyError};
 use crate::client_connections::{ClientConnection, Order};
+use crate::listener::accept_all;
 use crate::node::Node;
 use crate::proxy;
 use bytes::Bytes;
@@ -35,23 +36,11 @@
     let address = node.settings.borrow().listen_front;
     let Some(address) = address else { return Ok(()) };
     let listener = TcpListener::bind(SocketAddr::V4(address)).await?;
-    node.executor.spawn(accept(node.clone(), listener)).detach();
+    node.executor.spawn(accept_all(node.clone(), listener, "front", serve)).detach();
     node.executor.spawn(sweep(node.clone())).detach();
     Ok(())
 }
 
-async fn accept(node: Rc<Node>, listener: TcpListener) {
-    loop {
-        match listener.accept().await {
-            Ok((stream, _)) => node.executor.spawn(serve(node.clone(), stream)).detach(),
-            Err(e) => {
-                log::warn!("event=accept_failed listener=front problem=\"{e}\"");
-                Timer::after(Duration::from_millis(50)).await;
-            }
-        }
-    }
-}
-
 async fn sweep(node: Rc<Node>) {
     loop {
         Timer::after(SWEEP_EVERY).await;
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -5,6 +5,7 @@
 mod client_connections;
 mod control_api;
 mod front;
+mod listener;
 mod node;
 pub mod operator;
 mod proxy;
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -489,32 +489,21 @@
             Timer::after(due.saturating_sub(now).max(Duration::from_millis(5))).await;
         }
     }));
+    every(node, |_| QUOTA_EVERY, Node::ask_for_quota);
+    every(node, |n| LOAD_EVERY + LOAD_EVERY_PER_SIDECAR * n.sidecars.get(), Node::tell_load);
+    every(node, |_| KEEP_EVERY, |n| n.keep_endpoints());
+    every(node, |_| STATUS_EVERY, |n| log::info!("event=status {}", n.status()));
+}
+
+/// Has something done again and again, after a pause that may change.
+fn every(node: &Rc<Node>, pause: impl Fn(&Node) -> Duration + 'static, act: impl Fn(&Rc<Node>) + 'static) {
     let n = node.clone();
-    spawn(Box::pin(async move {
-        loop {
-            Timer::after(QUOTA_EVERY).await;
-            n.ask_for_quota();
-        }
-    }));
-    let n = node.clone();
-    spawn(Box::pin(async move {
-        loop {
-            Timer::after(LOAD_EVERY + LOAD_EVERY_PER_SIDECAR * n.sidecars.get()).await;
-            n.tell_load();
-        }
-    }));
-    let n = node.clone();
-    spawn(Box::pin(async move {
-        loop {
-            Timer::after(KEEP_EVERY).await;
-            n.keep_endpoints();
-        }
-    }));
-    let n = node.clone();
-    spawn(Box::pin(async move {
-        loop {
-            Timer::after(STATUS_EVERY).await;
-            log::info!("event=status {}", n.status());
-        }
-    }));
+    node.executor
+        .spawn(async move {
+            loop {
+                Timer::after(pause(&n)).await;
+                act(&n);
+            }
+        })
+        .detach();
 }
