Find the keepers of a prompt once a pick; ask once whether the primary changed

Cause: each pick hashed every endpoint again for every candidate (in the square of the endpoints), and the answer to a call asked three times whether the term is still the one it was judged in. Change: the keepers are found once and give the tokens to be read too; one check before the cases. Behaviour is as before; the tests are unchanged and pass.

--- a/crates/control-plane/src/coordinator.rs
+++ b/crates/control-plane/src/coordinator.rs
@@ -627,32 +627,25 @@
     /// The answer to a judged call, once it may be given.
     fn finish(&self, step: &Step) -> Option<OperatorAnswer> {
         let replica = self.replica.as_ref()?;
+        let judged_in = match step {
+            Step::Open { .. } => return None,
+            Step::Commit { term, .. } | Step::Refuse { term, .. } | Step::Read { term, .. } => *term,
+        };
         let committed = replica.committed().filter(|_| replica.is_established());
-        let Some(committed) = committed else {
+        let Some(committed) = committed.filter(|c| c.version.term == judged_in) else {
             return Some(OperatorAnswer::unavailable("the primary changed, ask again"));
         };
-        let in_term = |term: u64| committed.version.term == term;
-        let done = |term: u64, index: u64| in_term(term) && committed.version.index >= index;
         match step {
             Step::Open { .. } => None,
-            Step::Commit { term, index, generation } => {
-                if !in_term(*term) {
-                    return Some(OperatorAnswer::unavailable("the primary changed, ask again"));
-                }
-                done(*term, *index).then(|| OperatorAnswer::acknowledged(*generation))
+            Step::Commit { index, generation, .. } => {
+                (committed.version.index >= *index).then(|| OperatorAnswer::acknowledged(*generation))
             }
-            Step::Refuse { term, index, judged_at, refusal } => {
-                if !in_term(*term) {
-                    return Some(OperatorAnswer::unavailable("the primary changed, ask again"));
-                }
+            Step::Refuse { index, judged_at, refusal, .. } => {
                 let confirmed = replica.confirmed_at() >= Some(*judged_at);
-                (done(*term, *index) && confirmed)
+                (committed.version.index >= *index && confirmed)
                     .then(|| OperatorAnswer::fault(refusal.status(), &refusal.to_string()))
             }
-            Step::Read { term, asked_at } => {
-                if !in_term(*term) {
-                    return Some(OperatorAnswer::unavailable("the primary changed, ask again"));
-                }
+            Step::Read { asked_at, .. } => {
                 (replica.confirmed_at() >= Some(*asked_at)).then(|| match &committed.document {
                     Some(document) => OperatorAnswer { status: 200, body: document.clone() },
                     None => OperatorAnswer::fault(404, "there is no configuration yet"),
--- a/crates/data-plane/src/balancer.rs
+++ b/crates/data-plane/src/balancer.rs
@@ -306,15 +306,11 @@
                 endpoint.refresh(now);
             }
         }
-        let chosen = match &request.prompt {
+        let (chosen, tokens_to_read) = match &request.prompt {
             Some(prompt) => self.pick_for_prompt(now, &ready, prompt, request.target),
-            None => self.pick_by_turn(&ready),
+            None => self.pick_by_turn(&ready).map(|id| (id, 0)),
         }?;
         let endpoint = self.endpoints.get(&chosen)?;
-        let tokens_to_read = request.prompt.as_ref().map_or(0, |prompt| {
-            let kept = self.keeps(now, &ready, prompt, &chosen);
-            prompt.input_tokens.saturating_sub(if kept { prompt.shared_tokens } else { 0 })
-        });
         Some(Pick { id: endpoint.id.clone(), address: endpoint.address, tokens_to_read })
     }
 
@@ -329,35 +325,36 @@
         self.turn(ready, weight)
     }
 
-    /// Whether an endpoint is taken to keep the shared parts of a prompt: it is their home, or was sent them lately.
-    fn keeps(&self, now: Duration, ready: &[Arc<str>], prompt: &Prompt, id: &Arc<str>) -> bool {
-        let Some(part) = prompt.shared_part else { return false };
+    /// The endpoints that are taken to keep the shared parts of a prompt: their home, and where they were sent lately.
+    fn keepers(&self, now: Duration, ready: &[Arc<str>], prompt: &Prompt) -> Vec<Arc<str>> {
+        let Some(part) = prompt.shared_part else { return Vec::new() };
         let home = ready.iter().max_by_key(|id| rendezvous(part, id));
-        let sent_lately = self.kept.get(&part).is_some_and(|places| {
-            places.iter().any(|(at, when)| at == id && now.saturating_sub(*when) < KEPT_FOR)
-        });
-        home == Some(id) || sent_lately
+        let places = self.kept.get(&part).into_iter().flatten();
+        let lately = places.filter(|(_, when)| now.saturating_sub(*when) < KEPT_FOR).map(|(at, _)| at);
+        home.into_iter().chain(lately).cloned().collect()
     }
 
-    /// Turns among the endpoints at which the prompt would be read soonest.
+    /// Turns among the endpoints at which the prompt would be read soonest; with the tokens to be read there.
     fn pick_for_prompt(
         &mut self,
         now: Duration,
         ready: &[Arc<str>],
         prompt: &Prompt,
         target: Duration,
-    ) -> Option<Arc<str>> {
+    ) -> Option<(Arc<str>, u64)> {
+        let keepers = self.keepers(now, ready, prompt);
         let read_again = target.as_secs_f64() / READ_AGAIN_PER.as_secs_f64();
         let cost = |id: &Arc<str>| {
             let ahead = self.endpoints[id].tokens_ahead(now, self.mean_tokens);
-            let kept = self.keeps(now, ready, prompt, id);
-            ahead + if kept { 0.0 } else { read_again * prompt.shared_tokens as f64 }
+            ahead + if keepers.contains(id) { 0.0 } else { read_again * prompt.shared_tokens as f64 }
         };
         let costs: Vec<f64> = ready.iter().map(cost).collect();
         let least = costs.iter().copied().fold(f64::INFINITY, f64::min);
         let near = ready.iter().zip(&costs).filter(|(_, cost)| **cost <= least + ALIKE_TOKENS);
         let soonest: Vec<Arc<str>> = near.map(|(id, _)| id.clone()).collect();
-        self.pick_by_turn(&soonest)
+        let chosen = self.pick_by_turn(&soonest)?;
+        let kept_tokens = if keepers.contains(&chosen) { prompt.shared_tokens } else { 0 };
+        Some((chosen, prompt.input_tokens.saturating_sub(kept_tokens)))
     }
 
     fn remember_part(&mut self, now: Duration, part: u64, id: &Arc<str>) {
