Tell endpoint loads in one type from balancer to primary; drop functions that nobody calls

Change: EndpointLoad lives in dissemination, which both planes see; its twin OutLoad and the copying between them are gone, as are six public functions without a caller. Behaviour and assertions are as before.

--- a/crates/control-plane/src/coordinator.rs
+++ b/crates/control-plane/src/coordinator.rs
@@ -1,7 +1,7 @@
 //! Everything that one process decides about the fleet: dissemination, replication where it counts, orders of the
 //! operators, quota grants. The program and the simulation drive the same coordinator.
 
-use crate::load::{EndpointLoad, LoadMessage, LoadSums};
+use crate::load::{LoadMessage, LoadSums};
 use crate::orders::{Order, Refusal, Verdict};
 use crate::quota::{Grantor, QuotaBounds, QuotaMessage};
 use crate::replication::{
@@ -10,8 +10,8 @@
 };
 use passrelay_configuration::{parse_document, Configuration};
 use passrelay_dissemination::{
-    CommittedConfiguration, CoreHint, EndpointRecord, EndpointState, Gossip, GossipAction, GossipMessage,
-    GossipSettings, Heartbeat,
+    CommittedConfiguration, CoreHint, EndpointLoad, EndpointRecord, EndpointState, Gossip, GossipAction,
+    GossipMessage, GossipSettings, Heartbeat,
 };
 use serde::{Deserialize, Serialize};
 use std::net::SocketAddrV4;
--- a/crates/control-plane/src/load.rs
+++ b/crates/control-plane/src/load.rs
@@ -2,6 +2,7 @@
 //!
 //! Sums are a help for placing requests, nothing rests on them: they may be late, or missing while no primary leads.
 
+use passrelay_dissemination::EndpointLoad;
 use serde::{Deserialize, Serialize};
 use std::collections::BTreeMap;
 use std::net::SocketAddrV4;
@@ -12,17 +13,6 @@
 /// Sums are made anew after this, so that many sidecars cost little.
 const SUMS_LAST: Duration = Duration::from_millis(15);
 
-/// What is out at one endpoint.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct EndpointLoad {
-    /// Names the endpoint: a hash of its id.
-    pub endpoint: u64,
-    /// Prompt tokens of requests that have no answer yet.
-    pub unread_tokens: u32,
-    /// Requests out.
-    pub in_flight: u32,
-}
-
 /// Messages between sidecars and the primary.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum LoadMessage {
--- a/crates/control-plane/src/replication/replica.rs
+++ b/crates/control-plane/src/replication/replica.rs
@@ -82,16 +82,6 @@
         replica
     }
 
-    /// The record that this member goes by.
-    pub fn record(&self) -> Option<&EpochRecord> {
-        self.witness.record.as_ref()
-    }
-
-    /// The term that it has promised.
-    pub fn promised(&self) -> u64 {
-        self.witness.promised
-    }
-
     /// This member's identity and address.
     pub fn own(&self) -> Member {
         self.settings.own
--- a/crates/data-plane/src/balancer.rs
+++ b/crates/data-plane/src/balancer.rs
@@ -6,7 +6,7 @@
 
 use crate::prompt::Prompt;
 use passrelay_core::turns::{take_turn, Candidate};
-use passrelay_dissemination::{EndpointRecord, EndpointState};
+use passrelay_dissemination::{EndpointLoad, EndpointRecord, EndpointState};
 use rustc_hash::FxHasher;
 use std::collections::{BTreeMap, HashMap};
 use std::hash::{Hash, Hasher};
@@ -66,17 +66,6 @@
     }
 }
 
-/// What is out at one endpoint.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct OutLoad {
-    /// Names the endpoint.
-    pub endpoint: u64,
-    /// Prompt tokens of requests that have no answer yet.
-    pub unread_tokens: u32,
-    /// Requests out.
-    pub in_flight: u32,
-}
-
 /// How a call to an endpoint ended, as far as placing the next one goes.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum CallEnd {
@@ -136,7 +125,7 @@
     /// Prompt tokens of own calls that have no answer yet.
     unread_tokens: f64,
     /// What other sidecars have out here, and when that was known.
-    others: Option<(OutLoad, Duration)>,
+    others: Option<(EndpointLoad, Duration)>,
     failures: u32,
     paused_until: Duration,
 }
@@ -167,14 +156,14 @@
         }
     }
 
-    fn others(&self, now: Duration) -> Option<OutLoad> {
+    fn others(&self, now: Duration) -> Option<EndpointLoad> {
         let (load, at) = self.others?;
         (now.saturating_sub(at) < SUMS_LAST).then_some(load)
     }
 
-    fn own_load(&self) -> OutLoad {
+    fn own_load(&self) -> EndpointLoad {
         let unread_tokens = self.unread_tokens as u32;
-        OutLoad { endpoint: key_of(&self.id), unread_tokens, in_flight: self.in_flight }
+        EndpointLoad { endpoint: key_of(&self.id), unread_tokens, in_flight: self.in_flight }
     }
 
     /// Parts of its slots that are taken: the last report, corrected by what was sent and ended here since, fading
@@ -389,18 +378,19 @@
     }
 
     /// What this sidecar has out, by endpoint.
-    pub fn own_loads(&self) -> Vec<OutLoad> {
+    pub fn own_loads(&self) -> Vec<EndpointLoad> {
         self.endpoints.values().filter(|e| e.in_flight > 0).map(Endpoint::own_load).collect()
     }
 
     /// Takes in what all sidecars have out, this one with what it told among them.
-    pub fn learn_sums(&mut self, now: Duration, told: &[OutLoad], sums: &HashMap<u64, OutLoad>) {
+    pub fn learn_sums(&mut self, now: Duration, told: &[EndpointLoad], sums: &HashMap<u64, EndpointLoad>) {
         for endpoint in self.endpoints.values_mut() {
             let key = key_of(&endpoint.id);
             let own = told.iter().find(|l| l.endpoint == key);
             let sum = sums.get(&key);
-            let rest = |part: fn(&OutLoad) -> u32| sum.map_or(0, part).saturating_sub(own.map_or(0, part));
-            let others = OutLoad {
+            let rest =
+                |part: fn(&EndpointLoad) -> u32| sum.map_or(0, part).saturating_sub(own.map_or(0, part));
+            let others = EndpointLoad {
                 endpoint: key,
                 unread_tokens: rest(|l| l.unread_tokens),
                 in_flight: rest(|l| l.in_flight),
--- a/crates/data-plane/src/routing.rs
+++ b/crates/data-plane/src/routing.rs
@@ -1,6 +1,6 @@
 //! The routing table: an immutable snapshot of one configuration, swapped whole.
 
-use passrelay_configuration::{Configuration, Limits, Route, Service, Tenant};
+use passrelay_configuration::{Configuration, Limits, Route, Tenant};
 use std::collections::HashMap;
 
 /// Highest value of the `Priority` header.
@@ -63,21 +63,11 @@
         RoutingTable { configuration, routes, tenants }
     }
 
-    /// The operators' version number.
-    pub fn generation(&self) -> u64 {
-        self.configuration.generation
-    }
-
     /// Bounds on clients.
     pub fn limits(&self) -> &Limits {
         &self.configuration.limits
     }
 
-    /// All services.
-    pub fn services(&self) -> &[Service] {
-        &self.configuration.services
-    }
-
     /// All tenants.
     pub fn tenants(&self) -> &[Tenant] {
         &self.configuration.tenants
--- a/crates/data-plane/tests/balancer.rs
+++ b/crates/data-plane/tests/balancer.rs
@@ -1,8 +1,8 @@
 //! Where requests go: turns by factors, kept prompt parts, silent and failing endpoints.
 
-use passrelay_data_plane::balancer::{Balancer, CallEnd, LoadReport, OutLoad, Pick, PickRequest};
+use passrelay_data_plane::balancer::{Balancer, CallEnd, LoadReport, Pick, PickRequest};
 use passrelay_data_plane::prompt::Prompt;
-use passrelay_dissemination::{EndpointRecord, EndpointState};
+use passrelay_dissemination::{EndpointLoad, EndpointRecord, EndpointState};
 use rstest::rstest;
 use std::collections::{HashMap, HashSet};
 use std::time::Duration;
@@ -109,7 +109,7 @@
     balancer.sent(ms(0), &home, Some(&prompt(7)));
     let told = balancer.own_loads();
     let key = told[0].endpoint;
-    let sums = HashMap::from([(key, OutLoad { endpoint: key, unread_tokens: 500_000, in_flight: 40 })]);
+    let sums = HashMap::from([(key, EndpointLoad { endpoint: key, unread_tokens: 500_000, in_flight: 40 })]);
     balancer.learn_sums(ms(10), &told, &sums);
     assert_ne!(pick(&mut balancer, ms(20), Some(prompt(8))).id, home.id);
     assert_ne!(pick(&mut balancer, ms(20), Some(prompt(7))).id, home.id);
--- a/crates/dissemination/src/lib.rs
+++ b/crates/dissemination/src/lib.rs
@@ -3,11 +3,13 @@
 //! ago it was known to be the newest. No I/O and no clock: `now` is the time since the process started.
 
 mod gossip;
+mod load;
 mod registry;
 mod view;
 
 pub use gossip::{
     CommittedConfiguration, CoreHint, Digest, Gossip, GossipAction, GossipMessage, GossipSettings,
 };
+pub use load::EndpointLoad;
 pub use registry::{EndpointRecord, EndpointState, Heartbeat, Registry, RegistryDigest};
 pub use view::{PartialView, PeerDescriptor};
--- a/crates/dissemination/src/registry.rs
+++ b/crates/dissemination/src/registry.rs
@@ -128,11 +128,6 @@
         self.entries.values().map(|e| &e.record)
     }
 
-    /// Endpoints whose heartbeats come to this sidecar.
-    pub fn heard_here(&self) -> usize {
-        self.heard.len()
-    }
-
     /// Takes in what was known before a restart. Each record has to be confirmed by a heartbeat soon, here or elsewhere.
     pub fn restore(&mut self, now: Duration, records: Vec<EndpointRecord>) {
         for record in records {
--- a/crates/dissemination/src/view.rs
+++ b/crates/dissemination/src/view.rs
@@ -86,11 +86,6 @@
         chosen
     }
 
-    /// All known peers.
-    pub fn peers(&self) -> impl Iterator<Item = SocketAddrV4> + '_ {
-        self.heard.keys().copied()
-    }
-
     /// Number of known peers.
     pub fn len(&self) -> usize {
         self.heard.len()
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -8,17 +8,19 @@
 use crate::{control_api, front, signals};
 use event_listener::Event;
 use passrelay_configuration::{parse_document, Configuration};
-use passrelay_control_plane::load::{EndpointLoad, LoadMessage};
+use passrelay_control_plane::load::LoadMessage;
 use passrelay_control_plane::quota::{QuotaMessage, TenantKey, GRANT_LASTS};
 use passrelay_control_plane::replication::{Member, ReplicaSettings};
 use passrelay_control_plane::{
     Action, CallId, Coordinator, CoordinatorSettings, OperatorAnswer, OperatorRequest,
 };
-use passrelay_data_plane::balancer::{Balancer, OutLoad};
+use passrelay_data_plane::balancer::Balancer;
 use passrelay_data_plane::quota::{Grant, QuotaShares};
 use passrelay_data_plane::retry_budget::RetryBudget;
 use passrelay_data_plane::routing::RoutingTable;
-use passrelay_dissemination::{CommittedConfiguration, EndpointState, GossipSettings, Heartbeat};
+use passrelay_dissemination::{
+    CommittedConfiguration, EndpointLoad, EndpointState, GossipSettings, Heartbeat,
+};
 use smol::channel::Sender;
 use smol::{LocalExecutor, Timer};
 use std::cell::{Cell, RefCell};
@@ -110,7 +112,7 @@
     next_quota_question: Cell<u64>,
     draining: Cell<bool>,
     /// The account of the load that was sent last, and its number.
-    told_load: RefCell<(u64, Vec<OutLoad>)>,
+    told_load: RefCell<(u64, Vec<EndpointLoad>)>,
     /// Sidecars that tell the primary their loads.
     sidecars: Cell<u32>,
 }
@@ -295,15 +297,9 @@
 
     fn tell_load(self: &Rc<Self>) {
         let loads = self.balancer.borrow().own_loads();
-        let told = loads.iter().map(|l| EndpointLoad {
-            endpoint: l.endpoint,
-            unread_tokens: l.unread_tokens,
-            in_flight: l.in_flight,
-        });
-        let told = told.collect();
         let nonce = self.told_load.borrow().0 + 1;
-        *self.told_load.borrow_mut() = (nonce, loads);
-        self.drive(|c, now, actions| c.tell_load(now, nonce, told, actions));
+        *self.told_load.borrow_mut() = (nonce, loads.clone());
+        self.drive(|c, now, actions| c.tell_load(now, nonce, loads, actions));
     }
 
     fn take_sums(&self, sums: LoadMessage) {
@@ -313,13 +309,7 @@
             return;
         }
         self.sidecars.set(sidecars.max(1));
-        let sum = |l: &EndpointLoad| {
-            (
-                l.endpoint,
-                OutLoad { endpoint: l.endpoint, unread_tokens: l.unread_tokens, in_flight: l.in_flight },
-            )
-        };
-        let sums: HashMap<u64, OutLoad> = loads.iter().map(sum).collect();
+        let sums: HashMap<u64, EndpointLoad> = loads.into_iter().map(|l| (l.endpoint, l)).collect();
         self.balancer.borrow_mut().learn_sums(self.now(), &told.1, &sums);
     }
 
