--- a/crates/control-plane/src/replication/leadership.rs
+++ b/crates/control-plane/src/replication/leadership.rs
@@ -19,7 +19,7 @@
 /// A member that was heard within this time is there.
 const HEARD_LATELY: Duration = Duration::from_millis(400);
 /// A member that was silent for this long may lose its place to a newcomer.
-const REPLACE_AFTER: Duration = Duration::from_millis(1_500);
+const REPLACE_AFTER: Duration = Duration::from_millis(700);
 /// A newcomer that asked for a place within this time is there.
 const JOINER_LATELY: Duration = Duration::from_secs(1);
 /// A primary that a majority hasn't answered for this long says no more that it lives.
