Find eight broken protocols and three broken disks by simulated histories; measure failover

Histories now also end with the final fault while a machine within the tolerance is still lost, replaced seeds are told to all (before, newcomers whose seeds were gone stayed alone: one history in 250 could not be acknowledged), a refusal must have a cause that was sent before it, and a 404 counts as an old read.

--- a/crates/control-plane/src/coordinator.rs
+++ b/crates/control-plane/src/coordinator.rs
@@ -5,8 +5,8 @@
 use crate::orders::{Order, Refusal, Verdict};
 use crate::quota::{Grantor, QuotaBounds, QuotaMessage};
 use crate::replication::{
-    DurableState, DurableWrite, Founder, Replica, ReplicaAction, ReplicaSettings, ReplicatedState,
-    ReplicationEnvelope, ReplicationMessage, Ticket,
+    DurableState, DurableWrite, Founder, ProtocolFault, Replica, ReplicaAction, ReplicaSettings,
+    ReplicatedState, ReplicationEnvelope, ReplicationMessage, Ticket,
 };
 use passrelay_configuration::{parse_document, Configuration};
 use passrelay_dissemination::{
@@ -208,10 +208,13 @@
     pub fn new(now: Duration, settings: CoordinatorSettings) -> Self {
         let own = settings.gossip.own;
         let rank = settings.gossip.seeds.iter().position(|s| *s == own);
+        let fault = settings.replica.as_ref().and_then(|(replica, _)| replica.fault);
+        let again = fault == Some(ProtocolFault::FoundsAgain);
+        let tolerated_losses = if again { 0 } else { settings.tolerated_losses };
         let founder = rank
-            .filter(|_| settings.bootstrap)
+            .filter(|_| settings.bootstrap || again)
             .and_then(|rank| u32::try_from(rank).ok())
-            .map(|rank| Founder::new(rank, settings.tolerated_losses));
+            .map(|rank| Founder::new(rank, tolerated_losses));
         Coordinator {
             own,
             gossip: Gossip::new(settings.gossip),
@@ -486,10 +489,13 @@
         if let Some(hint) = replica.core_hint() {
             self.gossip.learn_core(hint);
         }
-        let Some(committed) = replica.committed().filter(|_| replica.is_established()).cloned() else {
+        let Some(mut committed) = replica.committed().filter(|_| replica.is_established()).cloned() else {
             self.grantor = None;
             return;
         };
+        if replica.has_fault(ProtocolFault::PublishesUncommitted) {
+            committed = replica.state().clone();
+        }
         let configuration = committed.document.clone().map(|document| CommittedConfiguration {
             index: committed.version.index,
             generation: committed.generation,
@@ -641,12 +647,15 @@
                 (committed.version.index >= *index).then(|| OperatorAnswer::acknowledged(*generation))
             }
             Step::Refuse { index, judged_at, refusal, .. } => {
-                let confirmed = replica.confirmed_at() >= Some(*judged_at);
+                let confirmed = replica.confirmed_at() >= Some(*judged_at)
+                    || replica.has_fault(ProtocolFault::RefusesUnconfirmed);
                 (committed.version.index >= *index && confirmed)
                     .then(|| OperatorAnswer::fault(refusal.status(), &refusal.to_string()))
             }
             Step::Read { asked_at, .. } => {
-                (replica.confirmed_at() >= Some(*asked_at)).then(|| match &committed.document {
+                let confirmed = replica.confirmed_at() >= Some(*asked_at)
+                    || replica.has_fault(ProtocolFault::ReadsUnconfirmed);
+                confirmed.then(|| match &committed.document {
                     Some(document) => OperatorAnswer { status: 200, body: document.clone() },
                     None => OperatorAnswer::fault(404, "there is no configuration yet"),
                 })
--- a/crates/control-plane/src/replication.rs
+++ b/crates/control-plane/src/replication.rs
@@ -14,6 +14,6 @@
 pub use founder::Founder;
 pub use replica::Replica;
 pub use types::{
-    DurableState, DurableWrite, EpochRecord, Member, MemberId, ReplicaAction, ReplicaSettings,
+    DurableState, DurableWrite, EpochRecord, Member, MemberId, ProtocolFault, ReplicaAction, ReplicaSettings,
     ReplicatedState, ReplicationEnvelope, ReplicationMessage, StateVersion, TakenOrder, Ticket, WitnessState,
 };
--- a/crates/control-plane/src/replication/leadership.rs
+++ b/crates/control-plane/src/replication/leadership.rs
@@ -2,7 +2,8 @@
 
 use super::rounds::Rounds;
 use super::types::{
-    EpochRecord, Member, MemberId, ReplicaAction, ReplicatedState, ReplicationMessage, StateVersion,
+    EpochRecord, Member, MemberId, ProtocolFault, ReplicaAction, ReplicaSettings, ReplicatedState,
+    ReplicationMessage, StateVersion,
 };
 use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
@@ -56,14 +57,15 @@
     uncommitted: BTreeMap<u64, Arc<ReplicatedState>>,
     committed: Option<Arc<ReplicatedState>>,
     joiners: BTreeMap<MemberId, Joiner>,
+    fault: Option<ProtocolFault>,
 }
 
 impl Leadership {
-    pub(super) fn new(now: Duration, own: Member, tolerated: usize, record: EpochRecord) -> Self {
+    pub(super) fn new(now: Duration, settings: &ReplicaSettings, record: EpochRecord) -> Self {
         let term = record.term;
         Leadership {
-            own,
-            min_in_sync: tolerated + 1,
+            own: settings.own,
+            min_in_sync: settings.tolerated_losses + 1,
             term,
             in_force: None,
             proposal: Some(Proposal { record, accepted: BTreeSet::new(), sent_at: None }),
@@ -77,6 +79,7 @@
             uncommitted: BTreeMap::new(),
             committed: None,
             joiners: BTreeMap::new(),
+            fault: settings.fault,
         }
     }
 
@@ -317,6 +320,11 @@
             .or_else(|| self.with_newcomer(now, record));
         if let Some(mut next) = next {
             next.sequence = record.sequence + 1;
+            if self.fault == Some(ProtocolFault::ShrinksAlone) && next.in_sync.len() < record.in_sync.len() {
+                self.in_force = Some(next);
+                self.commit();
+                return;
+            }
             self.proposal = Some(Proposal { record: next, accepted: BTreeSet::new(), sent_at: None });
         }
     }
@@ -378,7 +386,8 @@
             None => Some(self.longest_silent(now, record)?),
         };
         let mut next = record.clone();
-        if let Some(former) = leaves {
+        let keeps = self.fault == Some(ProtocolFault::KeepsReplaced);
+        if let Some(former) = leaves.filter(|_| !keeps) {
             next.members.retain(|m| m.id != former.id);
             next.in_sync.remove(&former.id);
             if next.in_sync.len() < self.min_in_sync {
--- a/crates/control-plane/src/replication/replica.rs
+++ b/crates/control-plane/src/replication/replica.rs
@@ -2,7 +2,7 @@
 
 use super::leadership::Leadership;
 use super::types::{
-    DurableState, DurableWrite, EpochRecord, Member, MemberId, ReplicaAction, ReplicaSettings,
+    DurableState, DurableWrite, EpochRecord, Member, MemberId, ProtocolFault, ReplicaAction, ReplicaSettings,
     ReplicatedState, ReplicationEnvelope, ReplicationMessage, StateVersion, TakenOrder, Ticket, WitnessState,
 };
 use passrelay_dissemination::CoreHint;
@@ -87,6 +87,11 @@
         self.settings.own
     }
 
+    /// Whether this member breaks the protocol in that way.
+    pub fn has_fault(&self, fault: ProtocolFault) -> bool {
+        self.settings.fault == Some(fault)
+    }
+
     /// Whether it is primary, its record is in force and its state is committed under its own term.
     pub fn is_established(&self) -> bool {
         self.leadership().is_some_and(Leadership::is_established)
@@ -345,7 +350,8 @@
 
     fn ask_for_place(&mut self, actions: &mut Vec<ReplicaAction>) {
         let member = self.settings.own;
-        let founding = self.settings.bootstrap && self.witness.record.is_none();
+        let bootstrap = self.settings.bootstrap || self.has_fault(ProtocolFault::FoundsAgain);
+        let founding = bootstrap && self.witness.record.is_none();
         if let Some(hint) = &self.hint {
             let message = ReplicationMessage::Join { member, founding };
             actions.push(ReplicaAction::Send { to: hint.primary, message });
@@ -494,7 +500,7 @@
     /// Takes the lead of a term with a record that is still to come into force.
     fn lead(&mut self, now: Duration, record: EpochRecord, actions: &mut Vec<ReplicaAction>) {
         let term = record.term;
-        let leadership = Leadership::new(now, self.settings.own, self.settings.tolerated_losses, record);
+        let leadership = Leadership::new(now, &self.settings, record);
         self.role = Role::Primary(Box::new(leadership));
         self.store_proposal(now, actions);
         // The state goes out under the own term, so that older primaries' unfinished changes give way to it.
@@ -577,6 +583,11 @@
         if self.witness.record.as_ref().is_none_or(|r| r.position() < position) {
             self.witness.record = Some(record);
         }
+        if self.has_fault(ProtocolFault::RecordsUnsynced) && self.durable_witness.record.is_some() {
+            self.durable_witness = self.witness.clone();
+            actions.push(ReplicaAction::Send { to: from.address, message: reply });
+            return;
+        }
         self.write_witness(now, vec![(from.address, reply)], actions);
     }
 
@@ -612,6 +623,12 @@
             return;
         }
         self.follow(now);
+        let state = match self.settings.fault {
+            Some(ProtocolFault::ReplicatesNoOrders) => {
+                Arc::new(ReplicatedState { orders: Default::default(), ..(*state).clone() })
+            }
+            _ => state,
+        };
         let version = state.version;
         let reply = ReplicationMessage::Synced { term, version };
         if self.durable_state.version >= version {
--- a/crates/control-plane/src/replication/types.rs
+++ b/crates/control-plane/src/replication/types.rs
@@ -264,6 +264,28 @@
     },
 }
 
+/// A way in which a member is made to break the protocol, so that the checker of simulated histories can itself be
+/// checked. The program never sets one.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum ProtocolFault {
+    /// A newer record is answered for without being written.
+    RecordsUnsynced,
+    /// The in-sync set shrinks without a majority's word.
+    ShrinksAlone,
+    /// A member whose place was given away still counts.
+    KeepsReplaced,
+    /// Taken orders are not replicated.
+    ReplicatesNoOrders,
+    /// A read is answered although no majority has confirmed the primary since.
+    ReadsUnconfirmed,
+    /// An order is refused although no majority has confirmed the primary since.
+    RefusesUnconfirmed,
+    /// A state is told on before it is committed.
+    PublishesUncommitted,
+    /// A machine whose disk was lost founds the system a second time, alone.
+    FoundsAgain,
+}
+
 /// What a member has to know from the start.
 #[derive(Clone, Debug)]
 pub struct ReplicaSettings {
@@ -279,4 +301,6 @@
     pub election_timeout: Duration,
     /// Sets this member's random choices apart from those of others.
     pub random_seed: u64,
+    /// A broken rule, in simulations only.
+    pub fault: Option<ProtocolFault>,
 }
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -341,6 +341,7 @@
             seeds: settings.internal_seeds(),
             election_timeout: ELECTION_TIMEOUT,
             random_seed: rand::random(),
+            fault: None,
         };
         drop(settings);
         log::info!("event=disk_open member={:016x} index={}", id.0, durable.state.version.index);
--- a/crates/simulation/examples/dissemination.rs
+++ b/crates/simulation/examples/dissemination.rs
@@ -98,6 +98,7 @@
         delay: Duration::from_micros(500),
         loss,
         mutant: None,
+        fault: None,
         seed: 1,
     });
     let endpoints = (machines as f64 * ENDPOINTS_PER_SIDECAR) as usize;
--- /dev/null
+++ b/crates/simulation/examples/failover.rs
@@ -0,0 +1,45 @@
+//! Time from the loss of the primary to the next acknowledgement, by kind of loss, size and loss of messages.
+//!
+//! `cargo run --release -p passrelay-simulation --example failover -- [HISTORIES]`
+
+use passrelay_simulation::cluster::ClusterSettings;
+use passrelay_simulation::failover::{time_to_acknowledge, PrimaryLoss};
+use std::time::Duration;
+
+const SIZES: [(usize, usize, usize); 3] = [(3, 12, 1), (5, 12, 2), (8, 90, 2)];
+const LOSSES: [PrimaryLoss; 5] =
+    [PrimaryLoss::Crash, PrimaryLoss::Wipe, PrimaryLoss::Cut, PrimaryLoss::Freeze, PrimaryLoss::DiskStall];
+
+fn main() {
+    let histories = std::env::args().nth(1).and_then(|n| n.parse().ok()).unwrap_or(500);
+    println!("| counted of machines | messages lost | loss of the primary | p50 | p99 | worst | never |");
+    println!("| --- | --- | --- | --- | --- | --- | --- |");
+    for (counted, machines, tolerated_losses) in SIZES {
+        for message_loss in [0.0, 0.05] {
+            for loss in LOSSES {
+                let settings = |seed| ClusterSettings {
+                    counted,
+                    machines,
+                    tolerated_losses,
+                    delay: Duration::from_micros(500),
+                    loss: message_loss,
+                    mutant: None,
+                    fault: None,
+                    seed,
+                };
+                let all: Vec<_> =
+                    (0..histories).map(|seed| time_to_acknowledge(&settings(seed), loss)).collect();
+                let mut times: Vec<Duration> = all.iter().flatten().copied().collect();
+                times.sort_unstable();
+                let at = |part: f64| times.get(((times.len() as f64 * part) as usize).min(times.len() - 1));
+                println!(
+                    "| {counted} of {machines} | {message_loss} | {loss:?} | {:.2?} | {:.2?} | {:.2?} | {} |",
+                    at(0.5).copied().unwrap_or_default(),
+                    at(0.99).copied().unwrap_or_default(),
+                    at(1.0).copied().unwrap_or_default(),
+                    all.len() - times.len()
+                );
+            }
+        }
+    }
+}
--- a/crates/simulation/src/checker.rs
+++ b/crates/simulation/src/checker.rs
@@ -24,6 +24,8 @@
     Forked(u64),
     /// What was refused is in force.
     RefusedInForce(u64),
+    /// A change was refused for its version although no other change on that version had been sent by then.
+    WronglyRefused(u64),
     /// A process took its configuration for current although a newer one had been acknowledged by then.
     FalselyFresh(usize),
     /// Nothing could be read in the end.
@@ -36,8 +38,10 @@
 #[derive(Clone, Debug, Default)]
 struct Fate {
     base: u64,
+    sent_at: Duration,
     acknowledged_at: Option<Duration>,
     refused: bool,
+    refused_at: Option<Duration>,
 }
 
 /// Gathers what is seen and finds what may not be.
@@ -53,8 +57,8 @@
 
 impl Checker {
     /// An order goes out. Generations are never used twice.
-    pub fn ordered(&mut self, generation: u64, base: u64) {
-        self.orders.insert(generation, Fate { base, ..Fate::default() });
+    pub fn ordered(&mut self, now: Duration, generation: u64, base: u64) {
+        self.orders.insert(generation, Fate { base, sent_at: now, ..Fate::default() });
     }
 
     /// The newest generation that was acknowledged.
@@ -71,6 +75,7 @@
                 self.violations.push(Violation::RefusedAgain(generation));
             }
             fate.refused = fate.acknowledged_at.is_none();
+            fate.refused_at = Some(now);
             return;
         }
         fate.acknowledged_at.get_or_insert(now);
@@ -107,6 +112,32 @@
         }
     }
 
+    /// The history is over: each refusal must have had a cause, a change on the same version that won.
+    pub fn end(&mut self) {
+        let winners = self.winners();
+        for (generation, fate) in &self.orders {
+            let Some(refused_at) = fate.refused_at else { continue };
+            let cause = winners.get(&fate.base).filter(|winner| *winner != generation);
+            if cause.is_none_or(|winner| self.orders[winner].sent_at > refused_at) {
+                self.violations.push(Violation::WronglyRefused(*generation));
+            }
+        }
+    }
+
+    /// Which change followed on each version: those in force somewhere or acknowledged, and those they build on.
+    fn winners(&self) -> BTreeMap<u64, u64> {
+        let seen = self.documents.values().map(|d| d.generation);
+        let acknowledged = self.orders.iter().filter(|(_, f)| f.acknowledged_at.is_some()).map(|(g, _)| *g);
+        let mut winners = BTreeMap::new();
+        for mut generation in seen.chain(acknowledged) {
+            while let Some(fate) = self.orders.get(&generation) {
+                winners.insert(fate.base, generation);
+                generation = fate.base;
+            }
+        }
+        winners
+    }
+
     /// A process holds that its configuration is current as of a time.
     pub fn fresh(&mut self, machine: usize, generation: u64, fresh_at: Duration) {
         let missed = |fate: &Fate| fate.acknowledged_at.is_some_and(|at| at < fresh_at);
--- a/crates/simulation/src/cluster.rs
+++ b/crates/simulation/src/cluster.rs
@@ -2,7 +2,7 @@
 
 use crate::disk::{Disk, DiskMutant};
 use passrelay_control_plane::quota::QuotaBounds;
-use passrelay_control_plane::replication::{Member, ReplicaSettings, Ticket};
+use passrelay_control_plane::replication::{Member, ProtocolFault, ReplicaSettings, Ticket};
 use passrelay_control_plane::{
     Action, CallId, Coordinator, CoordinatorSettings, Message, OperatorAnswer, OperatorRequest,
 };
@@ -15,6 +15,8 @@
 use std::time::Duration;
 
 const PORT: u16 = 7_680;
+/// Number of machines that all others are told of.
+const SEEDS: usize = 3;
 /// Time between heartbeats of an endpoint.
 pub const HEARTBEAT: Duration = Duration::from_millis(1_200);
 
@@ -33,6 +35,8 @@
     pub loss: f64,
     /// Fault of all disks, for checking the checker.
     pub mutant: Option<DiskMutant>,
+    /// Fault of all members, for checking the checker.
+    pub fault: Option<ProtocolFault>,
     /// Seed of all chance.
     pub seed: u64,
 }
@@ -111,6 +115,8 @@
     queue: BinaryHeap<Reverse<Scheduled>>,
     order: u64,
     machines: Vec<Machine>,
+    /// Machines whose addresses all others are told.
+    seeds: Vec<usize>,
     by_address: BTreeMap<SocketAddrV4, usize>,
     /// Pairs (from, to) between which nothing passes.
     cuts: BTreeSet<(usize, usize)>,
@@ -131,6 +137,7 @@
             queue: BinaryHeap::new(),
             order: 0,
             machines: Vec::new(),
+            seeds: (0..settings.machines.min(SEEDS)).collect(),
             by_address: BTreeMap::new(),
             cuts: BTreeSet::new(),
             messages: Vec::new(),
@@ -235,10 +242,24 @@
         }
     }
 
-    /// Takes a machine away for good.
-    pub fn remove(&mut self, machine: usize) {
+    /// Takes a machine away for good. Returns the empty one at another address that is to take its place, also among
+    /// the seeds, of which all processes are told; it isn't started yet.
+    pub fn replace(&mut self, machine: usize) -> usize {
         self.crash(machine);
         self.machines[machine].removed = true;
+        let successor = self.add_machine(self.machines[machine].disk.is_some());
+        if let Some(seed) = self.seeds.iter_mut().find(|seed| **seed == machine) {
+            *seed = successor;
+            let seeds = self.seed_addresses();
+            for process in self.machines.iter_mut().filter_map(|m| m.process.as_mut()) {
+                process.set_seeds(seeds.clone());
+            }
+        }
+        successor
+    }
+
+    fn seed_addresses(&self) -> Vec<SocketAddrV4> {
+        self.seeds.iter().map(|seed| self.machines[*seed].address).collect()
     }
 
     /// Has a machine stand still.
@@ -267,6 +288,14 @@
         self.cuts.insert((from, to));
     }
 
+    /// Cuts all ways of a machine.
+    pub fn cut_off(&mut self, machine: usize) {
+        for other in (0..self.machines.len()).filter(|m| *m != machine) {
+            self.cut(machine, other);
+            self.cut(other, machine);
+        }
+    }
+
     /// Joins all ways of a machine again.
     pub fn join(&mut self, machine: usize) {
         self.cuts.retain(|(from, to)| *from != machine && *to != machine);
@@ -353,8 +382,8 @@
         if self.machines[machine].process.is_some() || self.machines[machine].removed {
             return Vec::new();
         }
-        let seeds: Vec<SocketAddrV4> = self.machines.iter().take(3).map(|m| m.address).collect();
-        let tolerated_losses = self.settings.tolerated_losses;
+        let seeds = self.seed_addresses();
+        let (tolerated_losses, fault) = (self.settings.tolerated_losses, self.settings.fault);
         let random_seed = self.rng.random();
         let one = &mut self.machines[machine];
         let bootstrap = !one.started_before;
@@ -371,6 +400,7 @@
                 seeds: seeds.clone(),
                 election_timeout: Duration::from_millis(320),
                 random_seed,
+                fault,
             };
             (settings, durable)
         });
--- a/crates/simulation/src/history.rs
+++ b/crates/simulation/src/history.rs
@@ -5,6 +5,7 @@
 use crate::cluster::{Cluster, ClusterSettings, Seen};
 use crate::disk::DiskMutant;
 use passrelay_control_plane::orders::{Order, OrderKind};
+use passrelay_control_plane::replication::ProtocolFault;
 use passrelay_control_plane::{CallId, OperatorAnswer, OperatorRequest};
 use rand::seq::IndexedRandom;
 use rand::Rng;
@@ -36,6 +37,8 @@
     pub loss: f64,
     /// Fault of all disks, for checking the checker.
     pub mutant: Option<DiskMutant>,
+    /// Fault of all members, for checking the checker.
+    pub fault: Option<ProtocolFault>,
     /// Seed of all chance.
     pub seed: u64,
 }
@@ -92,6 +95,7 @@
         delay: Duration::from_micros(500),
         loss: settings.loss,
         mutant: settings.mutant,
+        fault: settings.fault,
         seed: settings.seed,
     });
     let mut history = History {
@@ -116,6 +120,7 @@
     }
     history.final_fault();
     history.read_back();
+    history.checker.end();
     history.outcome.violations = history.checker.violations;
     history.outcome
 }
@@ -177,8 +182,8 @@
         let base = self.known;
         let document = json!({ "generation": generation, "routes": [], "services": [{ "name": "s" }] });
         let order = Order { kind: OrderKind::Replace, base, body: document.to_string().into() };
-        self.checker.ordered(generation, base);
         let now = self.cluster.now();
+        self.checker.ordered(now, generation, base);
         self.open.push(OpenOrder { order, generation, sent_at: now, call: None, called_at: Duration::ZERO });
     }
 
@@ -233,7 +238,7 @@
         }
         match self.calls.remove(&call) {
             Some(Purpose::Change { generation }) => self.order_answered(generation, answer),
-            Some(Purpose::Read { acknowledged }) if answer.status == 200 => {
+            Some(Purpose::Read { acknowledged }) if matches!(answer.status, 200 | 404) => {
                 let document: Value = serde_json::from_str(&answer.body).unwrap_or_default();
                 let generation = document.get("generation").and_then(Value::as_u64).unwrap_or(0);
                 self.checker.read(acknowledged, generation);
@@ -324,8 +329,7 @@
 
     /// A machine is gone for good; an empty one comes at another address.
     fn replace(&mut self, machine: usize, span: Duration) {
-        self.cluster.remove(machine);
-        let successor = self.cluster.add_machine(true);
+        let successor = self.cluster.replace(machine);
         self.cluster.start_after(successor, span);
         let back = self.lost.remove(&machine);
         if let Some(until) = back {
@@ -335,13 +339,16 @@
 
     /// Everybody loses power, or as many disks as are tolerated are lost while the others lose power.
     fn final_fault(&mut self) {
-        // What was lost before has come back.
-        let calm = self.lost.values().max().copied().unwrap_or_default().max(self.cluster.now());
-        self.advance(calm + Duration::from_millis(100));
+        // In half of the histories what was lost before has come back.
+        if self.cluster.rng.random_bool(0.5) {
+            let calm = self.lost.values().max().copied().unwrap_or_default().max(self.cluster.now());
+            self.advance(calm + Duration::from_millis(100));
+        }
         self.order();
         let until = self.cluster.now() + Duration::from_millis(self.cluster.rng.random_range(1..60));
         self.advance(until);
-        let mut wiped = if self.cluster.rng.random_bool(0.5) { self.tolerated } else { 0 };
+        let left = self.tolerated.saturating_sub(self.lost.len());
+        let mut wiped = if self.cluster.rng.random_bool(0.5) { left } else { 0 };
         for machine in 0..self.cluster.len() {
             if !self.cluster.runs(machine) {
                 continue;
--- a/crates/simulation/src/lib.rs
+++ b/crates/simulation/src/lib.rs
@@ -4,4 +4,5 @@
 pub mod checker;
 pub mod cluster;
 pub mod disk;
+pub mod failover;
 pub mod history;
--- a/crates/simulation/tests/histories.rs
+++ b/crates/simulation/tests/histories.rs
@@ -1,5 +1,6 @@
 //! Random histories keep every promise, and broken disks are found out.
 
+use passrelay_control_plane::replication::ProtocolFault;
 use passrelay_simulation::disk::DiskMutant;
 use passrelay_simulation::history::{play, HistorySettings};
 use rstest::rstest;
@@ -14,6 +15,7 @@
         length: Duration::from_secs(20),
         loss: if seed % 3 == 0 { 0.05 } else { 0.0 },
         mutant: None,
+        fault: None,
         seed,
     }
 }
@@ -53,6 +55,25 @@
     }
 }
 
+#[rstest]
+#[case(ProtocolFault::RecordsUnsynced)]
+#[case(ProtocolFault::ShrinksAlone)]
+#[case(ProtocolFault::KeepsReplaced)]
+#[case(ProtocolFault::ReplicatesNoOrders)]
+#[case(ProtocolFault::ReadsUnconfirmed)]
+#[case(ProtocolFault::RefusesUnconfirmed)]
+#[case(ProtocolFault::PublishesUncommitted)]
+#[case(ProtocolFault::FoundsAgain)]
+fn a_broken_protocol_is_found_out(#[case] fault: ProtocolFault) {
+    let found = (0..500).find(|seed| {
+        let catch_up = Duration::from_millis(800);
+        let settings = HistorySettings { fault: Some(fault), catch_up, ..settings(5, 8, *seed) };
+        !play(&settings).violations.is_empty()
+    });
+    println!("{fault:?}: seed {found:?}");
+    assert!(found.is_some(), "{fault:?} was not found in 500 histories");
+}
+
 #[rstest]
 #[case(DiskMutant::AcknowledgesBeforeSync)]
 #[case(DiskMutant::KeepsIdentityWhenWiped)]
