Tell by config diff what a document would change, and print the change that does it

config diff FILE --at ADDRESS lists the items that would be added, removed or changed, with their fields; as json it prints the change by name that config patch takes. Tests: the change made of a difference leads to the later document; diff, patch and diff again on a running sidecar.

--- a/crates/configuration/src/patch.rs
+++ b/crates/configuration/src/patch.rs
@@ -6,7 +6,7 @@
 use std::collections::{HashMap, HashSet};
 
 /// The lists whose items a change may name.
-const LISTS: [&str; 3] = ["routes", "services", "tenants"];
+pub(crate) const LISTS: [&str; 3] = ["routes", "services", "tenants"];
 
 /// Makes the document that follows `current` by a change. The result still has to be checked by
 /// [`Configuration::read`](crate::Configuration::read).
@@ -93,6 +93,6 @@
     document.insert(list.to_owned(), Value::Array(items));
 }
 
-fn name_of(item: &Value) -> Option<&str> {
+pub(crate) fn name_of(item: &Value) -> Option<&str> {
     item.get("name").and_then(Value::as_str)
 }
--- /dev/null
+++ b/crates/configuration/tests/difference.rs
@@ -0,0 +1,44 @@
+//! Differences of documents.
+
+use passrelay_configuration::{apply_patch, Difference};
+use rstest::rstest;
+use serde_json::{json, Value};
+
+fn before() -> Value {
+    json!({
+        "generation": 3,
+        "services": [{ "name": "lm", "capacity": 4 }, { "name": "gates" }],
+        "routes": [{ "name": "a", "timeout-ms": 10 }, { "name": "b", "timeout-ms": 10 }],
+        "limits": { "max-body-bytes": 100 },
+    })
+}
+
+#[rstest]
+#[case::the_same(before(), &[])]
+#[case::an_item_added(json!({ "services": [{ "name": "lm", "capacity": 4 }, { "name": "gates" }],
+    "routes": [{ "name": "c" }, { "name": "a", "timeout-ms": 10 }, { "name": "b", "timeout-ms": 10 }],
+    "limits": { "max-body-bytes": 100 } }), &["+ routes c"])]
+#[case::fields_changed(json!({ "services": [{ "name": "lm", "weight": 1 }, { "name": "gates" }],
+    "routes": [{ "name": "a", "timeout-ms": 10 }, { "name": "b", "timeout-ms": 10 }],
+    "limits": { "max-body-bytes": 100 } }), &["~ services lm: capacity, weight"])]
+#[case::removed_and_limits(json!({ "services": [{ "name": "lm", "capacity": 4 }],
+    "routes": [{ "name": "a", "timeout-ms": 10 }, { "name": "b", "timeout-ms": 10 }] }),
+    &["- services gates", "~ limits: max-body-bytes"])]
+fn each_item_that_differs_is_told_once(#[case] after: Value, #[case] told: &[&str]) {
+    let difference = Difference::between(&before(), &after);
+    let items: Vec<String> = difference.items.iter().map(ToString::to_string).collect();
+    assert_eq!(items, told);
+}
+
+#[test]
+fn the_change_made_of_a_difference_leads_to_the_later_document() {
+    let after = json!({
+        "generation": 9,
+        "services": [{ "name": "lm", "capacity": 8 }],
+        "routes": [{ "name": "b", "timeout-ms": 10 }, { "name": "c" }],
+        "tenants": [{ "name": "t" }],
+        "limits": { "max-body-bytes": 200 },
+    });
+    let patch = Difference::between(&before(), &after).patch(9);
+    assert_eq!(apply_patch(&before(), &patch).unwrap(), after);
+}
--- a/crates/passrelay/tests/fleet.rs
+++ b/crates/passrelay/tests/fleet.rs
@@ -329,6 +329,18 @@
     let (code, text) = run(&["config", "get", "--at", &at]);
     assert_eq!(code, Some(0));
     assert_eq!(serde_json::from_str::<Value>(&text).unwrap()["generation"], json!(3));
+    assert_eq!(run(&["config", "diff", &file, "--at", &at]), (Some(0), String::new()));
+    let mut later = configuration(5);
+    later["routes"][0]["timeout-ms"] = json!(4_321);
+    let later = fleet.file("later.json", &later.to_string());
+    let (code, text) = run(&["config", "diff", &later, "--at", &at]);
+    assert_eq!(code, Some(1));
+    assert!(text.starts_with("~ routes ") && text.contains("timeout-ms"), "{text}");
+    let (_, change) = run(&["config", "diff", &later, "--at", &at, "--output", "json"]);
+    let change = fleet.file("change.json", &change);
+    assert_eq!(run(&["config", "patch", &change, "--base", "3", "--at", &at]).0, Some(0));
+    assert_eq!(run(&["config", "diff", &later, "--at", &at]), (Some(0), String::new()));
+    assert_eq!(run(&["config", "diff", &bad, "--at", &at]).0, Some(3));
     let (code, text) = run(&["status", "--at", &at]);
     assert_eq!(code, Some(0));
     assert_eq!(serde_json::from_str::<Value>(&text).unwrap()["leads"], json!(true));
