--- a/crates/node/src/relay_body.rs
+++ b/crates/node/src/relay_body.rs
@@ -73,6 +73,10 @@
                     return Some(Err(BodyError::TimedOut));
                 }
                 Some(Some(Ok(frame))) => {
+                    // Whoever writes an answer of known length doesn't ask for what comes after its last byte.
+                    if self.events.is_none() && self.incoming.is_end_stream() {
+                        self.finish();
+                    }
                     if let Some(piece) = frame.into_data().ok().and_then(|data| self.take(data)) {
                         return Some(Ok(piece));
                     }
--- a/crates/passrelay/tests/fleet.rs
+++ b/crates/passrelay/tests/fleet.rs
@@ -79,6 +79,19 @@
     assert!((2_000..=3_000).contains(&left), "{left}");
 }
 
+#[test]
+fn the_connection_of_an_answer_of_known_length_is_used_again() {
+    let endpoint = Server::start(|_| ok("bay 7"));
+    let (_fleet, sidecar) = lone(&[&endpoint]);
+    for _ in 0..3 {
+        assert_eq!(status(&sidecar.exchange(&request("/open/gate", "", "hello"))), 200);
+        // A connection rests a little before it is used again.
+        std::thread::sleep(Duration::from_millis(50));
+    }
+    let connections: Vec<usize> = endpoint.seen().iter().map(|m| m.connection).collect();
+    assert_eq!(connections, [0, 0, 0]);
+}
+
 #[test]
 fn what_no_configuration_allows_is_denied_and_what_is_too_long_or_slow_is_told_so() {
     let endpoint = Server::start(|_| ok("x"));
