Lose no answers of a history once it is to be calm

Cause of two of 4,900 histories that found an order never acknowledged: the order was committed everywhere, and all six answers to its six calls were among the fifth that the history loses on purpose.

--- a/crates/simulation/src/history.rs
+++ b/crates/simulation/src/history.rs
@@ -84,6 +84,8 @@
     /// Cuts and the like that end at a time.
     healing: Vec<(Duration, usize)>,
     last_read: Option<u64>,
+    /// The last fault is over.
+    calm: bool,
 }
 
 /// Plays a history.
@@ -112,6 +114,7 @@
         lost: BTreeMap::new(),
         healing: Vec::new(),
         last_read: None,
+        calm: false,
     };
     history.advance(LEAD);
     let until = LEAD + settings.length;
@@ -232,8 +235,8 @@
     }
 
     fn answered(&mut self, call: CallId, answer: &OperatorAnswer) {
-        // Some answers are lost on their way.
-        if self.cluster.rng.random_bool(0.2) {
+        // Some answers are lost on their way, but none once the system is to be calm.
+        if self.cluster.rng.random_bool(0.2) && !self.calm {
             return;
         }
         match self.calls.remove(&call) {
@@ -368,6 +371,7 @@
         let until = self.cluster.now() + ACKNOWLEDGE_WITHIN;
         self.advance(until);
         self.last_read = None;
+        self.calm = true;
         for _ in 0..40 {
             self.read();
             let until = self.cluster.now() + Duration::from_millis(100);
