Keep the questions for quota beside the shares; charge what was spent after a question was sent

The bookkeeping of open questions moves from the node to the decider. Cause of the change in what is charged: an answer took everything overdrawn for told, also what was spent of the reserve after its question had gone out.

--- a/crates/data-plane/src/quota.rs
+++ b/crates/data-plane/src/quota.rs
@@ -1,6 +1,6 @@
 //! The tokens that this sidecar holds of each tenant's quota, spent by requests and filled by grants.
 
-use std::collections::{HashMap, VecDeque};
+use std::collections::{BTreeMap, HashMap, VecDeque};
 use std::time::Duration;
 
 /// A question without an answer after this is asked again; the grantor may be gone.
@@ -12,6 +12,9 @@
 /// While the grantor hasn't answered for this long, requests don't wait for it.
 const GRANTOR_GONE: Duration = Duration::from_millis(250);
 
+/// Questions whose answers still count.
+const OPEN_QUESTIONS: usize = 256;
+
 /// One grant: what is left of it and when it ends.
 #[derive(Clone, Copy, Debug)]
 struct Held {
@@ -19,15 +22,11 @@
     ends: Duration,
 }
 
-/// A grant as it comes.
+/// What the grantor gives of one tenant's quota.
 #[derive(Clone, Copy, Debug)]
 pub struct Grant {
-    /// When it was asked for.
-    pub asked_at: Duration,
-    /// How long it may be spent, from then on.
-    pub lasts: Duration,
-    /// Tokens asked for.
-    pub wanted: u64,
+    /// The tenant.
+    pub tenant: u64,
     /// Tokens granted.
     pub tokens: u64,
     /// Tokens that may be spent besides while no grantor answers.
@@ -74,6 +73,19 @@
         true
     }
 
+    fn take(&mut self, now: Duration, wanted: u64, grant: Grant, ends: Duration) {
+        self.asked_at = None;
+        self.unanswered_since = None;
+        if grant.tokens < wanted {
+            self.short_at = Some(now);
+        }
+        self.reserve = grant.reserve;
+        self.reserve_at = now;
+        if ends > now && grant.tokens > 0 {
+            self.held.push_back(Held { tokens: grant.tokens, ends });
+        }
+    }
+
     fn spend_reserve(&mut self, now: Duration, tokens: u64) -> bool {
         let valid = now.saturating_sub(self.reserve_at) < RESERVE_LASTS;
         if !valid || self.reserve < tokens {
@@ -85,29 +97,40 @@
     }
 }
 
-/// What the grantor is to be told now, by tenant.
-#[derive(Debug, Default)]
-pub struct Questions {
-    /// Tokens wanted.
+/// A question to the grantor.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Question {
+    /// Its number, which the answer repeats.
+    pub nonce: u64,
+    /// Tenants, and tokens wanted.
     pub wanted: Vec<(u64, u64)>,
-    /// Tokens spent of reserves.
+    /// Tenants, and tokens spent of reserves that no answered question has told.
     pub overdrawn: Vec<(u64, u64)>,
 }
 
-impl Questions {
-    /// Whether there is nothing to tell.
-    pub fn is_empty(&self) -> bool {
-        self.wanted.is_empty() && self.overdrawn.is_empty()
-    }
+/// A question that has no answer yet.
+#[derive(Debug)]
+struct Open {
+    asked_at: Duration,
+    question: Question,
 }
 
 /// All tenants' shares, by a key that the caller chooses.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub struct QuotaShares {
+    /// How long a grant may be spent, from the moment at which it was asked for.
+    grants_last: Duration,
     shares: HashMap<u64, Share>,
+    open: BTreeMap<u64, Open>,
+    last_nonce: u64,
 }
 
 impl QuotaShares {
+    /// No shares yet, of grants that may be spent for a time after they were asked for.
+    pub fn new(grants_last: Duration) -> Self {
+        QuotaShares { grants_last, shares: HashMap::new(), open: BTreeMap::new(), last_nonce: 0 }
+    }
+
     /// Notes that a request waits for tokens.
     pub fn want(&mut self, tenant: u64, tokens: u64) {
         self.shares.entry(tenant).or_default().waiting += tokens;
@@ -147,9 +170,9 @@
         since.is_some_and(|at| now.saturating_sub(at) >= GRANTOR_GONE)
     }
 
-    /// What to tell the grantor now.
-    pub fn questions(&mut self, now: Duration) -> Questions {
-        let mut questions = Questions::default();
+    /// What to ask the grantor now, if anything is wanted.
+    pub fn question(&mut self, now: Duration) -> Option<Question> {
+        let mut question = Question { nonce: self.last_nonce + 1, wanted: Vec::new(), overdrawn: Vec::new() };
         for (tenant, share) in &mut self.shares {
             share.expire(now);
             let asked = share.asked_at.is_some_and(|at| now.saturating_sub(at) < ASK_AGAIN_AFTER);
@@ -157,29 +180,35 @@
             if share.waiting > available && !asked {
                 share.asked_at = Some(now);
                 share.unanswered_since.get_or_insert(now);
-                questions.wanted.push((*tenant, share.waiting - available));
+                question.wanted.push((*tenant, share.waiting - available));
                 if share.overdrawn > 0 {
-                    questions.overdrawn.push((*tenant, share.overdrawn));
+                    question.overdrawn.push((*tenant, share.overdrawn));
                 }
             }
         }
-        questions
+        if question.wanted.is_empty() {
+            return None;
+        }
+        self.last_nonce = question.nonce;
+        self.open.insert(question.nonce, Open { asked_at: now, question: question.clone() });
+        while self.open.len() > OPEN_QUESTIONS {
+            self.open.pop_first();
+        }
+        Some(question)
     }
 
-    /// Takes in a grant.
-    pub fn granted(&mut self, now: Duration, tenant: u64, grant: Grant) {
-        let Some(share) = self.shares.get_mut(&tenant) else { return };
-        share.asked_at = None;
-        share.unanswered_since = None;
-        share.overdrawn = 0;
-        if grant.tokens < grant.wanted {
-            share.short_at = Some(now);
-        }
-        share.reserve = grant.reserve;
-        share.reserve_at = now;
-        let ends = (grant.asked_at + grant.lasts).saturating_sub(MARGIN);
-        if ends > now && grant.tokens > 0 {
-            share.held.push_back(Held { tokens: grant.tokens, ends });
+    /// Takes in the answer to a question; what isn't named in it was not granted.
+    pub fn answered(&mut self, now: Duration, nonce: u64, granted: &[Grant]) {
+        let Some(Open { asked_at, question }) = self.open.remove(&nonce) else { return };
+        let ends = (asked_at + self.grants_last).saturating_sub(MARGIN);
+        for (tenant, wanted) in question.wanted {
+            let Some(share) = self.shares.get_mut(&tenant) else { continue };
+            let none = Grant { tenant, tokens: 0, reserve: 0 };
+            let grant = granted.iter().find(|g| g.tenant == tenant).copied().unwrap_or(none);
+            let told =
+                question.overdrawn.iter().find(|(of, _)| *of == tenant).map_or(0, |(_, tokens)| *tokens);
+            share.overdrawn = share.overdrawn.saturating_sub(told);
+            share.take(now, wanted, grant, ends);
         }
     }
 
--- a/crates/data-plane/tests/limits.rs
+++ b/crates/data-plane/tests/limits.rs
@@ -67,35 +67,45 @@
     }
 }
 
-fn grant(asked_at: u64, wanted: u64, tokens: u64, reserve: u64) -> Grant {
-    Grant { asked_at: ms(asked_at), lasts: ms(1_500), wanted, tokens, reserve }
+fn shares() -> QuotaShares {
+    QuotaShares::new(ms(1_500))
+}
+
+fn grant(tokens: u64, reserve: u64) -> [Grant; 1] {
+    [Grant { tenant: 1, tokens, reserve }]
 }
 
 #[test]
 fn tokens_are_asked_for_by_requests_that_wait_and_end_in_time() {
-    let mut shares = QuotaShares::default();
+    let mut shares = shares();
     shares.want(1, 100);
     assert!(!shares.spend(ms(0), 1, 100));
-    assert_eq!(shares.questions(ms(0)).wanted, [(1, 100)]);
-    assert!(shares.questions(ms(10)).is_empty(), "it is asked for already");
-    shares.granted(ms(20), 1, grant(0, 100, 100, 0));
+    let question = shares.question(ms(0)).unwrap();
+    assert_eq!(question.wanted, [(1, 100)]);
+    assert_eq!(shares.question(ms(10)), None, "it is asked for already");
+    shares.answered(ms(20), question.nonce, &grant(100, 0));
     assert!(shares.spend(ms(30), 1, 100) && !shares.spend(ms(30), 1, 1));
     shares.want(1, 50);
-    shares.questions(ms(40));
+    let question = shares.question(ms(40)).unwrap();
     // The answer was under way for so long that nothing of it may be spent.
-    shares.granted(ms(2_000), 1, grant(40, 150, 150, 0));
+    shares.answered(ms(2_000), question.nonce, &grant(150, 0));
     assert!(!shares.spend(ms(2_000), 1, 50));
 }
 
 #[test]
 fn the_reserve_serves_only_while_the_grantor_is_silent_and_is_reported() {
-    let mut shares = QuotaShares::default();
+    let mut shares = shares();
     shares.want(1, 10);
-    shares.questions(ms(0));
-    shares.granted(ms(5), 1, grant(0, 10, 10, 30));
+    let question = shares.question(ms(0)).unwrap();
+    shares.answered(ms(5), question.nonce, &grant(10, 30));
     assert!(shares.spend(ms(6), 1, 10));
     assert!(!shares.spend(ms(7), 1, 10), "the grantor answers");
-    shares.questions(ms(8));
-    assert!(shares.spend(ms(100), 1, 10) && shares.spend(ms(101), 1, 20) && !shares.spend(ms(102), 1, 1));
-    assert_eq!(shares.questions(ms(110)).overdrawn, [(1, 30)]);
+    shares.question(ms(8)).unwrap();
+    assert!(shares.spend(ms(100), 1, 10));
+    let told = shares.question(ms(101)).unwrap();
+    assert_eq!(told.overdrawn, [(1, 10)]);
+    assert!(shares.spend(ms(102), 1, 20) && !shares.spend(ms(103), 1, 1));
+    shares.answered(ms(104), told.nonce, &grant(0, 0));
+    // What was spent after the question was sent is still to be told.
+    assert_eq!(shares.question(ms(110)).unwrap().overdrawn, [(1, 20)]);
 }
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -9,13 +9,13 @@
 use event_listener::Event;
 use passrelay_configuration::{parse_document, Configuration};
 use passrelay_control_plane::load::LoadMessage;
-use passrelay_control_plane::quota::{QuotaMessage, TenantKey, GRANT_LASTS};
+use passrelay_control_plane::quota::{Allotment, QuotaMessage, TenantKey, GRANT_LASTS};
 use passrelay_control_plane::replication::{Member, ReplicaSettings};
 use passrelay_control_plane::{
     Action, CallId, Coordinator, CoordinatorSettings, OperatorAnswer, OperatorRequest,
 };
 use passrelay_data_plane::balancer::Balancer;
-use passrelay_data_plane::quota::{Grant, QuotaShares};
+use passrelay_data_plane::quota::{Grant, Question, QuotaShares};
 use passrelay_data_plane::retry_budget::RetryBudget;
 use passrelay_data_plane::routing::RoutingTable;
 use passrelay_dissemination::{
@@ -24,7 +24,7 @@
 use smol::channel::Sender;
 use smol::{LocalExecutor, Timer};
 use std::cell::{Cell, RefCell};
-use std::collections::{BTreeMap, HashMap};
+use std::collections::HashMap;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 use thiserror::Error;
@@ -33,8 +33,6 @@
 const ELECTION_TIMEOUT: Duration = Duration::from_millis(320);
 /// Pause between questions for quota ahead of demand.
 const QUOTA_EVERY: Duration = Duration::from_millis(100);
-/// Questions for quota whose answers still count.
-const OPEN_QUOTA_QUESTIONS: usize = 256;
 /// Margin of the freshness check under the bound: a request needs time to reach its endpoint.
 const REVOKE_MARGIN: Duration = Duration::from_millis(600);
 /// A sidecar calls itself not ready this much before its requests would be refused.
@@ -75,11 +73,6 @@
     pub index: u64,
 }
 
-struct QuotaQuestion {
-    asked_at: Duration,
-    wanted: Vec<(TenantKey, u64)>,
-}
-
 /// What the tasks of one process share.
 pub struct Node {
     /// The executor of all tasks.
@@ -108,8 +101,6 @@
     kept_revision: Cell<u64>,
     calls: RefCell<HashMap<CallId, Sender<OperatorAnswer>>>,
     next_call: Cell<u64>,
-    quota_questions: RefCell<BTreeMap<u64, QuotaQuestion>>,
-    next_quota_question: Cell<u64>,
     draining: Cell<bool>,
     /// The account of the load that was sent last, and its number.
     told_load: RefCell<(u64, Vec<EndpointLoad>)>,
@@ -206,23 +197,10 @@
 
     /// Asks the grantor for the tokens that are wanted now.
     pub fn ask_for_quota(self: &Rc<Self>) {
-        let now = self.now();
-        let questions = self.quota.borrow_mut().questions(now);
-        if questions.is_empty() {
-            return;
-        }
-        let keyed = |(key, tokens): &(u64, u64)| (TenantKey(*key), *tokens);
-        let wanted: Vec<(TenantKey, u64)> = questions.wanted.iter().map(keyed).collect();
-        let overdrawn = questions.overdrawn.iter().map(keyed).collect();
-        let nonce = self.next_quota_question.get();
-        self.next_quota_question.set(nonce + 1);
-        let mut questions = self.quota_questions.borrow_mut();
-        questions.insert(nonce, QuotaQuestion { asked_at: now, wanted: wanted.clone() });
-        while questions.len() > OPEN_QUOTA_QUESTIONS {
-            questions.pop_first();
-        }
-        drop(questions);
-        let message = QuotaMessage::Want { nonce, wanted, overdrawn };
+        let question = self.quota.borrow_mut().question(self.now());
+        let Some(Question { nonce, wanted, overdrawn }) = question else { return };
+        let keyed = |all: Vec<(u64, u64)>| all.into_iter().map(|(key, n)| (TenantKey(key), n)).collect();
+        let message = QuotaMessage::Want { nonce, wanted: keyed(wanted), overdrawn: keyed(overdrawn) };
         self.drive(|c, now, actions| c.want_tokens(now, message, actions));
     }
 
@@ -281,17 +259,9 @@
 
     fn take_grant(&self, grant: QuotaMessage) {
         let QuotaMessage::Grant { nonce, granted, .. } = grant else { return };
-        let Some(question) = self.quota_questions.borrow_mut().remove(&nonce) else { return };
-        let now = self.now();
-        let mut quota = self.quota.borrow_mut();
-        for (key, wanted) in &question.wanted {
-            let allotment = granted.iter().find(|a| a.tenant == *key);
-            let (tokens, reserve) = allotment.map_or((0, 0), |a| (a.tokens, a.reserve));
-            let grant =
-                Grant { asked_at: question.asked_at, lasts: GRANT_LASTS, wanted: *wanted, tokens, reserve };
-            quota.granted(now, key.0, grant);
-        }
-        drop(quota);
+        let grant = |a: Allotment| Grant { tenant: a.tenant.0, tokens: a.tokens, reserve: a.reserve };
+        let grants: Vec<Grant> = granted.into_iter().map(grant).collect();
+        self.quota.borrow_mut().answered(self.now(), nonce, &grants);
         self.quota_granted.notify(usize::MAX);
     }
 
@@ -399,7 +369,7 @@
         executor,
         balancer: RefCell::new(Balancer::new(&settings.zone)),
         budget: RefCell::new(RetryBudget::new(settings.retry_budget_ratio)),
-        quota: RefCell::new(QuotaShares::default()),
+        quota: RefCell::new(QuotaShares::new(GRANT_LASTS)),
         quota_granted: Event::new(),
         pool: Pool::default(),
         clients: ClientConnections::default(),
@@ -412,8 +382,6 @@
         kept_revision: Cell::new(0),
         calls: RefCell::default(),
         next_call: Cell::new(1),
-        quota_questions: RefCell::default(),
-        next_quota_question: Cell::new(1),
         draining: Cell::new(false),
         told_load: RefCell::default(),
         sidecars: Cell::new(1),
