Check the limits that bind the whole fleet by random histories; two faults of the quota found and mended

Simulated sidecars with the deciders of the program: tenants within and three times over their quota, keys taken away, endpoints that drain, repeats, faults of machines and long cuts of up to half of them. A checker apart looks only at what was sent and acknowledged.

--- a/crates/control-plane/src/coordinator.rs
+++ b/crates/control-plane/src/coordinator.rs
@@ -465,8 +465,11 @@
             actions.push(Action::Granted(message));
             return;
         };
+        let unfenced = self.replica.as_ref().is_some_and(|r| r.has_fault(ProtocolFault::GrantsUnconfirmed));
         let confirmed_at = self.replica.as_ref().and_then(Replica::confirmed_at);
+        let confirmed_at = if unfenced { Some(now) } else { confirmed_at };
         let Some(grantor) = &mut self.grantor else { return };
+        grantor.learn_sidecars(self.load_sums.sidecars().max(self.gossip.view().len() + 1));
         let Some(granted) = grantor.grant(now, confirmed_at, from, &wanted, &overdrawn) else { return };
         let grant = QuotaMessage::Grant { nonce, term: grantor.term(), granted };
         if from == self.own {
--- a/crates/control-plane/src/load.rs
+++ b/crates/control-plane/src/load.rs
@@ -55,10 +55,15 @@
         if self.summed_at.is_none_or(|at| now.saturating_sub(at) >= SUMS_LAST) {
             self.sum(now);
         }
-        let sidecars = u32::try_from(self.told.len()).unwrap_or(u32::MAX);
+        let sidecars = u32::try_from(self.sidecars()).unwrap_or(u32::MAX);
         LoadMessage::Sums { nonce, sidecars, loads: self.sums.clone() }
     }
 
+    /// Sidecars that told lately.
+    pub fn sidecars(&self) -> usize {
+        self.told.len()
+    }
+
     fn sum(&mut self, now: Duration) {
         self.summed_at = Some(now);
         self.told.retain(|_, (at, _)| now.saturating_sub(*at) < FORGET_AFTER);
--- a/crates/control-plane/src/quota.rs
+++ b/crates/control-plane/src/quota.rs
@@ -20,6 +20,9 @@
 const FIRST_ALLOWANCE_S: f64 = 0.25;
 /// All reserves together are the allowance of this time, in seconds.
 const RESERVE_S: f64 = 1.6;
+/// ... and where the grantor changed less than a window ago: the reserve may have been spent already, and the new
+/// grantor doesn't know of everything that the one before was owed.
+const RESERVE_AFTER_CHANGE_S: f64 = 0.5;
 /// Part of the bound's overshoot and slack that buckets may save up; the rest covers reserves and changes of grantor.
 const SLACK_PART: f64 = 0.3;
 /// Sidecars that asked within this time share the reserve.
@@ -119,6 +122,7 @@
     buckets: BTreeMap<TenantKey, Bucket>,
     /// When each sidecar asked last.
     population: BTreeMap<SocketAddrV4, Duration>,
+    sidecars: usize,
 }
 
 impl Grantor {
@@ -132,6 +136,7 @@
             generation: 0,
             buckets: BTreeMap::new(),
             population: BTreeMap::new(),
+            sidecars: 1,
         }
     }
 
@@ -151,9 +156,9 @@
             let key = TenantKey::of(&tenant.name);
             let capacity = self.bounds.capacity(tenant.rate_per_s, tenant.burst);
             let tokens = tenant.rate_per_s * FIRST_ALLOWANCE_S;
-            let first = Bucket { rate_per_s: 0.0, capacity, tokens, at: now };
+            let first = Bucket { rate_per_s: 0.0, capacity, tokens, at: now.max(self.grants_from) };
             let mut bucket = before.remove(&key).unwrap_or(first);
-            bucket.refill(now);
+            bucket.refill(now.max(self.grants_from));
             bucket.rate_per_s = tenant.rate_per_s;
             bucket.capacity = capacity;
             bucket.tokens = bucket.tokens.min(capacity);
@@ -161,6 +166,12 @@
         }
     }
 
+    /// How many sidecars there are at least, those aside that have asked. They share the reserve: without them the first
+    /// to ask after a quiet time would get too much of it.
+    pub fn learn_sidecars(&mut self, sidecars: usize) {
+        self.sidecars = sidecars;
+    }
+
     /// Grants what there is, if this grantor was confirmed lately.
     pub fn grant(
         &mut self,
@@ -177,14 +188,17 @@
         self.population.insert(from, now);
         self.population.retain(|_, at| now.saturating_sub(*at) < POPULATION_OVER);
         self.charge(now, overdrawn);
-        let sidecars = self.population.len() as f64;
+        let sidecars = self.population.len().max(self.sidecars) as f64;
+        let changed_lately =
+            self.term > 1 && now < self.grants_from + Duration::from_secs_f64(self.bounds.window_s);
+        let reserve_s = if changed_lately { RESERVE_AFTER_CHANGE_S } else { RESERVE_S };
         let mut granted = Vec::with_capacity(wanted.len());
         for (tenant, tokens) in wanted {
             let Some(bucket) = self.buckets.get_mut(tenant) else { continue };
             bucket.refill(now);
             let tokens = (*tokens as f64).min(bucket.tokens).max(0.0).floor();
             bucket.tokens -= tokens;
-            let reserve = (bucket.rate_per_s * RESERVE_S / sidecars) as u64;
+            let reserve = (bucket.rate_per_s * reserve_s / sidecars) as u64;
             granted.push(Allotment { tenant: *tenant, tokens: tokens as u64, reserve });
         }
         Some(granted)
--- a/crates/control-plane/src/replication/types.rs
+++ b/crates/control-plane/src/replication/types.rs
@@ -282,6 +282,8 @@
     RefusesUnconfirmed,
     /// A state is told on before it is committed.
     PublishesUncommitted,
+    /// Quota is granted without a majority's word, and without waiting for the grantor before.
+    GrantsUnconfirmed,
     /// A machine whose disk was lost founds the system a second time, alone.
     FoundsAgain,
 }
--- a/crates/control-plane/tests/quota.rs
+++ b/crates/control-plane/tests/quota.rs
@@ -85,6 +85,30 @@
     assert_eq!(granted(&mut grantor, ms(300), sidecar(3), 10), Some(0));
 }
 
+#[test]
+fn the_first_to_ask_after_a_quiet_time_gets_no_more_of_the_reserve_than_its_share() {
+    let mut grantor = grantor(ms(0), 1);
+    grantor.learn_sidecars(12);
+    let wanted = [(TenantKey::of("t"), 10)];
+    let first = grantor.grant(ms(0), Some(ms(0)), sidecar(1), &wanted, &[]).unwrap()[0];
+    assert!(first.reserve as f64 <= RATE * 2.0 / 12.0, "{}", first.reserve);
+}
+
+#[test]
+fn a_grantor_that_follows_another_gives_a_smaller_reserve_and_nothing_for_the_time_of_its_wait() {
+    let reserve = |grantor: &mut Grantor, now: Duration| {
+        let wanted = [(TenantKey::of("t"), 10_000_000)];
+        let granted = grantor.grant(now, Some(now), sidecar(1), &wanted, &[]).unwrap()[0];
+        (granted.tokens as f64, granted.reserve as f64)
+    };
+    let mut first = grantor(ms(0), 1);
+    let mut next = grantor(ms(5_000), 2);
+    let (_, usual) = reserve(&mut first, ms(5_400));
+    let (tokens, after_change) = reserve(&mut next, ms(5_400));
+    assert!(tokens <= RATE * 0.25 && after_change < usual / 3.0, "{tokens} {after_change} {usual}");
+    assert_eq!(reserve(&mut next, ms(14_000)).1, usual);
+}
+
 #[test]
 fn a_lower_limit_binds_at_once_and_a_dropped_tenant_gets_nothing() {
     let mut grantor = grantor(ms(0), 1);
--- a/crates/dissemination/src/gossip.rs
+++ b/crates/dissemination/src/gossip.rs
@@ -124,6 +124,14 @@
     Configured(CommittedConfiguration),
 }
 
+/// A way in which dissemination is made to break its rules, so that the checkers of simulated histories can
+/// themselves be checked. The program never sets one.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum GossipFault {
+    /// What is known of the configuration counts as current when it arrives, however old it was at the sender.
+    AgeFromArrival,
+}
+
 /// What the decider has to know from the start.
 #[derive(Clone, Debug)]
 pub struct GossipSettings {
@@ -135,12 +143,15 @@
     pub heartbeat: Duration,
     /// Sets this sidecar's random choices apart from those of others.
     pub random_seed: u64,
+    /// A broken rule, in simulations only.
+    pub fault: Option<GossipFault>,
 }
 
 /// The decider.
 pub struct Gossip {
     own: SocketAddrV4,
     seeds: Vec<SocketAddrV4>,
+    fault: Option<GossipFault>,
     rng: ChaCha8Rng,
     view: PartialView,
     registry: Registry,
@@ -164,6 +175,7 @@
             own: settings.own,
             view: PartialView::new(settings.own),
             seeds: settings.seeds,
+            fault: settings.fault,
             rng: ChaCha8Rng::seed_from_u64(settings.random_seed),
             registry: Registry::new(settings.heartbeat),
             core: None,
@@ -372,7 +384,10 @@
         // Age is counted from the sending of the own question: an answer may have been under way for long.
         let Some(asked_at) = self.questions.remove(&digest.nonce) else { return };
         if let Some(age_ms) = fresh_age_ms {
-            let age = Duration::from_millis(u64::from(age_ms));
+            let age = match self.fault {
+                Some(GossipFault::AgeFromArrival) => Duration::ZERO,
+                None => Duration::from_millis(u64::from(age_ms)),
+            };
             if digest.index <= self.index() && asked_at >= age {
                 self.fresh_at = self.fresh_at.max(Some(asked_at - age));
             }
--- a/crates/dissemination/src/lib.rs
+++ b/crates/dissemination/src/lib.rs
@@ -8,7 +8,8 @@
 mod view;
 
 pub use gossip::{
-    CommittedConfiguration, CoreHint, Digest, Gossip, GossipAction, GossipMessage, GossipSettings,
+    CommittedConfiguration, CoreHint, Digest, Gossip, GossipAction, GossipFault, GossipMessage,
+    GossipSettings,
 };
 pub use load::EndpointLoad;
 pub use registry::{EndpointRecord, EndpointState, Heartbeat, Registry, RegistryDigest};
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -358,6 +358,7 @@
                 seeds: settings.internal_seeds(),
                 heartbeat: settings.heartbeat,
                 random_seed: rand::random(),
+                fault: None,
             },
             replica: None,
             bootstrap: settings.bootstrap,
--- a/crates/simulation/examples/dissemination.rs
+++ b/crates/simulation/examples/dissemination.rs
@@ -99,6 +99,7 @@
         loss,
         mutant: None,
         fault: None,
+        gossip_fault: None,
         seed: 1,
     });
     let endpoints = (machines as f64 * ENDPOINTS_PER_SIDECAR) as usize;
--- a/crates/simulation/examples/failover.rs
+++ b/crates/simulation/examples/failover.rs
@@ -25,6 +25,7 @@
                     loss: message_loss,
                     mutant: None,
                     fault: None,
+                    gossip_fault: None,
                     seed,
                 };
                 let all: Vec<_> =
--- a/crates/simulation/src/cluster.rs
+++ b/crates/simulation/src/cluster.rs
@@ -1,12 +1,12 @@
 //! Machines, their processes, the network between them, and time.
 
 use crate::disk::{Disk, DiskMutant};
-use passrelay_control_plane::quota::QuotaBounds;
+use passrelay_control_plane::quota::{QuotaBounds, QuotaMessage};
 use passrelay_control_plane::replication::{Member, ProtocolFault, ReplicaSettings, Ticket};
 use passrelay_control_plane::{
     Action, CallId, Coordinator, CoordinatorSettings, Message, OperatorAnswer, OperatorRequest,
 };
-use passrelay_dissemination::{CommittedConfiguration, GossipSettings, Heartbeat};
+use passrelay_dissemination::{CommittedConfiguration, GossipFault, GossipSettings, Heartbeat};
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 use std::cmp::Reverse;
@@ -37,6 +37,8 @@
     pub mutant: Option<DiskMutant>,
     /// Fault of all members, for checking the checker.
     pub fault: Option<ProtocolFault>,
+    /// Fault of dissemination at all machines, for checking the checker.
+    pub gossip_fault: Option<GossipFault>,
     /// Seed of all chance.
     pub seed: u64,
 }
@@ -104,6 +106,15 @@
         /// The answer.
         answer: OperatorAnswer,
     },
+    /// A sidecar got the answer to a question for tokens.
+    Granted {
+        /// The machine.
+        machine: usize,
+        /// The incarnation of its process.
+        incarnation: u64,
+        /// The grant.
+        grant: QuotaMessage,
+    },
 }
 
 /// A running cluster.
@@ -179,6 +190,26 @@
         self.machines[machine].disk.is_some() && !self.machines[machine].removed
     }
 
+    /// Whether a machine's process answers: it runs and does not stand still.
+    pub fn responds(&self, machine: usize) -> bool {
+        self.runs(machine) && self.machines[machine].frozen_until <= self.now
+    }
+
+    /// Counts the starts of a machine's process.
+    pub fn incarnation(&self, machine: usize) -> u64 {
+        self.machines[machine].incarnation
+    }
+
+    /// When a machine's process was started.
+    pub fn started_at(&self, machine: usize) -> Duration {
+        self.machines[machine].started_at
+    }
+
+    /// The time on the clock of a machine's process.
+    pub fn local_now(&self, machine: usize) -> Duration {
+        self.now.saturating_sub(self.machines[machine].started_at)
+    }
+
     /// The coordinator of a machine's process.
     pub fn process(&self, machine: usize) -> Option<&Coordinator> {
         self.machines[machine].process.as_ref()
@@ -311,6 +342,11 @@
         self.act(machine, |process, now, actions| process.heartbeat(now, beat, actions))
     }
 
+    /// A sidecar asks for tokens.
+    pub fn want_tokens(&mut self, machine: usize, question: QuotaMessage) -> Option<Vec<Seen>> {
+        self.act(machine, |process, now, actions| process.want_tokens(now, question, actions))
+    }
+
     /// Plays one event. Returns what was seen from outside; `None` when there is nothing before `until`.
     pub fn step(&mut self, until: Duration) -> Option<Vec<Seen>> {
         if self.queue.peek().is_none_or(|next| next.0.at > until) {
@@ -384,6 +420,7 @@
         }
         let seeds = self.seed_addresses();
         let (tolerated_losses, fault) = (self.settings.tolerated_losses, self.settings.fault);
+        let gossip_fault = self.settings.gossip_fault;
         let random_seed = self.rng.random();
         let one = &mut self.machines[machine];
         let bootstrap = !one.started_before;
@@ -407,7 +444,7 @@
         one.process = Some(Coordinator::new(
             Duration::ZERO,
             CoordinatorSettings {
-                gossip: GossipSettings { own, seeds, heartbeat: HEARTBEAT, random_seed },
+                gossip: GossipSettings { own, seeds, heartbeat: HEARTBEAT, random_seed, fault: gossip_fault },
                 replica,
                 bootstrap,
                 tolerated_losses,
@@ -451,7 +488,8 @@
                 seen.push(Seen::Configured { machine, incarnation, configuration });
             }
             Action::Answer { call, answer } => seen.push(Seen::Answered { call, answer }),
-            Action::Granted(_) | Action::LoadSums(_) => {}
+            Action::Granted(grant) => seen.push(Seen::Granted { machine, incarnation, grant }),
+            Action::LoadSums(_) => {}
         }
     }
 
--- a/crates/simulation/src/history.rs
+++ b/crates/simulation/src/history.rs
@@ -4,10 +4,10 @@
 use crate::checker::{Checker, Violation};
 use crate::cluster::{Cluster, ClusterSettings, Seen};
 use crate::disk::DiskMutant;
+use crate::faults::FaultInjector;
 use passrelay_control_plane::orders::{Order, OrderKind};
 use passrelay_control_plane::replication::ProtocolFault;
 use passrelay_control_plane::{CallId, OperatorAnswer, OperatorRequest};
-use rand::seq::IndexedRandom;
 use rand::Rng;
 use serde_json::{json, Value};
 use std::collections::BTreeMap;
@@ -71,18 +71,13 @@
 struct History {
     cluster: Cluster,
     checker: Checker,
-    tolerated: usize,
-    catch_up: Duration,
+    faults: FaultInjector,
     calls: BTreeMap<CallId, Purpose>,
     next_call: u64,
     next_generation: u64,
     open: Vec<OpenOrder>,
     known: u64,
     outcome: Outcome,
-    /// Counted machines that are lost, until when.
-    lost: BTreeMap<usize, Duration>,
-    /// Cuts and the like that end at a time.
-    healing: Vec<(Duration, usize)>,
     last_read: Option<u64>,
     /// The last fault is over.
     calm: bool,
@@ -98,21 +93,19 @@
         loss: settings.loss,
         mutant: settings.mutant,
         fault: settings.fault,
+        gossip_fault: None,
         seed: settings.seed,
     });
     let mut history = History {
         cluster,
         checker: Checker::default(),
-        tolerated: settings.tolerated_losses,
-        catch_up: settings.catch_up,
+        faults: FaultInjector::new(settings.tolerated_losses, settings.catch_up),
         calls: BTreeMap::new(),
         next_call: 1,
         next_generation: 1,
         open: Vec::new(),
         known: 0,
         outcome: Outcome::default(),
-        lost: BTreeMap::new(),
-        healing: Vec::new(),
         last_read: None,
         calm: false,
     };
@@ -141,7 +134,7 @@
             self.read();
         }
         if self.cluster.rng.random_bool(0.06) {
-            self.fault();
+            self.faults.inject(&mut self.cluster);
         }
         let until = self.cluster.now() + LOOK_EVERY;
         self.advance(until);
@@ -154,7 +147,7 @@
                 self.take(seen);
             }
             self.look();
-            self.heal();
+            self.faults.heal(&mut self.cluster);
             self.call_again();
         }
     }
@@ -169,16 +162,6 @@
         }
     }
 
-    fn heal(&mut self) {
-        let now = self.cluster.now();
-        self.lost.retain(|_, until| *until > now);
-        let due: Vec<usize> = self.healing.iter().filter(|(at, _)| *at <= now).map(|(_, m)| *m).collect();
-        self.healing.retain(|(at, _)| *at > now);
-        for machine in due {
-            self.cluster.join(machine);
-        }
-    }
-
     fn order(&mut self) {
         let generation = self.next_generation;
         self.next_generation += self.cluster.rng.random_range(1..4);
@@ -230,6 +213,7 @@
                     self.checker.configured(machine, incarnation, &configuration);
                 }
                 Seen::Answered { call, answer } => self.answered(call, &answer),
+                Seen::Granted { .. } => {}
             }
         }
     }
@@ -279,79 +263,17 @@
         }
     }
 
-    /// A fault of a machine, within what is tolerated.
-    fn fault(&mut self) {
-        let machines: Vec<usize> = (0..self.cluster.len()).filter(|m| self.cluster.runs(*m)).collect();
-        let Some(mut machine) = machines.choose(&mut self.cluster.rng).copied() else { return };
-        if self.cluster.rng.random_bool(0.5) {
-            machine = self.cluster.primary().unwrap_or(machine);
-        }
-        let counts = self.cluster.counts(machine);
-        if counts && (self.lost.len() >= self.tolerated || self.lost.contains_key(&machine)) {
-            return;
-        }
-        let span = Duration::from_millis(self.cluster.rng.random_range(50..4_000));
-        if counts {
-            self.lost.insert(machine, self.cluster.now() + span + self.catch_up);
-        }
-        match self.cluster.rng.random_range(0..9) {
-            0 | 1 => {
-                self.cluster.crash(machine);
-                self.cluster.start_after(machine, span);
-            }
-            2 => {
-                self.cluster.crash(machine);
-                self.cluster.wipe(machine);
-                self.cluster.start_after(machine, span);
-            }
-            3 => self.cluster.freeze(machine, span),
-            4 => self.cluster.stall(machine, span),
-            5 => self.cluster.fill(machine, span),
-            6 | 7 => self.cut_off(machine, span),
-            _ if counts => self.replace(machine, span),
-            _ => {}
-        }
-    }
-
-    fn cut_off(&mut self, machine: usize, span: Duration) {
-        let (away, back) = match self.cluster.rng.random_range(0..3) {
-            0 => (true, false),
-            1 => (false, true),
-            _ => (true, true),
-        };
-        for other in (0..self.cluster.len()).filter(|m| *m != machine) {
-            if away {
-                self.cluster.cut(machine, other);
-            }
-            if back {
-                self.cluster.cut(other, machine);
-            }
-        }
-        self.healing.push((self.cluster.now() + span, machine));
-    }
-
-    /// A machine is gone for good; an empty one comes at another address.
-    fn replace(&mut self, machine: usize, span: Duration) {
-        let successor = self.cluster.replace(machine);
-        self.cluster.start_after(successor, span);
-        let back = self.lost.remove(&machine);
-        if let Some(until) = back {
-            self.lost.insert(successor, until);
-        }
-    }
-
     /// Everybody loses power, or as many disks as are tolerated are lost while the others lose power.
     fn final_fault(&mut self) {
         // In half of the histories what was lost before has come back.
         if self.cluster.rng.random_bool(0.5) {
-            let calm = self.lost.values().max().copied().unwrap_or_default().max(self.cluster.now());
+            let calm = self.faults.calm_at().max(self.cluster.now());
             self.advance(calm + Duration::from_millis(100));
         }
         self.order();
         let until = self.cluster.now() + Duration::from_millis(self.cluster.rng.random_range(1..60));
         self.advance(until);
-        let left = self.tolerated.saturating_sub(self.lost.len());
-        let mut wiped = if self.cluster.rng.random_bool(0.5) { left } else { 0 };
+        let mut wiped = if self.cluster.rng.random_bool(0.5) { self.faults.left() } else { 0 };
         for machine in 0..self.cluster.len() {
             if !self.cluster.runs(machine) {
                 continue;
--- a/crates/simulation/src/lib.rs
+++ b/crates/simulation/src/lib.rs
@@ -5,4 +5,7 @@
 pub mod cluster;
 pub mod disk;
 pub mod failover;
+pub mod faults;
 pub mod history;
+pub mod limit_checker;
+pub mod limits;
--- a/crates/simulation/tests/failover.rs
+++ b/crates/simulation/tests/failover.rs
@@ -22,6 +22,7 @@
             loss: 0.0,
             mutant: None,
             fault: None,
+            gossip_fault: None,
             seed,
         };
         let time = time_to_acknowledge(&settings, loss);
--- /dev/null
+++ b/crates/simulation/tests/limits.rs
@@ -0,0 +1,93 @@
+//! Random histories keep the limits that bind the whole fleet, and broken sidecars are found out.
+
+use passrelay_control_plane::replication::ProtocolFault;
+use passrelay_dissemination::GossipFault;
+use passrelay_simulation::limits::{play, LimitMutant, LimitSettings};
+use rstest::rstest;
+
+fn settings(counted: usize, machines: usize, seed: u64) -> LimitSettings {
+    LimitSettings {
+        counted,
+        machines,
+        tolerated_losses: if counted >= 5 { 2 } else { 1 },
+        calm: false,
+        loss: if seed % 3 == 0 { 0.05 } else { 0.0 },
+        mutant: None,
+        fault: None,
+        gossip_fault: None,
+        seed,
+    }
+}
+
+/// `LIMIT_HISTORIES=FROM..TO` plays these seeds instead.
+fn seeds(least: u64) -> std::ops::Range<u64> {
+    let told = std::env::var("LIMIT_HISTORIES").ok();
+    let range = told.as_deref().and_then(|text| text.split_once(".."));
+    range.and_then(|(a, b)| Some(a.parse().ok()?..b.parse().ok()?)).unwrap_or(0..least)
+}
+
+#[rstest]
+#[case::three_counted_of_twelve(3, 12, 300)]
+#[case::five_counted_of_twelve(5, 12, 150)]
+#[case::eight_counted_of_thirty(8, 30, 50)]
+fn no_limit_is_passed(#[case] counted: usize, #[case] machines: usize, #[case] least: u64) {
+    let (mut revoked, mut drained, mut sent) = (0, 0, 0);
+    for seed in seeds(least) {
+        let outcome = play(&settings(counted, machines, seed));
+        assert!(
+            outcome.violations.is_empty(),
+            "LIMIT_HISTORIES={seed}..{} ({counted} counted of {machines}): {:?}",
+            seed + 1,
+            outcome.violations
+        );
+        revoked += outcome.revoked;
+        drained += outcome.drained;
+        sent += outcome.sent.values().sum::<usize>();
+    }
+    assert!(revoked > 0 && drained > 0 && sent > 0);
+}
+
+#[test]
+fn without_faults_nothing_within_a_quota_is_refused() {
+    for seed in seeds(40) {
+        let outcome = play(&LimitSettings { calm: true, loss: 0.0, ..settings(3, 12, seed) });
+        assert!(outcome.violations.is_empty(), "seed {seed}: {:?}", outcome.violations);
+        assert_eq!(outcome.refused.get("fair"), None, "seed {seed}");
+        // The one far over its quota gets that and no less.
+        assert!(outcome.sent["hot"] as f64 * 10_000.0 > 220_000.0 * 18.0, "seed {seed}: {:?}", outcome.sent);
+    }
+}
+
+#[rstest]
+#[case(LimitMutant::ChecksBeforeWaitOnly)]
+#[case(LimitMutant::SlackForEach)]
+#[case(LimitMutant::SendsToDraining)]
+fn a_broken_sidecar_is_found_out(#[case] mutant: LimitMutant) {
+    let found = (0..500).find(|seed| {
+        let settings = LimitSettings { mutant: Some(mutant), ..settings(3, 12, *seed) };
+        !play(&settings).violations.is_empty()
+    });
+    println!("{mutant:?}: seed {found:?}");
+    assert!(found.is_some(), "{mutant:?} was not found in 500 histories");
+}
+
+#[test]
+fn an_age_counted_from_the_arrival_of_news_is_found_out() {
+    let found = (0..500).find(|seed| {
+        let gossip_fault = Some(GossipFault::AgeFromArrival);
+        !play(&LimitSettings { gossip_fault, ..settings(3, 12, *seed) }).violations.is_empty()
+    });
+    println!("seed {found:?}");
+    assert!(found.is_some(), "an age counted from arrival was not found in 500 histories");
+}
+
+#[test]
+fn a_grantor_without_a_fence_is_found_out() {
+    let found = (0..500).find(|seed| {
+        let settings =
+            LimitSettings { fault: Some(ProtocolFault::GrantsUnconfirmed), ..settings(3, 12, *seed) };
+        !play(&settings).violations.is_empty()
+    });
+    println!("seed {found:?}");
+    assert!(found.is_some(), "a grantor without a fence was not found in 500 histories");
+}
