--- a/crates/simulation/tests/limits.rs
+++ b/crates/simulation/tests/limits.rs
@@ -27,9 +27,9 @@
 }
 
 #[rstest]
-#[case::three_counted_of_twelve(3, 12, 300)]
-#[case::five_counted_of_twelve(5, 12, 150)]
-#[case::eight_counted_of_thirty(8, 30, 50)]
+#[case::three_counted_of_twelve(3, 12, 600)]
+#[case::five_counted_of_twelve(5, 12, 300)]
+#[case::eight_counted_of_thirty(8, 30, 100)]
 fn no_limit_is_passed(#[case] counted: usize, #[case] machines: usize, #[case] least: u64) {
     let (mut revoked, mut drained, mut sent) = (0, 0, 0);
     for seed in seeds(least) {
