Have a new grantor go on with the levels of the one before

The grantor tells the other members every 100 ms which buckets are not nearly full; who follows starts from there and its reserves stay whole. Without levels (all processes started again) it starts with 0.65 s of the rate.

--- a/crates/control-plane/src/coordinator.rs
+++ b/crates/control-plane/src/coordinator.rs
@@ -3,7 +3,7 @@
 
 use crate::load::{LoadMessage, LoadSums};
 use crate::orders::{Order, Refusal, Verdict};
-use crate::quota::{Grantor, QuotaBounds, QuotaMessage};
+use crate::quota::{Grantor, QuotaBounds, QuotaMessage, ToldLevels};
 use crate::replication::{
     DurableState, DurableWrite, Founder, ProtocolFault, Replica, ReplicaAction, ReplicaSettings,
     ReplicatedState, ReplicationEnvelope, ReplicationMessage, Ticket,
@@ -23,6 +23,9 @@
 /// A call that was passed on is passed on again after this.
 const RELAY_AGAIN_AFTER: Duration = Duration::from_millis(300);
 
+/// Pause between accounts of the quota buckets to the other members.
+const TELL_LEVELS_EVERY: Duration = Duration::from_millis(100);
+
 /// Names an operator's call at the process that took it.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 pub struct CallId(pub u64);
@@ -199,6 +202,9 @@
     founder: Option<Founder>,
     quota_bounds: QuotaBounds,
     grantor: Option<Grantor>,
+    /// What the grantor last told of its buckets, on members.
+    told_levels: Option<ToldLevels>,
+    next_levels: Duration,
     load_sums: LoadSums,
     calls: Vec<Call>,
 }
@@ -222,6 +228,8 @@
             founder,
             quota_bounds: settings.quota_bounds,
             grantor: None,
+            told_levels: None,
+            next_levels: Duration::ZERO,
             load_sums: LoadSums::default(),
             calls: Vec::new(),
         }
@@ -285,6 +293,7 @@
         }
         self.found(now, actions);
         self.after_progress(now, actions);
+        self.tell_levels(now, actions);
         due
     }
 
@@ -461,9 +470,19 @@
         message: QuotaMessage,
         actions: &mut Vec<Action>,
     ) {
-        let QuotaMessage::Want { nonce, wanted, overdrawn } = message else {
-            actions.push(Action::Granted(message));
-            return;
+        let (nonce, wanted, overdrawn) = match message {
+            QuotaMessage::Want { nonce, wanted, overdrawn } => (nonce, wanted, overdrawn),
+            QuotaMessage::Grant { .. } => {
+                actions.push(Action::Granted(message));
+                return;
+            }
+            QuotaMessage::Levels(levels) => {
+                let newer = self.told_levels.as_ref().is_none_or(|t| t.levels.term <= levels.term);
+                if newer && self.replica.is_some() {
+                    self.told_levels = Some(ToldLevels { levels, at: now });
+                }
+                return;
+            }
         };
         let unfenced = self.replica.as_ref().is_some_and(|r| r.has_fault(ProtocolFault::GrantsUnconfirmed));
         let confirmed_at = self.replica.as_ref().and_then(Replica::confirmed_at);
@@ -479,6 +498,21 @@
         }
     }
 
+    /// Tells the other members how full the buckets are, so that whoever follows as grantor goes on from there.
+    fn tell_levels(&mut self, now: Duration, actions: &mut Vec<Action>) {
+        if now < self.next_levels {
+            return;
+        }
+        let Some(grantor) = &mut self.grantor else { return };
+        self.next_levels = now + TELL_LEVELS_EVERY;
+        let levels = grantor.levels(now);
+        let members = self.gossip.core().map(|core| core.members.as_slice()).unwrap_or_default();
+        for to in members.iter().filter(|member| **member != self.own) {
+            let message = Message::Quota(QuotaMessage::Levels(levels.clone()));
+            actions.push(Action::Send { to: *to, message });
+        }
+    }
+
     /// After anything that may have moved the replica: tell what is committed, keep the grantor, answer calls.
     fn after_progress(&mut self, now: Duration, actions: &mut Vec<Action>) {
         if self.replica.is_some() {
@@ -493,7 +527,7 @@
             self.gossip.learn_core(hint);
         }
         let Some(mut committed) = replica.committed().filter(|_| replica.is_established()).cloned() else {
-            self.grantor = None;
+            self.told_levels = last_levels(&mut self.grantor, now).or(self.told_levels.take());
             return;
         };
         if replica.has_fault(ProtocolFault::PublishesUncommitted) {
@@ -510,8 +544,9 @@
         let term = committed.version.term;
         let current = self.grantor.as_ref().is_some_and(|g| g.term() == term);
         if !current {
+            self.told_levels = last_levels(&mut self.grantor, now).or(self.told_levels.take());
             let since = replica.leads_since().unwrap_or(now);
-            self.grantor = Some(Grantor::new(since, term, self.quota_bounds));
+            self.grantor = Some(Grantor::new(since, term, self.quota_bounds, self.told_levels.as_ref()));
         }
         if !current || before != committed.version.index {
             self.configure_grantor(now, &committed);
@@ -666,3 +701,9 @@
         }
     }
 }
+
+/// The levels of a grantor that grants no more; if this process is the next to grant, it goes on from there.
+fn last_levels(grantor: &mut Option<Grantor>, now: Duration) -> Option<ToldLevels> {
+    let mut grantor = grantor.take()?;
+    Some(ToldLevels { levels: grantor.levels(now), at: now })
+}
--- a/crates/control-plane/src/quota.rs
+++ b/crates/control-plane/src/quota.rs
@@ -1,9 +1,10 @@
 //! Tenants' quotas over all sidecars: the primary grants tokens from one bucket a tenant, sidecars spend them.
 //!
 //! A grant ends a fixed time after the sidecar asked for it, so what a lost sidecar held is not spent later. A
-//! grantor grants only while a majority has confirmed it lately, and a new one waits out that time first. While no
-//! grantor answers, sidecars live on a reserve that came with their last grant: together no more than the quota of a
-//! short time. What was spent of it is charged to the bucket afterwards.
+//! grantor grants only while a majority has confirmed it lately, and a new one waits out that time first. It goes on
+//! with the levels of the buckets that the one before told the other members; without them it starts nearly empty.
+//! While no grantor answers, sidecars live on a reserve that came with their last grant: together no more than the
+//! quota of a short time. What was spent of it is charged to the bucket afterwards.
 
 use passrelay_configuration::Configuration;
 use serde::{Deserialize, Serialize};
@@ -16,13 +17,18 @@
 const CONFIRMED_WITHIN: Duration = Duration::from_millis(400);
 /// How long a grant may be spent, from the moment it was asked for.
 pub const GRANT_LASTS: Duration = Duration::from_millis(1_500);
-/// A new grantor starts with the allowance of this time, in seconds.
-const FIRST_ALLOWANCE_S: f64 = 0.25;
+/// A grantor that doesn't know the levels of the one before starts with the allowance of this time, in seconds. Members
+/// are told them often, so this happens after a time without any grantor: all processes were started again.
+const FIRST_ALLOWANCE_S: f64 = 0.65;
 /// All reserves together are the allowance of this time, in seconds.
 const RESERVE_S: f64 = 1.6;
-/// ... and where the grantor changed less than a window ago: the reserve may have been spent already, and the new
-/// grantor doesn't know of everything that the one before was owed.
+/// ... and where the grantor changed less than a window ago without knowing the levels: the reserve may have been spent
+/// already, and nobody knows what was owed.
 const RESERVE_AFTER_CHANGE_S: f64 = 0.5;
+/// Levels that were told longer before the change of grantor than this count no more.
+const LEVELS_LAST: Duration = Duration::from_secs(3);
+/// Buckets that are filled beyond this part of their capacity are not told one by one.
+const NEARLY_FULL: f64 = 0.9;
 /// Part of the bound's overshoot and slack that buckets may save up; the rest covers reserves and changes of grantor.
 const SLACK_PART: f64 = 0.3;
 /// Sidecars that asked within this time share the reserve.
@@ -83,6 +89,26 @@
         /// What each tenant gets.
         granted: Vec<Allotment>,
     },
+    /// The grantor tells the members who may follow it how full the buckets are.
+    Levels(Levels),
+}
+
+/// How full the buckets of a grantor are.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Levels {
+    /// Term of the grantor.
+    pub term: u64,
+    /// Tenants and tokens, below zero where some are owed; all others' buckets are nearly full.
+    pub tokens: Vec<(TenantKey, i64)>,
+}
+
+/// Levels as they were told, and when.
+#[derive(Clone, Debug)]
+pub struct ToldLevels {
+    /// The levels.
+    pub levels: Levels,
+    /// When they came.
+    pub at: Duration,
 }
 
 /// What a sidecar gets of one tenant's quota.
@@ -108,7 +134,7 @@
     fn refill(&mut self, now: Duration) {
         let elapsed = now.saturating_sub(self.at).as_secs_f64();
         self.tokens = (self.tokens + elapsed * self.rate_per_s).min(self.capacity);
-        self.at = now;
+        self.at = self.at.max(now);
     }
 }
 
@@ -123,12 +149,17 @@
     /// When each sidecar asked last.
     population: BTreeMap<SocketAddrV4, Duration>,
     sidecars: usize,
+    /// What the grantor before told lately of its buckets.
+    inherited: Option<BTreeMap<TenantKey, i64>>,
 }
 
 impl Grantor {
-    /// The grantor of a term that began at a time. The one before may still have granted for a while after that.
-    pub fn new(began: Duration, term: u64, bounds: QuotaBounds) -> Self {
+    /// The grantor of a term that began at a time. The one before may still have granted for a while after that; what it
+    /// told of its buckets is where this one goes on.
+    pub fn new(began: Duration, term: u64, bounds: QuotaBounds, told: Option<&ToldLevels>) -> Self {
+        let recent = told.filter(|t| t.levels.term < term && began.saturating_sub(t.at) < LEVELS_LAST);
         Grantor {
+            inherited: recent.map(|t| t.levels.tokens.iter().copied().collect()),
             term,
             bounds,
             // The first term has no grantor before it.
@@ -155,7 +186,7 @@
         for tenant in configuration.tenants.iter().filter(|t| t.is_limited()) {
             let key = TenantKey::of(&tenant.name);
             let capacity = self.bounds.capacity(tenant.rate_per_s, tenant.burst);
-            let tokens = tenant.rate_per_s * FIRST_ALLOWANCE_S;
+            let tokens = self.first_tokens(key, tenant.rate_per_s, capacity);
             let first = Bucket { rate_per_s: 0.0, capacity, tokens, at: now.max(self.grants_from) };
             let mut bucket = before.remove(&key).unwrap_or(first);
             bucket.refill(now.max(self.grants_from));
@@ -166,6 +197,24 @@
         }
     }
 
+    /// What a bucket begins with: its level at the grantor before, or little where that isn't known.
+    fn first_tokens(&self, tenant: TenantKey, rate_per_s: f64, capacity: f64) -> f64 {
+        let Some(levels) = &self.inherited else { return rate_per_s * FIRST_ALLOWANCE_S };
+        levels.get(&tenant).map_or(NEARLY_FULL * capacity, |tokens| (*tokens as f64).min(capacity))
+    }
+
+    /// How full the buckets are.
+    pub fn levels(&mut self, now: Duration) -> Levels {
+        let mut tokens = Vec::new();
+        for (tenant, bucket) in &mut self.buckets {
+            bucket.refill(now);
+            if bucket.tokens < NEARLY_FULL * bucket.capacity {
+                tokens.push((*tenant, bucket.tokens as i64));
+            }
+        }
+        Levels { term: self.term, tokens }
+    }
+
     /// How many sidecars there are at least, those aside that have asked. They share the reserve: without them the first
     /// to ask after a quiet time would get too much of it.
     pub fn learn_sidecars(&mut self, sidecars: usize) {
@@ -189,8 +238,9 @@
         self.population.retain(|_, at| now.saturating_sub(*at) < POPULATION_OVER);
         self.charge(now, overdrawn);
         let sidecars = self.population.len().max(self.sidecars) as f64;
+        let unknown = self.term > 1 && self.inherited.is_none();
         let changed_lately =
-            self.term > 1 && now < self.grants_from + Duration::from_secs_f64(self.bounds.window_s);
+            unknown && now < self.grants_from + Duration::from_secs_f64(self.bounds.window_s);
         let reserve_s = if changed_lately { RESERVE_AFTER_CHANGE_S } else { RESERVE_S };
         let mut granted = Vec::with_capacity(wanted.len());
         for (tenant, tokens) in wanted {
