Elect soon after all processes start again, and after two stood at the same time

Cause: a member that had just started took the moment of its start for the last word of a primary and granted no vote for 256 ms, while all campaign within that time; each then waited 0.4 s and a whole election timeout. And two candidates of the same term sent each other away for a whole timeout. A member that has heard no primary grants at once; one that asked in vain, or stood beside another, tries again after 15 to 180 ms. Calls that were passed on to one primary go to the next as soon as it is known.

--- a/crates/control-plane/src/coordinator.rs
+++ b/crates/control-plane/src/coordinator.rs
@@ -178,7 +178,7 @@
 
 enum Step {
     /// Not yet judged: this process doesn't lead, or doesn't yet.
-    Open { relayed_at: Option<Duration> },
+    Open { relayed: Option<Relayed> },
     /// An acknowledgement that waits for a commit.
     Commit { term: u64, index: u64, generation: u64 },
     /// A refusal that waits for a commit and a confirmation.
@@ -187,6 +187,12 @@
     Read { term: u64, asked_at: Duration },
 }
 
+/// To whom a call was passed on, and when.
+struct Relayed {
+    to: SocketAddrV4,
+    at: Duration,
+}
+
 struct Call {
     caller: Caller,
     request: OperatorRequest,
@@ -572,7 +578,7 @@
         if self.calls.iter().any(|c| c.caller == caller) {
             return;
         }
-        self.calls.push(Call { caller, request, began: now, step: Step::Open { relayed_at: None } });
+        self.calls.push(Call { caller, request, began: now, step: Step::Open { relayed: None } });
         self.advance_calls(now, actions);
     }
 
@@ -630,14 +636,15 @@
 
     /// Passes a call on to the primary, if another machine is that.
     fn relay(&self, now: Duration, call: &mut Call, actions: &mut Vec<Action>) {
-        let Step::Open { relayed_at } = &mut call.step else { return };
+        let Step::Open { relayed } = &mut call.step else { return };
         let Caller::Local(id) = call.caller else { return };
         let Some(primary) = self.gossip.core().map(|c: &CoreHint| c.primary).filter(|p| *p != self.own)
         else {
             return;
         };
-        if relayed_at.is_none_or(|at| now.saturating_sub(at) >= RELAY_AGAIN_AFTER) {
-            *relayed_at = Some(now);
+        let waits = |r: &Relayed| r.to == primary && now.saturating_sub(r.at) < RELAY_AGAIN_AFTER;
+        if !relayed.as_ref().is_some_and(waits) {
+            *relayed = Some(Relayed { to: primary, at: now });
             let message = OperatorMessage::Call { call: id, request: call.request.clone() };
             actions.push(Action::Send { to: primary, message: Message::Operator(message) });
         }
--- a/crates/control-plane/src/replication/replica.rs
+++ b/crates/control-plane/src/replication/replica.rs
@@ -17,6 +17,8 @@
 const TICK_EVERY: Duration = Duration::from_millis(50);
 /// A candidate that hasn't won after this tries again later.
 const CANDIDACY: Duration = Duration::from_millis(400);
+/// ... and one that asked whether it would win, after this.
+const PRE_CANDIDACY: Duration = Duration::from_millis(150);
 /// A write that takes longer means that the disk can't be relied on.
 const SLOW_WRITE: Duration = Duration::from_millis(600);
 /// Pause before a member whose disk failed stands for election.
@@ -49,7 +51,8 @@
     writes: BTreeMap<Ticket, PendingWrite>,
     next_ticket: u64,
     role: Role,
-    heard_primary: Duration,
+    /// When the primary was last heard, if it was since the start.
+    heard_primary: Option<Duration>,
     campaign_at: Duration,
     hint: Option<CoreHint>,
     next_tick: Duration,
@@ -69,7 +72,7 @@
             writes: BTreeMap::new(),
             next_ticket: 0,
             role: Role::Follower,
-            heard_primary: Duration::ZERO,
+            heard_primary: None,
             campaign_at: now,
             hint: None,
             next_tick: now,
@@ -179,12 +182,15 @@
                 leadership.tick(now, &state, actions);
                 self.store_proposal(now, actions);
             }
-            Role::PreCandidate { until, .. } | Role::Candidate { until, .. } => {
-                if now >= *until {
-                    self.role = Role::Follower;
-                    self.put_off_campaign(now);
-                }
+            Role::PreCandidate { until, .. } if now >= *until => {
+                // Nothing was promised yet: the question may be asked again soon.
+                self.campaign_again_soon(now);
+            }
+            Role::Candidate { until, .. } if now >= *until => {
+                self.role = Role::Follower;
+                self.put_off_campaign(now);
             }
+            Role::PreCandidate { .. } | Role::Candidate { .. } => {}
             Role::Follower => self.tick_follower(now, actions),
         }
         self.next_tick
@@ -278,6 +284,12 @@
         self.campaign_at = now + timeout + timeout.mul_f64(self.rng.random_range(0.0..0.6));
     }
 
+    /// Stands down, and for election again after a short time that differs from others'.
+    fn campaign_again_soon(&mut self, now: Duration) {
+        self.role = Role::Follower;
+        self.campaign_at = now + PRE_CANDIDACY.mul_f64(self.rng.random_range(0.1..1.2));
+    }
+
     fn write(
         &mut self,
         now: Duration,
@@ -384,14 +396,15 @@
         let Some(record) = self.witness.record.clone() else { return };
         let term = self.witness.promised.max(record.term) + 1;
         let granted = BTreeSet::from([self.settings.own.id]);
-        self.role = Role::PreCandidate { term, granted, until: now + CANDIDACY };
+        self.role = Role::PreCandidate { term, granted, until: now + PRE_CANDIDACY };
         self.send_to_electors(&record, &ReplicationMessage::PreVote { term }, actions);
         self.count_pre_votes(now, actions);
     }
 
     fn answer_pre_vote(&mut self, now: Duration, from: Member, term: u64, actions: &mut Vec<ReplicaAction>) {
         let leads = self.leadership().is_some();
-        let quiet = now.saturating_sub(self.heard_primary) >= self.settings.election_timeout.mul_f64(0.8);
+        let patience = self.settings.election_timeout.mul_f64(0.8);
+        let quiet = self.heard_primary.is_none_or(|at| now.saturating_sub(at) >= patience);
         if term > self.witness.promised && quiet && !leads {
             actions.push(ReplicaAction::Send {
                 to: from.address,
@@ -657,7 +670,7 @@
 
     /// A primary of the promised term or a later one was heard.
     fn follow(&mut self, now: Duration) {
-        self.heard_primary = now;
+        self.heard_primary = Some(now);
         self.role = Role::Follower;
         self.put_off_campaign(now);
     }
@@ -668,7 +681,11 @@
             Role::PreCandidate { term, .. } | Role::Candidate { term, .. } => promised >= *term,
             Role::Primary(leadership) => promised > leadership.term(),
         };
-        if outrun {
+        let stood = matches!(self.role, Role::PreCandidate { .. } | Role::Candidate { .. });
+        if outrun && stood {
+            // Another stood at the same time. If it wins, it is heard before the next try.
+            self.campaign_again_soon(now);
+        } else if outrun {
             self.role = Role::Follower;
             self.put_off_campaign(now);
         }
--- a/crates/simulation/src/failover.rs
+++ b/crates/simulation/src/failover.rs
@@ -27,6 +27,8 @@
     Freeze,
     /// Its disk ends no write.
     DiskStall,
+    /// All processes end without warning, and start again within half a second.
+    CrashOfAll,
 }
 
 /// Time from the loss of the primary to the acknowledgement of an order that was first sent at that moment; `None` if
@@ -56,6 +58,13 @@
         PrimaryLoss::Cut => cluster.cut_off(primary),
         PrimaryLoss::Freeze => cluster.freeze(primary, GIVE_UP),
         PrimaryLoss::DiskStall => cluster.stall(primary, GIVE_UP),
+        PrimaryLoss::CrashOfAll => {
+            for machine in 0..cluster.len() {
+                cluster.crash(machine);
+                let pause = Duration::from_millis(cluster.rng.random_range(450..500));
+                cluster.start_after(machine, pause);
+            }
+        }
     }
 }
 
