--- a/crates/lab/src/cli.rs
+++ b/crates/lab/src/cli.rs
@@ -1,5 +1,10 @@
 //! The laboratory's command line.
 
+mod faults;
+mod sockets;
+
+use self::faults::{inject_crowd, inject_leases, inject_timed};
+use self::sockets::{calibrate, demo, fleet, floor, load, program, stop_flag};
 use crate::experiment::{Experiment, ExperimentError};
 use crate::fault_injection::{crowd, processes, timed};
 use crate::plot;
@@ -430,75 +435,6 @@
     }
 }
 
-fn inject_leases(
-    seed: u64,
-    seconds: f64,
-    voters: usize,
-    holders: usize,
-    named: Option<PathBuf>,
-) -> Result<(), Failure> {
-    let laboratory = std::env::current_exe().map_err(|e| Failure(1, e.to_string()))?;
-    let command = [&laboratory.to_string_lossy(), "fault-injection", "act"].map(str::to_owned).to_vec();
-    let plan = processes::Plan { program: program(named)?, command, voters, holders, seconds, seed };
-    let outcome = processes::play(&plan, &*stop_flag()?).map_err(|e| Failure(1, e))?;
-    let (acts, refused) = outcome.acts;
-    print(&format!(
-        "seed={seed} voters={voters} holders={holders} seconds={seconds} faults={} replaced={} grants={} acts={acts} \
-         refused_as_older={refused} violations={}\n",
-        outcome.faults.len(),
-        outcome.replaced,
-        outcome.grants,
-        outcome.violations.len()
-    ))?;
-    if outcome.violations.is_empty() {
-        return Ok(());
-    }
-    let wrong: Vec<String> = outcome.violations.iter().take(5).map(ToString::to_string).collect();
-    Err(Failure(1, format!("{}\nfaults:\n{}", wrong.join("\n"), outcome.faults.join("\n"))))
-}
-
-fn inject_crowd(plan: &crowd::Plan) -> Result<(), Failure> {
-    let outcome = crowd::play(plan, &*stop_flag()?).map_err(|e| Failure(1, e))?;
-    let crowd::Plan { voters, clients, leases, seconds, grants, .. } = plan;
-    let (p50, p99, most) = outcome.grant_ms;
-    let list = |values: Vec<String>| values.join(",");
-    print(&format!(
-        "voters={voters} clients={clients} leases={leases} seconds={seconds} grants={grants} grant_p50_ms={p50:.2} \
-         grant_p99_ms={p99:.2} grant_max_ms={most:.2} all_held_s={:.2} cores={} loopback_bytes_per_s={:.0} \
-         rss_mib={} lost={} after_kill_s={} lost_to_kills={}\n",
-        outcome.all_held,
-        list(outcome.cores.iter().map(|c| format!("{c:.3}")).collect()),
-        outcome.bytes,
-        list(outcome.memory.iter().map(|(a, b)| format!("{a:.1}..{b:.1}")).collect()),
-        outcome.lost,
-        list(outcome.after_kill.iter().map(|s| format!("{s:.2}")).collect()),
-        outcome.lost_to_kills
-    ))
-}
-
-fn inject_timed(seed: u64, histories: u64, clients: usize, mutant: Option<&str>) -> Result<(), Failure> {
-    let named = |name: &str| Mutant::ALL.into_iter().find(|m| format!("{m:?}").eq_ignore_ascii_case(name));
-    let known = || Mutant::ALL.map(|m| format!("{m:?}")).join(", ");
-    let mutant = match mutant {
-        Some(name) => Some(
-            named(name).ok_or_else(|| Failure(2, format!("--mutant: '{name}' is none of {}", known())))?,
-        ),
-        None => None,
-    };
-    let began = Instant::now();
-    let many = timed::play_many(seed..seed + histories, clients.max(1), mutant);
-    let (faults, grants, effects) = many.counts;
-    print(&format!(
-        "histories={} violated={} faults={faults} grants={grants} effects={effects} seconds={:.1}\n",
-        many.played,
-        many.violated,
-        began.elapsed().as_secs_f64()
-    ))?;
-    let Some((seed, outcome)) = many.first else { return Ok(()) };
-    let wrong: Vec<String> = outcome.violations.iter().map(ToString::to_string).collect();
-    Err(Failure(1, format!("seed {seed}: {}\nfaults:\n{}", wrong.join("\n"), outcome.faults.join("\n"))))
-}
-
 /// Writes to standard output; that nobody reads any more ends the command quietly.
 fn print(text: &str) -> Result<(), Failure> {
     match std::io::stdout().lock().write_all(text.as_bytes()) {
@@ -702,121 +638,3 @@
     let points = points.collect::<Result<Vec<_>, _>>()?;
     print(&if as_json { json(&points)? } else { tables::theory(&points) })
 }
-
-/// The program that stands beside this one, unless another is named.
-fn program(named: Option<PathBuf>) -> Result<PathBuf, Failure> {
-    if let Some(path) = named {
-        return Ok(path);
-    }
-    let own = std::env::current_exe().map_err(|e| Failure(1, format!("this program's own place: {e}")))?;
-    let path = own.with_file_name("passrelay");
-    if path.is_file() {
-        return Ok(path);
-    }
-    Err(Failure(1, format!("{}: is not there; build it, or name one by --program", path.display())))
-}
-
-/// A flag that Ctrl-C and SIGTERM set, so that what was started is ended.
-fn stop_flag() -> Result<Arc<AtomicBool>, Failure> {
-    let stop = Arc::new(AtomicBool::new(false));
-    for signal in [signal_hook::consts::SIGINT, signal_hook::consts::SIGTERM] {
-        signal_hook::flag::register(signal, stop.clone()).map_err(|e| Failure(1, format!("signals: {e}")))?;
-    }
-    Ok(stop)
-}
-
-fn demo(named: Option<PathBuf>) -> Result<(), Failure> {
-    let e = Experiment::parse(include_str!("../demo.toml"))?;
-    let stop = stop_flag()?;
-    print(&format!("{}. Half a minute; Ctrl-C ends it.\n", e.about))?;
-    let show = |l: &Live| {
-        let now = if (12.0..20.0).contains(&l.at_s) { "a node is down" } else { "" };
-        live(l);
-        eprint!("{now:16}");
-    };
-    let played = bench::on_sockets(&program(named)?, &e, e.seed, &stop, show);
-    let (outcome, _) = played.map_err(|problem| Failure(1, problem))?;
-    eprintln!();
-    print(&tables::outcome(&outcome))
-}
-
-fn fleet(file: &Path, seconds: f64, seed: Option<u64>, config: Option<&Path>) -> Result<(), Failure> {
-    let e = bench::one_tier(&Experiment::read(file, &[])?, 0);
-    let seed = seed.unwrap_or(e.seed);
-    let stop = stop_flag()?;
-    let fleet = Fleet::start(&e, 0, seed).map_err(|e| Failure(1, format!("cannot be started: {e}")))?;
-    print(&format!("discovery {}\n", fleet.discovery))?;
-    for (n, node) in fleet.nodes.iter().enumerate() {
-        print(&format!("node s-{n} {node}\n"))?;
-    }
-    if let Some(path) = config {
-        let listen = free_address().map_err(|e| Failure(1, format!("no free port: {e}")))?;
-        let text = sidecar_config(&e, 0, listen, fleet.discovery, seed).to_string();
-        std::fs::write(path, text).map_err(|e| Failure(1, format!("{}: {e}", path.display())))?;
-        print(&format!("sidecar {listen} by {}\n", path.display()))?;
-    }
-    let began = Instant::now();
-    while began.elapsed().as_secs_f64() < seconds && !stop.load(Ordering::SeqCst) {
-        std::thread::sleep(Duration::from_millis(50));
-    }
-    let counts = &fleet.counts;
-    let (begun, shed) = (counts.begun.load(Ordering::Relaxed), counts.shed.load(Ordering::Relaxed));
-    print(&format!("{begun} requests worked on, {shed} turned away\n"))
-}
-
-fn load(file: &Path, to: std::net::SocketAddr, seed: Option<u64>, as_json: bool) -> Result<(), Failure> {
-    if !to.ip().is_loopback() {
-        return Err(Failure(2, format!("--to {to}: load is put on addresses of loopback only")));
-    }
-    let e = Experiment::read(file, &[])?;
-    let seed = seed.unwrap_or(e.seed);
-    let stop = stop_flag()?;
-    let mut load = Load::new(&e, to, seed).map_err(|problem| Failure(2, problem))?;
-    let mut outcome = load.play(&stop, live).map_err(|e| Failure(1, e.to_string()))?;
-    outcome.seed = seed;
-    eprintln!("calls went out {:.1} ms late at the worst", 1e3 * load.live().late_s);
-    print(&if as_json { json(&outcome)? } else { tables::outcome(&outcome) })
-}
-
-fn live(l: &Live) {
-    eprint!(
-        "\r{:5.1} s  {} calls, {} served, {} refused, {} failed, {} open   ",
-        l.at_s, l.calls, l.served, l.refused, l.failed, l.open
-    );
-}
-
-fn calibrate(
-    file: &Path,
-    named: Option<PathBuf>,
-    seed: Option<u64>,
-    set: &[String],
-    as_json: bool,
-) -> Result<(), Failure> {
-    let e = Experiment::read(file, &pairs(set)?)?;
-    let both = bench::calibrate(&program(named)?, &e, seed.unwrap_or(e.seed), live);
-    let both = both.map_err(|problem| Failure(1, problem))?;
-    eprintln!(
-        "\rcalls went out {:.1} ms late at the worst                                ",
-        1e3 * both.late_s
-    );
-    print(&if as_json { json(&both)? } else { tables::calibration(&both) })
-}
-
-fn floor(
-    named: Option<PathBuf>,
-    fleet: Option<&Path>,
-    nodes: usize,
-    callers: usize,
-    rounds: usize,
-    seconds: f64,
-    as_json: bool,
-) -> Result<(), Failure> {
-    if !(1..=400).contains(&nodes) || !(1..=400).contains(&callers) || !(0.1..=600.0).contains(&seconds) {
-        return Err(Failure(2, "--nodes and --callers should be 1 to 400, --seconds 0.1 to 600".to_owned()));
-    }
-    let show = |r: &bench::Round| eprintln!("{:?}: {:.0} requests a second", r.between, r.per_second);
-    let time = Duration::from_secs_f64(seconds);
-    let all = bench::floor(&program(named)?, fleet, nodes, callers, rounds, time, show);
-    let all = all.map_err(|e| Failure(1, e.to_string()))?;
-    print(&if as_json { json(&all)? } else { tables::floor(&all, nodes, callers) })
-}
