--- a/crates/passrelay/src/cli.rs
+++ b/crates/passrelay/src/cli.rs
@@ -1,7 +1,7 @@
 //! The command line: a word for what to do, `run` if there is none.
 
 use crate::{config, fleet, lease};
-use clap::{Parser, Subcommand, ValueEnum};
+use clap::{Parser, Subcommand};
 use passrelay_links::plan::Plan;
 use passrelay_links::resident::Resident;
 use passrelay_settings::Config;
@@ -59,15 +59,6 @@
     Fleet(fleet::Command),
 }
 
-/// How results are printed.
-#[derive(Clone, Copy, PartialEq, ValueEnum)]
-pub enum Output {
-    /// For people.
-    Text,
-    /// For programs.
-    Json,
-}
-
 /// Does what the arguments say.
 pub fn main(arguments: impl Iterator<Item = String>) -> ExitCode {
     let words: Vec<String> = arguments.collect();
--- a/crates/passrelay/src/config.rs
+++ b/crates/passrelay/src/config.rs
@@ -1,6 +1,6 @@
 //! `passrelay config` and `passrelay status`: what operators do with a fleet.
 
-use crate::cli::Output;
+use crate::output::Output;
 use clap::Subcommand;
 use hyper::Method;
 use passrelay_configuration::{parse_document, Configuration, Difference, Faults};
--- a/crates/passrelay/src/fleet.rs
+++ b/crates/passrelay/src/fleet.rs
@@ -1,11 +1,11 @@
 //! Voters, and what they tell of themselves.
 
-use crate::cli::Output;
+use crate::output::Output;
+use crate::question::{ask, NO_MAJORITY, UNANSWERED};
+use crate::signals::told_to_end;
 use clap::Subcommand;
-use passrelay_fleet::client::News;
 use passrelay_fleet::membership::{Change, NoChange, Place};
 use passrelay_fleet::wire::{Answer, Say, Status};
-use passrelay_links::member::Member;
 use passrelay_links::now;
 use passrelay_links::plan::Plan;
 use passrelay_links::voting::Voting;
@@ -15,17 +15,11 @@
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
 use std::process::ExitCode;
-use std::sync::atomic::AtomicBool;
 use std::sync::Arc;
 use std::time::Duration;
 
 /// A voter that says nothing for so long is reported as silent.
 const SILENT: Duration = Duration::from_secs(2);
-/// How long a question waits for a majority.
-pub const UNANSWERED: Duration = Duration::from_secs(10);
-/// Nobody answered.
-pub const NO_MAJORITY: u8 = 125;
-
 /// What can be asked of a fleet.
 #[derive(Subcommand)]
 pub enum Command {
@@ -72,15 +66,6 @@
     },
 }
 
-/// A flag that SIGTERM and SIGINT raise.
-pub fn told_to_end() -> Result<Arc<AtomicBool>, Box<dyn Error>> {
-    let told = Arc::new(AtomicBool::new(false));
-    for signal in [signal_hook::consts::SIGTERM, signal_hook::consts::SIGINT] {
-        signal_hook::flag::register(signal, told.clone())?;
-    }
-    Ok(told)
-}
-
 /// Votes until SIGTERM.
 pub fn vote(file: &Path, id: u64, joins: bool) -> Result<ExitCode, Box<dyn Error>> {
     let plan = Plan::read(file)?;
@@ -97,21 +82,6 @@
     Ok(ExitCode::SUCCESS)
 }
 
-/// Asks one question of the fleet; `None` where no answer came in time.
-pub fn ask(plan: &Plan, say: Say, longest: Duration) -> Result<Option<Answer>, Box<dyn Error>> {
-    let mut member = Member::new(plan, "question", Duration::from_secs(5))?;
-    member.question(say);
-    let end = now() + longest;
-    while now() < end {
-        for news in member.step(Duration::from_millis(20))? {
-            if let News::Told(answer) = news {
-                return Ok(Some(answer));
-            }
-        }
-    }
-    Ok(None)
-}
-
 /// Does what was asked of the fleet.
 pub fn run(command: Command) -> Result<ExitCode, Box<dyn Error>> {
     match command {
--- a/crates/passrelay/src/lease.rs
+++ b/crates/passrelay/src/lease.rs
@@ -1,7 +1,8 @@
 //! Leases from the command line.
 
-use crate::cli::Output;
-use crate::fleet::{ask, told_to_end, NO_MAJORITY, UNANSWERED};
+use crate::output::Output;
+use crate::question::{ask, NO_MAJORITY, UNANSWERED};
+use crate::signals::told_to_end;
 use clap::Subcommand;
 use passrelay_fleet::client::{belief, Guard, News};
 use passrelay_fleet::lease_table::{LeaseTable, Op, Refusal, Reply, TTL_MS};
--- a/crates/passrelay/src/main.rs
+++ b/crates/passrelay/src/main.rs
@@ -4,6 +4,9 @@
 mod config;
 mod fleet;
 mod lease;
+mod output;
+mod question;
+mod signals;
 
 use std::process::ExitCode;
 
