Leave endpoints alone that fail many of their requests, by what several sidecars saw

Sidecars tell the primary with their loads what became of their requests; the sums hand it to all. An endpoint with two failures of late and a quarter of its outcomes gets none until that fades (3 s); one sidecar alone is not believed by the others, and where more than 0.4 of a service would stand aside none does.

--- a/crates/control-plane/src/load.rs
+++ b/crates/control-plane/src/load.rs
@@ -1,8 +1,10 @@
-//! The load of endpoints over all sidecars: each tells the primary what it has out, and gets the sums back.
+//! The load of endpoints over all sidecars: each tells the primary what it has out and what became of its requests, and
+//! gets the sums back.
 //!
 //! Sums are a help for placing requests, nothing rests on them: they may be late, or missing while no primary leads.
+//! Failures of an endpoint count only where two sidecars have told of some: one alone may be cut off itself.
 
-use passrelay_dissemination::EndpointLoad;
+use passrelay_dissemination::{EndpointLoad, Outcomes};
 use serde::{Deserialize, Serialize};
 use std::collections::BTreeMap;
 use std::net::SocketAddrV4;
@@ -13,6 +15,11 @@
 /// Sums are made anew after this, so that many sidecars cost little.
 const SUMS_LAST: Duration = Duration::from_millis(15);
 
+/// A sidecar that told of a failure of an endpoint counts as a witness for this long.
+const WITNESS_LASTS: Duration = Duration::from_secs(4);
+/// Witnesses without whom failures don't count.
+const WITNESSES: usize = 2;
+
 /// Messages between sidecars and the primary.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum LoadMessage {
@@ -34,10 +41,36 @@
     },
 }
 
+/// What sidecars told of the outcomes at one endpoint.
+#[derive(Debug, Default)]
+struct ToldOutcomes {
+    outcomes: Outcomes,
+    /// Who told of a failure, and when last.
+    witnesses: BTreeMap<SocketAddrV4, Duration>,
+}
+
+impl ToldOutcomes {
+    fn add(&mut self, now: Duration, from: SocketAddrV4, load: &EndpointLoad) {
+        self.outcomes.add(now, load.answered, load.failed);
+        if load.failed > 0 {
+            self.witnesses.insert(from, now);
+        }
+    }
+
+    /// Answered and failed requests, as far as they count now.
+    fn counted(&mut self, now: Duration) -> (u32, u32) {
+        self.witnesses.retain(|_, at| now.saturating_sub(*at) < WITNESS_LASTS);
+        let (answered, failed) = self.outcomes.at_time(now);
+        let failed = if self.witnesses.len() >= WITNESSES { failed } else { 0.0 };
+        (answered.round() as u32, failed.round() as u32)
+    }
+}
+
 /// Adds up what sidecars tell.
 #[derive(Debug, Default)]
 pub struct LoadSums {
     told: BTreeMap<SocketAddrV4, (Duration, Vec<EndpointLoad>)>,
+    outcomes: BTreeMap<u64, ToldOutcomes>,
     sums: Vec<EndpointLoad>,
     summed_at: Option<Duration>,
 }
@@ -51,6 +84,9 @@
         nonce: u64,
         loads: Vec<EndpointLoad>,
     ) -> LoadMessage {
+        for load in loads.iter().filter(|l| l.answered + l.failed > 0) {
+            self.outcomes.entry(load.endpoint).or_default().add(now, from, load);
+        }
         self.told.insert(from, (now, loads));
         if self.summed_at.is_none_or(|at| now.saturating_sub(at) >= SUMS_LAST) {
             self.sum(now);
@@ -69,11 +105,20 @@
         self.told.retain(|_, (at, _)| now.saturating_sub(*at) < FORGET_AFTER);
         let mut sums: BTreeMap<u64, EndpointLoad> = BTreeMap::new();
         for load in self.told.values().flat_map(|(_, loads)| loads) {
-            let zero = EndpointLoad { endpoint: load.endpoint, unread_tokens: 0, in_flight: 0 };
+            let zero = EndpointLoad { endpoint: load.endpoint, ..EndpointLoad::default() };
             let sum = sums.entry(load.endpoint).or_insert(zero);
             sum.unread_tokens = sum.unread_tokens.saturating_add(load.unread_tokens);
             sum.in_flight = sum.in_flight.saturating_add(load.in_flight);
         }
+        self.outcomes.retain(|endpoint, told| {
+            let (answered, failed) = told.counted(now);
+            if answered + failed > 0 {
+                let zero = EndpointLoad { endpoint: *endpoint, ..EndpointLoad::default() };
+                let sum = sums.entry(*endpoint).or_insert(zero);
+                (sum.answered, sum.failed) = (answered, failed);
+            }
+            answered + failed > 0 || !told.witnesses.is_empty()
+        });
         self.sums = sums.into_values().collect();
     }
 }
--- a/crates/data-plane/src/balancer.rs
+++ b/crates/data-plane/src/balancer.rs
@@ -6,7 +6,7 @@
 
 use crate::prompt::Prompt;
 use passrelay_core::turns::{take_turn, Candidate};
-use passrelay_dissemination::{EndpointLoad, EndpointRecord, EndpointState};
+use passrelay_dissemination::{EndpointLoad, EndpointRecord, EndpointState, Outcomes};
 use rustc_hash::FxHasher;
 use std::collections::{BTreeMap, HashMap};
 use std::hash::{Hash, Hasher};
@@ -24,6 +24,12 @@
 const REPORT_FADES: Duration = Duration::from_millis(1_500);
 /// An endpoint with unanswered requests that has sent nothing for this long gets no more.
 const SILENCE: Duration = Duration::from_millis(700);
+/// An endpoint is suspected where its failures, of late and as far as known, come to this many ...
+const SUSPECTED_FROM: f64 = 2.0;
+/// ... and to this part of its outcomes.
+const SUSPECTED_PART: f64 = 0.25;
+/// Where more than this part of a service's endpoints would be suspected the fault is likely elsewhere, and none is.
+const MOST_SUSPECTED: f64 = 0.4;
 /// First pause for an endpoint that failed; doubles with each failure in a row.
 const FIRST_PAUSE: Duration = Duration::from_millis(400);
 /// Longest such pause.
@@ -128,6 +134,10 @@
     others: Option<(EndpointLoad, Duration)>,
     failures: u32,
     paused_until: Duration,
+    /// What became of own requests, and how many of these were not told yet.
+    outcomes: Outcomes,
+    untold_answered: u32,
+    untold_failed: u32,
 }
 
 impl Endpoint {
@@ -153,6 +163,9 @@
             others: None,
             failures: 0,
             paused_until: Duration::ZERO,
+            outcomes: Outcomes::default(),
+            untold_answered: 0,
+            untold_failed: 0,
         }
     }
 
@@ -161,9 +174,32 @@
         (now.saturating_sub(at) < SUMS_LAST).then_some(load)
     }
 
-    fn own_load(&self) -> EndpointLoad {
-        let unread_tokens = self.unread_tokens as u32;
-        EndpointLoad { endpoint: key_of(&self.id), unread_tokens, in_flight: self.in_flight }
+    /// What is out here, and what became of requests since the last account.
+    fn account(&mut self) -> EndpointLoad {
+        EndpointLoad {
+            endpoint: key_of(&self.id),
+            unread_tokens: self.unread_tokens as u32,
+            in_flight: self.in_flight,
+            answered: std::mem::take(&mut self.untold_answered),
+            failed: std::mem::take(&mut self.untold_failed),
+        }
+    }
+
+    fn note(&mut self, now: Duration, failed: bool) {
+        let (answered, failed) = (u32::from(!failed), u32::from(failed));
+        self.outcomes.add(now, answered, failed);
+        self.untold_answered += answered;
+        self.untold_failed += failed;
+    }
+
+    /// Whether many of its answers fail, by own requests or by those of several sidecars.
+    fn is_suspected(&self, now: Duration) -> bool {
+        let many = |answered: f64, failed: f64| {
+            failed >= SUSPECTED_FROM && failed >= SUSPECTED_PART * (answered + failed)
+        };
+        let (answered, failed) = self.outcomes.at_time(now);
+        let told = self.others(now).map(|o| (f64::from(o.answered), f64::from(o.failed)));
+        many(answered, failed) || told.is_some_and(|(answered, failed)| many(answered, failed))
     }
 
     /// Parts of its slots that are taken: the last report, corrected by what was sent and ended here since, fading
@@ -286,8 +322,11 @@
             endpoint.state != EndpointState::Draining && !request.tried.contains(id)
         };
         let candidates: Vec<Arc<str>> = ids.iter().filter(known).cloned().collect();
+        let suspected = candidates.iter().filter(|id| self.endpoints[*id].is_suspected(now)).count();
+        let believes = suspected as f64 <= MOST_SUSPECTED * candidates.len() as f64;
+        let is_well = |e: &Endpoint| e.is_well(now) && !(believes && e.is_suspected(now));
         let well: Vec<Arc<str>> =
-            candidates.iter().filter(|id| self.endpoints[*id].is_well(now)).cloned().collect();
+            candidates.iter().filter(|id| is_well(&self.endpoints[*id])).cloned().collect();
         // With nobody well, whoever may be there is tried: the trouble may be over.
         let ready = if well.is_empty() { candidates } else { well };
         for id in &ready {
@@ -377,9 +416,10 @@
         take_turn(candidates).map(|index| ids[index].clone())
     }
 
-    /// What this sidecar has out, by endpoint.
-    pub fn own_loads(&self) -> Vec<EndpointLoad> {
-        self.endpoints.values().filter(|e| e.in_flight > 0).map(Endpoint::own_load).collect()
+    /// What this sidecar has out, by endpoint, and what became of its requests since the last account.
+    pub fn account(&mut self) -> Vec<EndpointLoad> {
+        let has_news = |e: &&mut Endpoint| e.in_flight + e.untold_answered + e.untold_failed > 0;
+        self.endpoints.values_mut().filter(has_news).map(Endpoint::account).collect()
     }
 
     /// Takes in what all sidecars have out, this one with what it told among them.
@@ -394,6 +434,8 @@
                 endpoint: key,
                 unread_tokens: rest(|l| l.unread_tokens),
                 in_flight: rest(|l| l.in_flight),
+                answered: sum.map_or(0, |l| l.answered),
+                failed: sum.map_or(0, |l| l.failed),
             };
             endpoint.others = Some((others, now));
         }
@@ -418,9 +460,10 @@
         }
     }
 
-    /// The head of an answer came.
-    pub fn answered(&mut self, now: Duration, pick: &Pick, report: Option<LoadReport>) {
+    /// The head of an answer came; `failed` tells whether it tells of an error at the endpoint.
+    pub fn answered(&mut self, now: Duration, pick: &Pick, report: Option<LoadReport>, failed: bool) {
         if let Some(endpoint) = self.endpoints.get_mut(&pick.id) {
+            endpoint.note(now, failed);
             endpoint.last_heard = now;
             endpoint.forget_unread(pick);
             endpoint.unanswered = endpoint.unanswered.saturating_sub(1);
@@ -451,6 +494,7 @@
         }
         let silent = !answered && endpoint.last_heard < endpoint.last_sent;
         if end == CallEnd::Failed || (end == CallEnd::Abandoned && silent) {
+            endpoint.note(now, true);
             endpoint.pause(now);
         }
     }
@@ -458,6 +502,7 @@
     /// No connection to an endpoint came up.
     pub fn unreachable(&mut self, now: Duration, id: &str) {
         if let Some(endpoint) = self.endpoints.get_mut(id) {
+            endpoint.note(now, true);
             endpoint.pause(now);
         }
     }
--- a/crates/data-plane/tests/balancer.rs
+++ b/crates/data-plane/tests/balancer.rs
@@ -69,7 +69,7 @@
         *counts.entry(pick.id.to_string()).or_default() += 1;
         balancer.sent(now, &pick, None);
         let running = if &*pick.id == "i-0" { 6.0 } else { 0.0 };
-        balancer.answered(now, &pick, Some(LoadReport { running, waiting: 0.0, slots: 8.0 }));
+        balancer.answered(now, &pick, Some(LoadReport { running, waiting: 0.0, slots: 8.0 }), false);
         balancer.ended(now, &pick, true, CallEnd::Answered);
     }
     assert!(counts["i-1"] > counts["i-0"], "{counts:?}");
@@ -107,13 +107,16 @@
     let mut balancer = balancer(2);
     let home = pick(&mut balancer, ms(0), Some(prompt(7)));
     balancer.sent(ms(0), &home, Some(&prompt(7)));
-    let told = balancer.own_loads();
+    let told = balancer.account();
     let key = told[0].endpoint;
-    let sums = HashMap::from([(key, EndpointLoad { endpoint: key, unread_tokens: 500_000, in_flight: 40 })]);
+    let sums = HashMap::from([(
+        key,
+        EndpointLoad { endpoint: key, unread_tokens: 500_000, in_flight: 40, ..EndpointLoad::default() },
+    )]);
     balancer.learn_sums(ms(10), &told, &sums);
     assert_ne!(pick(&mut balancer, ms(20), Some(prompt(8))).id, home.id);
     assert_ne!(pick(&mut balancer, ms(20), Some(prompt(7))).id, home.id);
-    balancer.answered(ms(30), &home, None);
+    balancer.answered(ms(30), &home, None, false);
     balancer.ended(ms(30), &home, true, CallEnd::Answered);
     // Old sums count no more.
     assert_eq!(pick(&mut balancer, ms(5_000), Some(prompt(7))).id, home.id);
@@ -128,7 +131,7 @@
         assert_ne!(pick(&mut balancer, ms(1_000 + n), None).id, dark.id);
     }
     // It speaks again.
-    balancer.answered(ms(1_100), &dark, None);
+    balancer.answered(ms(1_100), &dark, None, false);
     balancer.ended(ms(1_100), &dark, true, CallEnd::Answered);
     assert!((0..4).any(|n| pick(&mut balancer, ms(1_200 + n), None).id == dark.id));
 }
@@ -166,8 +169,40 @@
     for part in 0..100_000 {
         let pick = pick(&mut balancer, ms(part / 100), Some(prompt(part)));
         balancer.sent(ms(part / 100), &pick, Some(&prompt(part)));
-        balancer.answered(ms(part / 100), &pick, None);
+        balancer.answered(ms(part / 100), &pick, None, false);
         balancer.ended(ms(part / 100), &pick, true, CallEnd::Answered);
     }
     assert!(balancer.remembered_parts() <= 4_096);
 }
+
+#[test]
+fn an_endpoint_that_fails_part_of_its_requests_gets_none_for_a_while() {
+    let mut balancer = balancer(4);
+    let mut fail = |now| {
+        let pick = Pick { id: "i-1".into(), address: "10.0.0.1:1".parse().unwrap(), tokens_to_read: 0 };
+        balancer.sent(now, &pick, None);
+        balancer.answered(now, &pick, None, true);
+        balancer.ended(now, &pick, true, CallEnd::Answered);
+    };
+    (0..3).for_each(|n| fail(ms(n * 10)));
+    assert!((0..30).all(|n| &*pick(&mut balancer, ms(100 + n), None).id != "i-1"));
+    // What was seen fades, and it is tried again.
+    assert!((0..30).any(|n| &*pick(&mut balancer, ms(4_000 + n), None).id == "i-1"));
+}
+
+#[test]
+fn failures_that_several_sidecars_tell_of_count_and_where_most_endpoints_fail_none_stands_aside() {
+    let mut balancer = balancer(4);
+    let all: Vec<Pick> = (0..40).map(|n| pick(&mut balancer, ms(n), None)).collect();
+    all.iter().for_each(|one| balancer.sent(ms(50), one, None));
+    let told = balancer.account();
+    let failing = |count: usize| -> HashMap<u64, EndpointLoad> {
+        told.iter().take(count).map(|l| (l.endpoint, EndpointLoad { failed: 5, answered: 3, ..*l })).collect()
+    };
+    balancer.learn_sums(ms(60), &told, &failing(1));
+    let used: HashSet<_> = (0..40).map(|n| pick(&mut balancer, ms(100 + n), None).id).collect();
+    assert_eq!(used.len(), 3);
+    balancer.learn_sums(ms(200), &told, &failing(3));
+    let used: HashSet<_> = (0..40).map(|n| pick(&mut balancer, ms(210 + n), None).id).collect();
+    assert_eq!(used.len(), 4);
+}
--- a/crates/dissemination/src/lib.rs
+++ b/crates/dissemination/src/lib.rs
@@ -11,6 +11,6 @@
     CommittedConfiguration, CoreHint, Digest, Gossip, GossipAction, GossipFault, GossipMessage,
     GossipSettings,
 };
-pub use load::EndpointLoad;
+pub use load::{EndpointLoad, Outcomes};
 pub use registry::{EndpointRecord, EndpointState, Heartbeat, Registry, RegistryDigest};
 pub use view::{PartialView, PeerDescriptor};
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -266,7 +266,7 @@
     }
 
     fn tell_load(self: &Rc<Self>) {
-        let loads = self.balancer.borrow().own_loads();
+        let loads = self.balancer.borrow_mut().account();
         let nonce = self.told_load.borrow().0 + 1;
         *self.told_load.borrow_mut() = (nonce, loads.clone());
         self.drive(|c, now, actions| c.tell_load(now, nonce, loads, actions));
--- a/crates/node/src/proxy.rs
+++ b/crates/node/src/proxy.rs
@@ -291,9 +291,9 @@
         Call { node: node.clone(), pick, answered: Cell::new(false), open: Cell::new(true) }
     }
 
-    fn answered(&self, report: Option<LoadReport>) {
+    fn answered(&self, report: Option<LoadReport>, failed: bool) {
         self.answered.set(true);
-        self.node.balancer.borrow_mut().answered(self.node.now(), &self.pick, report);
+        self.node.balancer.borrow_mut().answered(self.node.now(), &self.pick, report, failed);
     }
 
     /// A piece of the answer came.
@@ -470,9 +470,10 @@
         }
         let report =
             response.headers().get(&INSTANCE_LOAD).and_then(|v| v.to_str().ok()).and_then(LoadReport::read);
-        call.answered(report);
         let misdirected = response.status() == StatusCode::MISDIRECTED_REQUEST;
-        if !misdirected && !response.headers().contains_key(&NOT_EXECUTED) {
+        let ran = !misdirected && !response.headers().contains_key(&NOT_EXECUTED);
+        call.answered(report, ran && response.status().is_server_error());
+        if ran {
             return Outcome::Answered(Box::new(Answered { response, connection, call }));
         }
         call.end(if misdirected { CallEnd::Failed } else { CallEnd::Rejected });
