--- a/crates/passrelay/tests/fleet.rs
+++ b/crates/passrelay/tests/fleet.rs
@@ -323,6 +323,12 @@
     (done.status.code(), String::from_utf8_lossy(&done.stdout).into_owned())
 }
 
+#[test]
+fn the_configuration_of_the_loopback_fleet_has_no_fault() {
+    let file = concat!(env!("CARGO_MANIFEST_DIR"), "/../../deploy/loopback/routes.json");
+    assert_eq!(run(&["config", "check", file]), (Some(0), "generation 1: 1 routes, 1 services\n".to_owned()));
+}
+
 #[test]
 fn the_command_line_checks_puts_and_reads_configurations() {
     let fleet = Fleet::new(PROGRAM, 1);
