--- a/crates/data-plane/src/balancer.rs
+++ b/crates/data-plane/src/balancer.rs
@@ -322,11 +322,15 @@
             endpoint.state != EndpointState::Draining && !request.tried.contains(id)
         };
         let candidates: Vec<Arc<str>> = ids.iter().filter(known).cloned().collect();
-        let suspected = candidates.iter().filter(|id| self.endpoints[*id].is_suspected(now)).count();
-        let believes = suspected as f64 <= MOST_SUSPECTED * candidates.len() as f64;
-        let is_well = |e: &Endpoint| e.is_well(now) && !(believes && e.is_suspected(now));
-        let well: Vec<Arc<str>> =
-            candidates.iter().filter(|id| is_well(&self.endpoints[*id])).cloned().collect();
+        let suspected: Vec<bool> = candidates.iter().map(|id| self.endpoints[id].is_suspected(now)).collect();
+        let count = suspected.iter().filter(|s| **s).count();
+        let believes = count as f64 <= MOST_SUSPECTED * candidates.len() as f64;
+        let well: Vec<Arc<str>> = candidates
+            .iter()
+            .zip(&suspected)
+            .filter(|(id, suspected)| self.endpoints[*id].is_well(now) && !(believes && **suspected))
+            .map(|(id, _)| id.clone())
+            .collect();
         // With nobody well, whoever may be there is tried: the trouble may be over.
         let ready = if well.is_empty() { candidates } else { well };
         for id in &ready {
