--- a/crates/control-plane/src/coordinator.rs
+++ b/crates/control-plane/src/coordinator.rs
@@ -2,20 +2,20 @@
 //! operators, quota grants. The program and the simulation drive the same coordinator.
 
 use crate::load::{LoadMessage, LoadSums};
-use crate::orders::{Order, Refusal, Verdict};
+use crate::messages::{Action, CallId, Message, OperatorAnswer, OperatorMessage, OperatorRequest};
+use crate::orders::{Refusal, Verdict};
 use crate::quota::{Grantor, QuotaBounds, QuotaMessage, ToldLevels};
 use crate::replication::{
-    DurableState, DurableWrite, Founder, ProtocolFault, Replica, ReplicaAction, ReplicaSettings,
-    ReplicatedState, ReplicationEnvelope, ReplicationMessage, Ticket,
+    DurableState, Founder, ProtocolFault, Replica, ReplicaAction, ReplicaSettings, ReplicatedState,
+    ReplicationEnvelope, ReplicationMessage, Ticket,
 };
 use passrelay_configuration::{parse_document, Configuration};
 use passrelay_dissemination::{
     CommittedConfiguration, CoreHint, EndpointLoad, EndpointRecord, EndpointState, Gossip, GossipAction,
-    GossipMessage, GossipSettings, Heartbeat,
+    GossipSettings, Heartbeat,
 };
-use serde::{Deserialize, Serialize};
+use serde::Serialize;
 use std::net::SocketAddrV4;
-use std::sync::Arc;
 use std::time::Duration;
 
 /// An operator's call that has no answer after this is told to go elsewhere.
@@ -26,112 +26,6 @@
 /// Pause between accounts of the quota buckets to the other members.
 const TELL_LEVELS_EVERY: Duration = Duration::from_millis(100);
 
-/// Names an operator's call at the process that took it.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
-pub struct CallId(pub u64);
-
-/// What an operator asks for.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub enum OperatorRequest {
-    /// The newest configuration.
-    Read,
-    /// A change.
-    Change(Order),
-}
-
-/// What an operator gets.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct OperatorAnswer {
-    /// Status of the answer.
-    pub status: u16,
-    /// Its body, JSON.
-    pub body: Arc<str>,
-}
-
-impl OperatorAnswer {
-    fn new(status: u16, body: String) -> Self {
-        OperatorAnswer { status, body: body.into() }
-    }
-
-    fn fault(status: u16, problem: &str) -> Self {
-        Self::new(status, serde_json::json!({ "error": problem }).to_string())
-    }
-
-    fn acknowledged(generation: u64) -> Self {
-        Self::new(200, serde_json::json!({ "generation": generation }).to_string())
-    }
-
-    fn unavailable(problem: &str) -> Self {
-        Self::fault(503, problem)
-    }
-}
-
-/// Operators' calls passed on to the primary.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub enum OperatorMessage {
-    /// A call.
-    Call {
-        /// Its name at the sender.
-        call: CallId,
-        /// What is asked for.
-        request: OperatorRequest,
-    },
-    /// Its answer.
-    Answer {
-        /// The call.
-        call: CallId,
-        /// The answer.
-        answer: OperatorAnswer,
-    },
-}
-
-/// All messages between processes, one variant a plane.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub enum Message {
-    /// Replication.
-    Replication(ReplicationEnvelope),
-    /// Dissemination.
-    Gossip(GossipMessage),
-    /// Quotas.
-    Quota(QuotaMessage),
-    /// Loads of endpoints.
-    Load(LoadMessage),
-    /// Operators' calls.
-    Operator(OperatorMessage),
-}
-
-/// What the driver is to do, in this order.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub enum Action {
-    /// Send a message; it may be lost.
-    Send {
-        /// Where to.
-        to: SocketAddrV4,
-        /// The message.
-        message: Message,
-    },
-    /// Write and sync, then call [`Coordinator::written`].
-    Write {
-        /// Names the write.
-        ticket: Ticket,
-        /// What to write.
-        write: DurableWrite,
-    },
-    /// A newer configuration is in force here.
-    Configured(CommittedConfiguration),
-    /// The answer to an operator's call.
-    Answer {
-        /// The call.
-        call: CallId,
-        /// The answer.
-        answer: OperatorAnswer,
-    },
-    /// Tokens were granted to this sidecar.
-    Granted(QuotaMessage),
-    /// The loads of endpoints over all sidecars.
-    LoadSums(LoadMessage),
-}
-
 /// What a coordinator has to know from the start.
 #[derive(Clone, Debug)]
 pub struct CoordinatorSettings {
--- a/crates/control-plane/src/lib.rs
+++ b/crates/control-plane/src/lib.rs
@@ -4,11 +4,10 @@
 
 mod coordinator;
 pub mod load;
+mod messages;
 pub mod orders;
 pub mod quota;
 pub mod replication;
 
-pub use coordinator::{
-    Action, CallId, Coordinator, CoordinatorSettings, Message, OperatorAnswer, OperatorMessage,
-    OperatorRequest, Status,
-};
+pub use coordinator::{Coordinator, CoordinatorSettings, Status};
+pub use messages::{Action, CallId, Message, OperatorAnswer, OperatorMessage, OperatorRequest};
--- /dev/null
+++ b/crates/control-plane/src/messages.rs
@@ -0,0 +1,116 @@
+//! What processes tell each other, what operators ask and get, and what the driver of a coordinator is to do.
+
+use crate::load::LoadMessage;
+use crate::orders::Order;
+use crate::quota::QuotaMessage;
+use crate::replication::{DurableWrite, ReplicationEnvelope, Ticket};
+use passrelay_dissemination::{CommittedConfiguration, GossipMessage};
+use serde::{Deserialize, Serialize};
+use std::net::SocketAddrV4;
+use std::sync::Arc;
+
+/// Names an operator's call at the process that took it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+pub struct CallId(pub u64);
+
+/// What an operator asks for.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum OperatorRequest {
+    /// The newest configuration.
+    Read,
+    /// A change.
+    Change(Order),
+}
+
+/// What an operator gets.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct OperatorAnswer {
+    /// Status of the answer.
+    pub status: u16,
+    /// Its body, JSON.
+    pub body: Arc<str>,
+}
+
+impl OperatorAnswer {
+    pub(crate) fn new(status: u16, body: String) -> Self {
+        OperatorAnswer { status, body: body.into() }
+    }
+
+    pub(crate) fn fault(status: u16, problem: &str) -> Self {
+        Self::new(status, serde_json::json!({ "error": problem }).to_string())
+    }
+
+    pub(crate) fn acknowledged(generation: u64) -> Self {
+        Self::new(200, serde_json::json!({ "generation": generation }).to_string())
+    }
+
+    pub(crate) fn unavailable(problem: &str) -> Self {
+        Self::fault(503, problem)
+    }
+}
+
+/// Operators' calls passed on to the primary.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum OperatorMessage {
+    /// A call.
+    Call {
+        /// Its name at the sender.
+        call: CallId,
+        /// What is asked for.
+        request: OperatorRequest,
+    },
+    /// Its answer.
+    Answer {
+        /// The call.
+        call: CallId,
+        /// The answer.
+        answer: OperatorAnswer,
+    },
+}
+
+/// All messages between processes, one variant a plane.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Message {
+    /// Replication.
+    Replication(ReplicationEnvelope),
+    /// Dissemination.
+    Gossip(GossipMessage),
+    /// Quotas.
+    Quota(QuotaMessage),
+    /// Loads of endpoints.
+    Load(LoadMessage),
+    /// Operators' calls.
+    Operator(OperatorMessage),
+}
+
+/// What the driver is to do, in this order.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Action {
+    /// Send a message; it may be lost.
+    Send {
+        /// Where to.
+        to: SocketAddrV4,
+        /// The message.
+        message: Message,
+    },
+    /// Write and sync, then call [`Coordinator::written`](crate::Coordinator::written).
+    Write {
+        /// Names the write.
+        ticket: Ticket,
+        /// What to write.
+        write: DurableWrite,
+    },
+    /// A newer configuration is in force here.
+    Configured(CommittedConfiguration),
+    /// The answer to an operator's call.
+    Answer {
+        /// The call.
+        call: CallId,
+        /// The answer.
+        answer: OperatorAnswer,
+    },
+    /// Tokens were granted to this sidecar.
+    Granted(QuotaMessage),
+    /// The loads of endpoints over all sidecars.
+    LoadSums(LoadMessage),
+}
