Refuse requests after SIGTERM that would be cut off at the end, and answer the rest before it

Cause: a sidecar took every request up to its end, 7.6 s after SIGTERM, and cut those off that were not over by then.

Change: PlannedEnd decides. Requests of the first 2.7 s are taken however long they may last; a later one only if its time is over 0.15 s before the end, else it gets 503 with Retry-After 0 and Connection: close before it is offered to an endpoint. What is unanswered 0.15 s before the end gets its final answer instead of a cut. Streams keep all the grace.

Tests: what is taken at each moment; on sockets, requests 0 to 6 s after SIGTERM on kept and new connections, long and short.

--- a/crates/node/src/answers.rs
+++ b/crates/node/src/answers.rs
@@ -57,6 +57,9 @@
     /// No endpoint can take the request now.
     #[error("no endpoint can take the request now")]
     NoEndpoint,
+    /// This process ends before the request would be over.
+    #[error("this sidecar is about to end, ask another")]
+    Ending,
     /// An endpoint may have run the request and gave no answer.
     #[error("the endpoint gave no answer")]
     NoAnswer,
@@ -68,6 +71,7 @@
 impl Failure {
     /// Status and, where trying again makes sense, the time after which.
     fn answer(self) -> (StatusCode, Option<Duration>) {
+        let at_once = Some(Duration::ZERO);
         let soon = Some(Duration::from_millis(100));
         let later = Some(Duration::from_millis(500));
         match self {
@@ -81,6 +85,7 @@
             Failure::TooSlow => (StatusCode::REQUEST_TIMEOUT, None),
             Failure::OverQuota => (StatusCode::TOO_MANY_REQUESTS, later),
             Failure::NoEndpoint => (StatusCode::SERVICE_UNAVAILABLE, soon),
+            Failure::Ending => (StatusCode::SERVICE_UNAVAILABLE, at_once),
             Failure::NoAnswer => (StatusCode::BAD_GATEWAY, None),
             Failure::TimedOut => (StatusCode::GATEWAY_TIMEOUT, None),
         }
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -8,6 +8,7 @@
 mod listener;
 mod node;
 pub mod operator;
+mod planned_end;
 mod proxy;
 mod relay_body;
 mod settings;
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -1,6 +1,7 @@
 //! One process: what its tasks share, and the loops that drive the deciders.
 
 use crate::client_connections::ClientConnections;
+use crate::planned_end::PlannedEnd;
 use crate::settings::{NodeSettings, SettingsError};
 use crate::storage::{DiskEvent, Opened, Storage};
 use crate::transport::{read_frame, Transport};
@@ -101,7 +102,9 @@
     kept_revision: Cell<u64>,
     calls: RefCell<HashMap<CallId, Sender<OperatorAnswer>>>,
     next_call: Cell<u64>,
-    draining: Cell<bool>,
+    planned_end: Cell<Option<PlannedEnd>>,
+    /// Tells requests under way that the end is planned.
+    end_planned: Event,
     /// The account of the load that was sent last, and its number.
     told_load: RefCell<(u64, Vec<EndpointLoad>)>,
     /// Sidecars that tell the primary their loads.
@@ -121,12 +124,36 @@
 
     /// Whether SIGTERM has come.
     pub fn is_draining(&self) -> bool {
-        self.draining.get()
+        self.planned_end.get().is_some()
     }
 
     /// From now on this process only finishes what it has.
-    pub fn begin_draining(&self) {
-        self.draining.set(true);
+    pub fn begin_draining(&self, end: PlannedEnd) {
+        self.planned_end.set(Some(end));
+        self.end_planned.notify(usize::MAX);
+    }
+
+    /// Whether a request whose time is over at `deadline` may be sent on now: always, unless the process is to end
+    /// before that.
+    pub fn may_begin(&self, deadline: Duration) -> bool {
+        self.planned_end.get().is_none_or(|end| end.takes(self.now(), deadline))
+    }
+
+    /// Waits until a request whose time is over at `deadline` has to have an answer: its deadline, or the end of this
+    /// process where that comes first.
+    pub async fn until_answer_due(&self, deadline: Duration) {
+        loop {
+            let end_planned = self.end_planned.listen();
+            let due = self.planned_end.get().map_or(deadline, |end| deadline.min(end.last_answers_at()));
+            let left = due.saturating_sub(self.now());
+            if left.is_zero() {
+                return;
+            }
+            let over = async {
+                Timer::after(left).await;
+            };
+            smol::future::or(over, end_planned).await;
+        }
     }
 
     /// Whether requests with keys may be sent: the configuration is known to be current lately enough.
@@ -383,7 +410,8 @@
         kept_revision: Cell::new(0),
         calls: RefCell::default(),
         next_call: Cell::new(1),
-        draining: Cell::new(false),
+        planned_end: Cell::new(None),
+        end_planned: Event::new(),
         told_load: RefCell::default(),
         sidecars: Cell::new(1),
         settings: RefCell::new(settings),
--- a/crates/node/src/proxy.rs
+++ b/crates/node/src/proxy.rs
@@ -109,6 +109,9 @@
     let (parts, body) = request.into_parts();
     let mut inbound = Inbound::read(node, parts)?;
     let terms = admit(node, &inbound)?;
+    if !node.may_begin(inbound.deadline(&terms)) {
+        return Err(Failure::Ending);
+    }
     inbound.body = read_body(&terms, body).await?;
     let inbound = Rc::new(inbound);
     let terms = admit(node, &inbound)?;
@@ -376,6 +379,9 @@
             if self.runs > 0 && (!terms.route.is_idempotent() || self.runs >= terms.route.max_attempts) {
                 return Err(Failure::NoAnswer);
             }
+            if self.runs == 0 && !self.node.may_begin(self.deadline) {
+                return Err(Failure::Ending);
+            }
             let service = terms.service(self.inbound.lot).to_owned();
             if self.offers >= MOST_OFFERS {
                 return Err(self.exhausted());
@@ -440,7 +446,7 @@
         let request = self.outbound(terms, &pick.id, after);
         let call = Call::begin(&node, pick.clone(), prompt.as_ref());
         let late = async {
-            Timer::after(self.deadline.saturating_sub(node.now())).await;
+            node.until_answer_due(self.deadline).await;
             None
         };
         let answer = smol::future::or(async { Some(connection.send(request).await) }, late).await;
--- a/crates/node/src/signals.rs
+++ b/crates/node/src/signals.rs
@@ -1,6 +1,7 @@
 //! SIGTERM, SIGINT and SIGHUP; the planned end.
 
 use crate::node::Node;
+use crate::planned_end::PlannedEnd;
 use async_signal::{Signal, Signals};
 use smol::stream::StreamExt;
 use smol::Timer;
@@ -9,8 +10,6 @@
 
 /// After SIGTERM clients still come for this long: it takes a while until they are sent elsewhere.
 const STILL_COMING: Duration = Duration::from_millis(2_600);
-/// What is left of the grace time when the process ends whatever it still has.
-const SPARE: Duration = Duration::from_millis(400);
 /// Pause between looks whether everything is finished.
 const LOOK_EVERY: Duration = Duration::from_millis(50);
 
@@ -25,12 +24,12 @@
         }
     }
     log::info!("event=draining clients={}", node.clients.len());
-    node.begin_draining();
     let grace = node.settings.borrow().grace;
-    let ends = node.now() + grace.saturating_sub(SPARE);
+    let end = PlannedEnd::new(node.now(), grace);
+    node.begin_draining(end);
     Timer::after(STILL_COMING.min(grace / 2)).await;
     node.clients.finish_all();
-    while node.now() < ends && !node.clients.is_empty() {
+    while node.now() < end.ends_at() && !node.clients.is_empty() {
         Timer::after(LOOK_EVERY).await;
     }
     log::info!("event=ended clients={}", node.clients.len());
--- a/crates/standin/src/fleet.rs
+++ b/crates/standin/src/fleet.rs
@@ -17,6 +17,8 @@
 const INTERNAL: u16 = 7_680;
 /// A client waits so long for bytes.
 const READ_WITHIN: Duration = Duration::from_secs(20);
+/// Grace time of processes where a test doesn't set another.
+const DEFAULT_GRACE_S: u32 = 4;
 
 static FLEETS: AtomicU8 = AtomicU8::new(1);
 
@@ -26,6 +28,8 @@
     folder: PathBuf,
     network: String,
     machines: u8,
+    /// Time between SIGTERM and SIGKILL that the processes are told, in seconds.
+    pub grace_s: u32,
 }
 
 impl Fleet {
@@ -36,7 +40,7 @@
         let network = format!("127.{}.{}", 1 + id % 250, number);
         let folder = std::env::temp_dir().join(format!("passrelay-fleet-{id}-{number}"));
         std::fs::create_dir_all(&folder).expect("a folder for the fleet");
-        Fleet { program, folder, network, machines }
+        Fleet { program, folder, network, machines, grace_s: DEFAULT_GRACE_S }
     }
 
     /// Starts one machine's process, machines counted from 1. All count and have a disk.
@@ -60,7 +64,7 @@
             format!("fault-tolerance.machines={tolerated}"),
             "heartbeat-ms=1200".to_owned(),
             "bounds.strict-revocation=true".to_owned(),
-            "bounds.grace-s=4".to_owned(),
+            format!("bounds.grace-s={}", self.grace_s),
             "bounds.quota-slack=1000".to_owned(),
         ];
         let path = self.folder.join(format!("node-{machine}.conf"));
@@ -131,6 +135,16 @@
         self.connect(FRONT).expect("the clients' port is open")
     }
 
+    /// A client's connection that stays open after the answer to a request.
+    pub fn kept_client(&self, request: &[u8]) -> TcpStream {
+        let mut stream = self.client();
+        let text = String::from_utf8_lossy(request).replace("Connection: close\r\n", "");
+        stream.write_all(text.as_bytes()).expect("the request is written");
+        let mut reader = BufReader::new(stream.try_clone().expect("a second handle"));
+        Message::read(&mut reader).expect("an answer");
+        stream
+    }
+
     /// Writes bytes as a client and reads everything up to the end of the connection.
     pub fn exchange(&self, bytes: &[u8]) -> String {
         let mut stream = self.client();
