Acknowledge an endpoint's end once the core knows of it; split traffic by turns; mend four endings of requests

An acknowledgement that an endpoint drains binds all sidecars, also where a cut-off one gave it; it was given at once, and a DELETE of an endpoint unknown to the sidecar was acknowledged although nobody was told. Parts of a split route were drawn by lot, which strays by 3 in 100 and more over 200 requests. A request that waited for a process that had just started was timed from the end of that wait. An order to close a resting connection could cut a request that had come meanwhile. A client could have fields of this protocol dropped by naming them in Connection.

The sidecar asks the core until a member, in contact with a majority since then, has the same digest of that endpoint's bucket, and answers 503 after 0.8 s. A request's time runs from its head. A busy connection is not closed. X-Passrelay-* goes through.

--- a/crates/control-plane/src/coordinator.rs
+++ b/crates/control-plane/src/coordinator.rs
@@ -11,8 +11,8 @@
 };
 use passrelay_configuration::{parse_document, Configuration};
 use passrelay_dissemination::{
-    CommittedConfiguration, CoreHint, EndpointLoad, EndpointRecord, EndpointState, Gossip, GossipAction,
-    GossipSettings, Heartbeat, Incarnation, Peer,
+    Announcement, CommittedConfiguration, CoreHint, EndpointLoad, EndpointRecord, EndpointState, Gossip,
+    GossipAction, GossipSettings, Heartbeat, Incarnation, Peer,
 };
 use serde::Serialize;
 use std::net::SocketAddrV4;
@@ -271,6 +271,11 @@
         self.carry_gossip(gossip_actions, actions);
     }
 
+    /// Has the core confirm that it knows what is known here of an endpoint. [`Action::Confirmed`] tells when.
+    pub fn announce(&mut self, now: Duration, endpoint: &str) -> Announcement {
+        self.gossip.announce(now, endpoint)
+    }
+
     /// A question for tokens, to whoever grants them now.
     pub fn want_tokens(&mut self, now: Duration, message: QuotaMessage, actions: &mut Vec<Action>) {
         let Some(primary) = self.gossip.core().map(|c| c.primary) else { return };
@@ -334,6 +339,7 @@
                 self.send_for(to, addressee, Message::Gossip(message))
             }
             GossipAction::Configured(configuration) => Action::Configured(configuration),
+            GossipAction::Confirmed(announcement) => Action::Confirmed(announcement),
         }));
     }
 
--- a/crates/control-plane/src/messages.rs
+++ b/crates/control-plane/src/messages.rs
@@ -4,7 +4,7 @@
 use crate::orders::Order;
 use crate::quota::QuotaMessage;
 use crate::replication::{DurableWrite, ReplicationEnvelope, Ticket};
-use passrelay_dissemination::{CommittedConfiguration, GossipMessage, Incarnation};
+use passrelay_dissemination::{Announcement, CommittedConfiguration, GossipMessage, Incarnation};
 use serde::{Deserialize, Serialize};
 use std::net::SocketAddrV4;
 use std::sync::Arc;
@@ -140,6 +140,8 @@
     },
     /// A newer configuration is in force here.
     Configured(CommittedConfiguration),
+    /// The core knows what was announced of an endpoint.
+    Confirmed(Announcement),
     /// The answer to an operator's call.
     Answer {
         /// The call.
--- a/crates/data-plane/src/lib.rs
+++ b/crates/data-plane/src/lib.rs
@@ -7,3 +7,4 @@
 pub mod quota;
 pub mod retry_budget;
 pub mod routing;
+pub mod traffic_split;
--- a/crates/dissemination/src/gossip.rs
+++ b/crates/dissemination/src/gossip.rs
@@ -1,7 +1,7 @@
 //! The decider of dissemination: rumours for news, digests for whatever a rumour missed.
 
 use crate::peer::{Incarnation, Peer};
-use crate::registry::{EndpointRecord, Heartbeat, Registry, RegistryDigest};
+use crate::registry::{bucket_of, EndpointRecord, Heartbeat, Registry, RegistryDigest};
 use crate::view::{PartialView, PeerDescriptor};
 use rand::seq::IndexedRandom;
 use rand::SeedableRng;
@@ -24,6 +24,10 @@
 const CORE_RETRY_EVERY: Duration = Duration::from_millis(200);
 /// Freshness under which there is no hurry.
 const FRESH: Duration = Duration::from_millis(1_500);
+/// ... and while the core is to confirm that it knows of an endpoint's end.
+const CORE_CONFIRM_EVERY: Duration = Duration::from_millis(60);
+/// A confirmation that hasn't come after this doesn't come.
+const CONFIRM_WITHIN: Duration = Duration::from_secs(1);
 /// Pause between looks for endpoints that have fallen silent.
 const SWEEP_EVERY: Duration = Duration::from_millis(250);
 /// Questions whose answers are still waited for, at most.
@@ -125,6 +129,19 @@
     },
     /// A newer configuration is in force from now on.
     Configured(CommittedConfiguration),
+    /// The core knows what was announced.
+    Confirmed(Announcement),
+}
+
+/// Names something about an endpoint that the core is to know before it is acknowledged.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct Announcement(pub u64);
+
+#[derive(Debug)]
+struct Unconfirmed {
+    announcement: Announcement,
+    bucket: usize,
+    since: Duration,
 }
 
 /// A way in which dissemination is made to break its rules, so that the checkers of simulated histories can
@@ -169,6 +186,8 @@
     next_core: Duration,
     next_sweep: Duration,
     fetched_at: Option<Duration>,
+    unconfirmed: Vec<Unconfirmed>,
+    last_announcement: u64,
 }
 
 impl Gossip {
@@ -190,6 +209,8 @@
             next_core: Duration::ZERO,
             next_sweep: Duration::ZERO,
             fetched_at: None,
+            unconfirmed: Vec::new(),
+            last_announcement: 0,
         }
     }
 
@@ -251,6 +272,26 @@
         if index <= self.index() {
             self.fresh_at = self.fresh_at.max(fresh_at);
         }
+        // The primary is who all others ask.
+        let confirmed = |u: &Unconfirmed| fresh_at >= Some(u.since);
+        self.confirm(confirmed, actions);
+    }
+
+    /// From now on the core is asked until a member of it, in contact with a majority since now, knows what is known here
+    /// of an endpoint. [`GossipAction::Confirmed`] tells when; it may never come.
+    pub fn announce(&mut self, now: Duration, endpoint: &str) -> Announcement {
+        self.last_announcement += 1;
+        let announcement = Announcement(self.last_announcement);
+        self.unconfirmed.push(Unconfirmed { announcement, bucket: bucket_of(endpoint), since: now });
+        self.next_core = self.next_core.min(now);
+        announcement
+    }
+
+    fn confirm(&mut self, confirmed: impl Fn(&Unconfirmed) -> bool, actions: &mut Vec<GossipAction>) {
+        let (done, open): (Vec<Unconfirmed>, Vec<Unconfirmed>) =
+            std::mem::take(&mut self.unconfirmed).into_iter().partition(|u| confirmed(u));
+        self.unconfirmed = open;
+        actions.extend(done.into_iter().map(|u| GossipAction::Confirmed(u.announcement)));
     }
 
     /// A heartbeat of an endpoint.
@@ -274,7 +315,13 @@
         }
         if now >= self.next_core {
             let fresh = self.fresh_at.is_some_and(|at| now.saturating_sub(at) < FRESH);
-            self.next_core = now + if fresh { CORE_EVERY } else { CORE_RETRY_EVERY };
+            self.unconfirmed.retain(|u| now.saturating_sub(u.since) < CONFIRM_WITHIN);
+            self.next_core = now
+                + match (self.unconfirmed.is_empty(), fresh) {
+                    (false, _) => CORE_CONFIRM_EVERY,
+                    (true, true) => CORE_EVERY,
+                    (true, false) => CORE_RETRY_EVERY,
+                };
             self.ask_core(now, actions);
         }
         if now >= self.next_sweep {
@@ -354,7 +401,7 @@
     fn ask_core(&mut self, now: Duration, actions: &mut Vec<GossipAction>) {
         let Some(core) = &self.core else { return };
         let fresh = self.fresh_at.is_some_and(|at| now.saturating_sub(at) < FRESH);
-        let chosen = if core.members.contains(&self.own) || !fresh {
+        let chosen = if core.members.contains(&self.own) || !fresh || !self.unconfirmed.is_empty() {
             // The primary knows best; while that doesn't help, any other member may.
             let other = core.members.choose(&mut self.rng).copied();
             [Some(core.primary), other.filter(|m| !fresh && *m != core.primary)]
@@ -396,6 +443,11 @@
             if digest.index <= self.index() && asked_at >= age {
                 self.fresh_at = self.fresh_at.max(Some(asked_at - age));
             }
+            if self.core.as_ref().is_some_and(|core| core.members.contains(&from)) {
+                let own = self.registry.digest();
+                let knows = |u: &Unconfirmed| own[u.bucket] == digest.registry[u.bucket];
+                self.confirm(|u| asked_at >= u.since + age && knows(u), actions);
+            }
         }
         self.learn_digest(now, from, &digest, actions);
         self.send_differing(from, &digest.registry, actions);
--- a/crates/dissemination/src/lib.rs
+++ b/crates/dissemination/src/lib.rs
@@ -9,7 +9,7 @@
 mod view;
 
 pub use gossip::{
-    CommittedConfiguration, CoreHint, Digest, Gossip, GossipAction, GossipFault, GossipMessage,
+    Announcement, CommittedConfiguration, CoreHint, Digest, Gossip, GossipAction, GossipFault, GossipMessage,
     GossipSettings,
 };
 pub use load::{EndpointLoad, Outcomes};
--- a/crates/dissemination/src/registry.rs
+++ b/crates/dissemination/src/registry.rs
@@ -128,6 +128,11 @@
         self.entries.values().map(|e| &e.record)
     }
 
+    /// Whether anything is known of an endpoint, also that it is gone.
+    pub fn knows(&self, id: &str) -> bool {
+        self.entries.contains_key(id)
+    }
+
     /// Takes in what was known before a restart. Each record has to be confirmed by a heartbeat soon, here or elsewhere.
     pub fn restore(&mut self, now: Duration, records: Vec<EndpointRecord>) {
         for record in records {
@@ -310,7 +315,8 @@
     }
 }
 
-fn bucket_of(id: &str) -> usize {
+/// The bucket of a digest in which an endpoint is.
+pub(crate) fn bucket_of(id: &str) -> usize {
     let mut hasher = DefaultHasher::new();
     id.hash(&mut hasher);
     (hasher.finish() as usize) % BUCKETS
--- a/crates/node/src/client_connections.rs
+++ b/crates/node/src/client_connections.rs
@@ -49,6 +49,11 @@
         self.phase.set(Phase::Idle(now));
     }
 
+    /// Whether a request is being served.
+    pub fn is_busy(&self) -> bool {
+        matches!(self.phase.get(), Phase::Busy)
+    }
+
     fn is_over(&self, now: Duration, head_within: Duration, idle_within: Duration) -> bool {
         match self.phase.get() {
             Phase::Idle(since) => now.saturating_sub(since) > idle_within,
--- a/crates/node/src/control_api.rs
+++ b/crates/node/src/control_api.rs
@@ -67,10 +67,7 @@
         (Method::PATCH, "/config") => change(node, OrderKind::Patch, request).await,
         (method, path) => match path.strip_prefix("/instances/") {
             Some(id) if method == Method::PUT => heartbeat(node, id, request).await,
-            Some(id) if method == Method::DELETE => {
-                node.leave(id);
-                json(StatusCode::OK, "{}".to_owned())
-            }
+            Some(id) if method == Method::DELETE => acknowledgement(node.leave(id).await),
             Some(_) => fault(StatusCode::METHOD_NOT_ALLOWED, "PUT or DELETE"),
             None => fault(StatusCode::NOT_FOUND, "unknown path"),
         },
@@ -81,6 +78,15 @@
     json(status, serde_json::json!({ "error": problem }).to_string())
 }
 
+/// The answer to an endpoint.
+fn acknowledgement(acknowledged: bool) -> Response<Body> {
+    if acknowledged {
+        json(StatusCode::OK, "{}".to_owned())
+    } else {
+        fault(StatusCode::SERVICE_UNAVAILABLE, "the core does not know of it yet, tell another sidecar")
+    }
+}
+
 fn readiness(node: &Rc<Node>) -> Response<Body> {
     if node.is_ready() {
         json(StatusCode::OK, "{}".to_owned())
@@ -119,10 +125,7 @@
         return fault(StatusCode::BAD_REQUEST, "the heartbeat is too long, or was cut off");
     };
     match serde_json::from_slice(&body.to_bytes()).ok().and_then(|body: Value| read_heartbeat(id, &body)) {
-        Some(beat) => {
-            node.heartbeat(&beat);
-            json(StatusCode::OK, "{}".to_owned())
-        }
+        Some(beat) => acknowledgement(node.heartbeat(&beat).await),
         None => fault(StatusCode::BAD_REQUEST, "the heartbeat lacks backend, address, state or sequence"),
     }
 }
--- a/crates/node/src/front.rs
+++ b/crates/node/src/front.rs
@@ -60,7 +60,7 @@
     let io = FuturesIo::new(TrackedStream { stream, connection: connection.clone(), node: node.clone() });
     let head_bytes = node.snapshot().map_or(DEFAULT_HEAD_BYTES, |s| s.table.limits().max_header_bytes);
     let service = {
-        let node = node.clone();
+        let (node, connection) = (node.clone(), connection.clone());
         service_fn(move |request| answer(node.clone(), connection.clone(), request))
     };
     let serving = hyper::server::conn::http1::Builder::new()
@@ -77,6 +77,8 @@
         };
         match order {
             Some(Order::Finish) => serving.as_mut().graceful_shutdown(),
+            // A request may have come between the order and now: it is served, and the connection looked at again later.
+            Some(Order::Close) if connection.is_busy() => {}
             Some(Order::Close) | None => break,
         }
     }
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -19,8 +19,9 @@
 use passrelay_data_plane::quota::{Grant, Question, QuotaShares};
 use passrelay_data_plane::retry_budget::RetryBudget;
 use passrelay_data_plane::routing::RoutingTable;
+use passrelay_data_plane::traffic_split::TrafficSplits;
 use passrelay_dissemination::{
-    CommittedConfiguration, EndpointLoad, EndpointState, GossipSettings, Heartbeat, Incarnation,
+    Announcement, CommittedConfiguration, EndpointLoad, EndpointState, GossipSettings, Heartbeat, Incarnation,
 };
 use smol::channel::Sender;
 use smol::{LocalExecutor, Timer};
@@ -43,6 +44,8 @@
 const LOAD_EVERY_PER_SIDECAR: Duration = Duration::from_millis(2);
 /// Pause between looks whether the endpoints on disk are those that are known.
 const KEEP_EVERY: Duration = Duration::from_millis(1_000);
+/// An endpoint that says that it leaves is told to ask another sidecar after this; it waits for a second itself.
+const CONFIRM_PATIENCE: Duration = Duration::from_millis(800);
 /// Pause between lines with the status in the log.
 const STATUS_EVERY: Duration = Duration::from_secs(10);
 
@@ -84,6 +87,8 @@
     pub balancer: RefCell<Balancer>,
     /// Repeats that may still be sent.
     pub budget: RefCell<RetryBudget>,
+    /// Whose turn it is on routes that are split.
+    pub splits: RefCell<TrafficSplits>,
     /// Tokens held of tenants' quotas.
     pub quota: RefCell<QuotaShares>,
     /// Tells requests that wait for tokens that some may have come.
@@ -102,6 +107,8 @@
     kept_revision: Cell<u64>,
     calls: RefCell<HashMap<CallId, Sender<OperatorAnswer>>>,
     next_call: Cell<u64>,
+    /// Announcements that wait for the core's word.
+    announcements: RefCell<HashMap<Announcement, Sender<()>>>,
     planned_end: Cell<Option<PlannedEnd>>,
     /// Tells requests under way that the end is planned.
     end_planned: Event,
@@ -212,14 +219,36 @@
         receiver
     }
 
-    /// A heartbeat of an endpoint.
-    pub fn heartbeat(self: &Rc<Self>, beat: &Heartbeat) {
+    /// A heartbeat of an endpoint. Whether it may be acknowledged: that an endpoint drains binds all sidecars once it is,
+    /// so the core has to know of it first.
+    pub async fn heartbeat(self: &Rc<Self>, beat: &Heartbeat) -> bool {
         self.drive(|c, now, actions| c.heartbeat(now, beat, actions));
+        beat.record.state != EndpointState::Draining || self.is_known_to_core(&beat.record.id).await
     }
 
-    /// An endpoint has ended as planned.
-    pub fn leave(self: &Rc<Self>, id: &str) {
+    /// An endpoint has ended as planned, or is about to. Whether that may be acknowledged; of an endpoint that is not
+    /// known here nobody could be told.
+    pub async fn leave(self: &Rc<Self>, id: &str) -> bool {
         self.drive(|c, now, actions| c.leave(now, id, actions));
+        let known = self.coordinator.borrow().gossip().registry().knows(id);
+        known && self.is_known_to_core(id).await
+    }
+
+    /// Waits until the core knows what is known here of an endpoint; false if it doesn't say so soon.
+    async fn is_known_to_core(self: &Rc<Self>, id: &str) -> bool {
+        let (confirmed, confirmation) = smol::channel::bounded(1);
+        let announcement = self.drive(|c, now, _| {
+            let announcement = c.announce(now, id);
+            self.announcements.borrow_mut().insert(announcement, confirmed);
+            announcement
+        });
+        let late = async {
+            Timer::after(CONFIRM_PATIENCE).await;
+            false
+        };
+        let known = smol::future::or(async { confirmation.recv().await.is_ok() }, late).await;
+        self.announcements.borrow_mut().remove(&announcement);
+        known
     }
 
     /// Asks the grantor for the tokens that are wanted now.
@@ -262,6 +291,11 @@
                     let _ = waiting.try_send(answer);
                 }
             }
+            Action::Confirmed(announcement) => {
+                if let Some(waiting) = self.announcements.borrow_mut().remove(&announcement) {
+                    let _ = waiting.try_send(());
+                }
+            }
             Action::Granted(grant) => self.take_grant(grant),
             Action::LoadSums(sums) => self.take_sums(sums),
         }
@@ -276,6 +310,7 @@
                 self.quota.borrow_mut().retain(|key| tenants.contains(&key));
                 let services: Vec<String> = configuration.services.iter().map(|s| s.name.clone()).collect();
                 self.budget.borrow_mut().retain(|name| services.iter().any(|s| s == name));
+                self.splits.borrow_mut().retain(&configuration);
                 let table = RoutingTable::new(configuration);
                 *self.snapshot.borrow_mut() = Some(Rc::new(Snapshot { table, index: committed.index }));
                 log::info!("event=configured generation={} index={}", committed.generation, committed.index);
@@ -398,6 +433,7 @@
         executor,
         balancer: RefCell::new(Balancer::new(&settings.zone)),
         budget: RefCell::new(RetryBudget::new(settings.retry_budget_ratio)),
+        splits: RefCell::new(TrafficSplits::new(rand::random())),
         quota: RefCell::new(QuotaShares::new(GRANT_LASTS)),
         quota_granted: Event::new(),
         pool: Pool::default(),
@@ -411,6 +447,7 @@
         kept_revision: Cell::new(0),
         calls: RefCell::default(),
         next_call: Cell::new(1),
+        announcements: RefCell::default(),
         planned_end: Cell::new(None),
         end_planned: Event::new(),
         told_load: RefCell::default(),
--- a/crates/node/src/proxy.rs
+++ b/crates/node/src/proxy.rs
@@ -13,7 +13,7 @@
 };
 use hyper::http::request::Parts;
 use hyper::{HeaderMap, Method, Request, Response, StatusCode, Uri};
-use passrelay_configuration::{Backend, Route, RouteType, Tenant, TokenUnit};
+use passrelay_configuration::{Route, RouteType, Tenant, TokenUnit};
 use passrelay_control_plane::quota::TenantKey;
 use passrelay_data_plane::balancer::{CallEnd, LoadReport, Pick, PickRequest};
 use passrelay_data_plane::prompt::Prompt;
@@ -37,6 +37,8 @@
 const KEEP_ALIVE: HeaderName = HeaderName::from_static("keep-alive");
 const PROXY_CONNECTION: HeaderName = HeaderName::from_static("proxy-connection");
 
+/// Names of the fields of this protocol begin with this.
+const OWN_FIELDS: &str = "x-passrelay-";
 /// Time a client waits where it tells none.
 const DEFAULT_DEADLINE: Duration = Duration::from_secs(30);
 /// A process counts as just started for this long.
@@ -63,8 +65,6 @@
     arrived: Duration,
     /// Time that the client waits.
     patience: Duration,
-    /// Where the request falls among weighted backends, 0 to 1.
-    lot: f64,
 }
 
 /// On what terms a request is taken, by one configuration.
@@ -87,8 +87,9 @@
 
 /// Serves one request.
 pub async fn relay(node: &Rc<Node>, request: Request<Incoming>) -> Response<Body> {
+    let arrived = node.now();
     wait_for_start(node, &request).await;
-    match try_relay(node, request).await {
+    match try_relay(node, request, arrived).await {
         Ok(response) => response,
         Err(failure) => failure.response(),
     }
@@ -105,9 +106,13 @@
     }
 }
 
-async fn try_relay(node: &Rc<Node>, request: Request<Incoming>) -> Result<Response<Body>, Failure> {
+async fn try_relay(
+    node: &Rc<Node>,
+    request: Request<Incoming>,
+    arrived: Duration,
+) -> Result<Response<Body>, Failure> {
     let (parts, body) = request.into_parts();
-    let mut inbound = Inbound::read(node, parts)?;
+    let mut inbound = Inbound::read(parts, arrived)?;
     let terms = admit(node, &inbound)?;
     if !node.may_begin(inbound.deadline(&terms)) {
         return Err(Failure::Ending);
@@ -132,7 +137,7 @@
 }
 
 impl Inbound {
-    fn read(node: &Node, parts: Parts) -> Result<Self, Failure> {
+    fn read(parts: Parts, arrived: Duration) -> Result<Self, Failure> {
         let text = |name: &HeaderName| parts.headers.get(name).and_then(|v| v.to_str().ok());
         let host = parts.uri.host().or_else(|| text(&HOST)).ok_or(Failure::BadRequest)?.to_owned();
         let key = text(&AUTHORIZATION).and_then(|v| v.strip_prefix("Bearer ")).map(|k| k.trim().to_owned());
@@ -155,9 +160,8 @@
             method: parts.method,
             headers: parts.headers,
             body: Bytes::new(),
-            arrived: node.now(),
+            arrived,
             patience,
-            lot: rand::random(),
         })
     }
 
@@ -188,14 +192,9 @@
         current && (self.tenant.is_none() || node.is_fresh())
     }
 
-    fn service(&self, lot: f64) -> &str {
-        let all: f64 = self.route.backends.iter().map(|b| b.weight).sum();
-        let mut left = lot * all;
-        let chosen = self.route.backends.iter().filter(|b| b.weight > 0.0).find(|b: &&Backend| {
-            left -= b.weight;
-            left < 0.0
-        });
-        chosen.or(self.route.backends.last()).map_or("", |b| b.service.as_str())
+    /// The service that this request's turn falls on.
+    fn service(&self, node: &Node) -> String {
+        node.splits.borrow_mut().choose(&self.route).to_owned()
     }
 }
 
@@ -335,6 +334,8 @@
     inbound: Rc<Inbound>,
     deadline: Duration,
     tried: Vec<Arc<str>>,
+    /// The service that the request was sent to first.
+    service: Option<String>,
     offers: usize,
     /// Attempts that may have run.
     runs: u64,
@@ -344,7 +345,16 @@
 
 impl Attempts {
     fn new(node: Rc<Node>, inbound: Rc<Inbound>, deadline: Duration) -> Self {
-        Attempts { node, inbound, deadline, tried: Vec::new(), offers: 0, runs: 0, rejected: 0 }
+        Attempts {
+            node,
+            inbound,
+            deadline,
+            tried: Vec::new(),
+            service: None,
+            offers: 0,
+            runs: 0,
+            rejected: 0,
+        }
     }
 
     /// When the request's time is over.
@@ -382,10 +392,13 @@
             if self.runs == 0 && !self.node.may_begin(self.deadline) {
                 return Err(Failure::Ending);
             }
-            let service = terms.service(self.inbound.lot).to_owned();
             if self.offers >= MOST_OFFERS {
                 return Err(self.exhausted());
             }
+            // A request keeps its service as long as its route still leads there.
+            let kept = self.service.take().filter(|s| terms.route.backends.iter().any(|b| b.service == *s));
+            let service = kept.unwrap_or_else(|| terms.service(&self.node));
+            self.service = Some(service.clone());
             if self.offers == 0 {
                 self.node.budget.borrow_mut().request(&service);
             }
@@ -536,6 +549,8 @@
         .flat_map(|value| value.split(','))
         .filter_map(|name| name.trim().parse().ok())
         .collect();
+    // A client can't have what an endpoint relies on taken away by naming it there.
+    let named = named.into_iter().filter(|name| !name.as_str().starts_with(OWN_FIELDS));
     let always = [CONNECTION, KEEP_ALIVE, PROXY_CONNECTION, TE, TRAILER, TRANSFER_ENCODING, UPGRADE];
     for name in always.into_iter().chain(named) {
         kept.remove(name);
--- a/crates/simulation/src/cluster.rs
+++ b/crates/simulation/src/cluster.rs
@@ -9,7 +9,7 @@
     Action, CallId, Coordinator, CoordinatorSettings, Envelope, Message, OperatorAnswer, OperatorRequest,
 };
 use passrelay_dissemination::{
-    CommittedConfiguration, GossipFault, GossipMessage, GossipSettings, Heartbeat, Incarnation,
+    Announcement, CommittedConfiguration, GossipFault, GossipMessage, GossipSettings, Heartbeat, Incarnation,
 };
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
@@ -174,6 +174,15 @@
         /// The answer.
         answer: OperatorAnswer,
     },
+    /// The core knows what a machine has announced of an endpoint.
+    Confirmed {
+        /// The machine.
+        machine: usize,
+        /// The incarnation of its process.
+        incarnation: u64,
+        /// The announcement.
+        announcement: Announcement,
+    },
     /// A sidecar got the answer to a question for tokens.
     Granted {
         /// The machine.
@@ -455,6 +464,14 @@
         self.act(machine, |process, now, actions| process.heartbeat(now, beat, actions))
     }
 
+    /// Has a machine tell when the core knows of an endpoint what is known there.
+    pub fn announce(&mut self, machine: usize, endpoint: &str) -> Option<(Announcement, Vec<Seen>)> {
+        let mut announcement = None;
+        let seen =
+            self.act(machine, |process, now, _| announcement = Some(process.announce(now, endpoint)))?;
+        Some((announcement?, seen))
+    }
+
     /// A sidecar asks for tokens.
     pub fn want_tokens(&mut self, machine: usize, question: QuotaMessage) -> Option<Vec<Seen>> {
         self.act(machine, |process, now, actions| process.want_tokens(now, question, actions))
@@ -610,6 +627,9 @@
                 seen.push(Seen::Answered { call: CallKey { machine, incarnation, call }, answer });
             }
             Action::Granted(grant) => seen.push(Seen::Granted { machine, incarnation, grant }),
+            Action::Confirmed(announcement) => {
+                seen.push(Seen::Confirmed { machine, incarnation, announcement })
+            }
             Action::LoadSums(_) => {}
         }
     }
--- a/crates/simulation/src/history.rs
+++ b/crates/simulation/src/history.rs
@@ -370,7 +370,7 @@
                     self.checker.configured(machine, incarnation, &configuration, order);
                 }
                 Seen::Answered { call, answer } => self.answered(call, &answer),
-                Seen::Granted { .. } => {}
+                Seen::Granted { .. } | Seen::Confirmed { .. } => {}
             }
         }
     }
--- a/crates/simulation/src/limit_checker.rs
+++ b/crates/simulation/src/limit_checker.rs
@@ -62,8 +62,8 @@
     revoked: BTreeMap<String, Duration>,
     requests: VecDeque<Duration>,
     repeats: VecDeque<Duration>,
-    /// When an endpoint's draining was acknowledged, and since when the machine that did so was in touch.
-    drained: BTreeMap<String, (Duration, Duration)>,
+    /// When an endpoint's draining was acknowledged, by whatever machine.
+    drained: BTreeMap<String, Duration>,
     /// Everything found.
     pub violations: Vec<LimitViolation>,
 }
@@ -88,8 +88,8 @@
     }
 
     /// A machine acknowledged that an endpoint drains.
-    pub fn drained(&mut self, now: Duration, endpoint: &str, in_touch_since: Duration) {
-        self.drained.entry(endpoint.to_owned()).or_insert((now, in_touch_since));
+    pub fn drained(&mut self, now: Duration, endpoint: &str) {
+        self.drained.entry(endpoint.to_owned()).or_insert(now);
     }
 
     /// A client's request came.
@@ -125,11 +125,10 @@
         }
     }
 
-    /// Only machines that have been in touch since the acknowledgement have to know.
+    /// Only machines that have been in touch since the acknowledgement have to know, whoever gave it.
     fn check_endpoint(&mut self, now: Duration, sent: &Sent) {
-        let Some((at, heard_in_touch_since)) = self.drained.get(sent.endpoint) else { return };
-        let in_touch = sent.in_touch_since <= *at && *heard_in_touch_since <= *at;
-        if in_touch && now > *at + self.bounds.drain {
+        let Some(at) = self.drained.get(sent.endpoint) else { return };
+        if sent.in_touch_since <= *at && now > *at + self.bounds.drain {
             self.violations.push(LimitViolation::Drained(sent.endpoint.to_owned(), now - *at));
         }
     }
--- a/crates/simulation/src/limits.rs
+++ b/crates/simulation/src/limits.rs
@@ -11,7 +11,7 @@
 use passrelay_data_plane::quota::{Grant, QuotaShares};
 use passrelay_data_plane::retry_budget::RetryBudget;
 use passrelay_data_plane::routing::RoutingTable;
-use passrelay_dissemination::{EndpointRecord, EndpointState, Heartbeat};
+use passrelay_dissemination::{Announcement, EndpointRecord, EndpointState, Heartbeat};
 use rand::seq::IndexedRandom;
 use rand::Rng;
 use serde_json::json;
@@ -49,6 +49,8 @@
     SlackForEach,
     /// An endpoint that drains is sent to as long as it is there.
     SendsToDraining,
+    /// That an endpoint drains is acknowledged whether or not anyone else knows.
+    AcknowledgesDrainingAlone,
 }
 
 /// What a history is made of.
@@ -162,6 +164,8 @@
     open: Option<OpenOrder>,
     next_order: Duration,
     generation: u64,
+    /// What sidecars have announced of endpoints, and the core has not confirmed.
+    announced: BTreeMap<(usize, u64, Announcement), String>,
     /// All keys that the unlimited tenant ever had; the last one is in force.
     keys: Vec<String>,
     outcome: LimitOutcome,
@@ -196,6 +200,7 @@
         open: None,
         next_order: LEAD,
         generation: 0,
+        announced: BTreeMap::new(),
         keys: Vec::new(),
         outcome: LimitOutcome::default(),
     };
@@ -242,6 +247,9 @@
                     gate.table = configuration.ok().map(RoutingTable::new);
                 }
                 Seen::Answered { call, answer } => self.answered(call, answer.status),
+                Seen::Confirmed { machine, incarnation, announcement } => {
+                    self.confirmed((machine, incarnation, announcement));
+                }
                 Seen::Granted { machine, incarnation, grant } => {
                     let QuotaMessage::Grant { nonce, granted, .. } = grant else { continue };
                     let now = self.cluster.local_now(machine);
@@ -329,12 +337,34 @@
         let Some(machine) = self.random_machine() else { return };
         let Some(seen) = self.cluster.heartbeat(machine, &Heartbeat { record }) else { return };
         self.take(seen);
-        let endpoint = &mut self.endpoints[index];
-        if endpoint.state == EndpointState::Draining && endpoint.drained_at == Duration::ZERO {
+        let endpoint = &self.endpoints[index];
+        if endpoint.state != EndpointState::Draining || endpoint.drained_at > Duration::ZERO {
+            return;
+        }
+        let id = endpoint.id.clone();
+        if self.settings.mutant == Some(LimitMutant::AcknowledgesDrainingAlone) {
+            return self.drained(&id);
+        }
+        let incarnation = self.cluster.incarnation(machine);
+        let Some((announcement, seen)) = self.cluster.announce(machine, &id) else { return };
+        self.announced.insert((machine, incarnation, announcement), id);
+        self.take(seen);
+    }
+
+    /// The sidecar acknowledges that an endpoint drains.
+    fn confirmed(&mut self, announcement: (usize, u64, Announcement)) {
+        if let Some(id) = self.announced.remove(&announcement) {
+            self.drained(&id);
+        }
+    }
+
+    fn drained(&mut self, id: &str) {
+        let now = self.cluster.now();
+        let Some(endpoint) = self.endpoints.iter_mut().find(|e| e.id == id) else { return };
+        if endpoint.drained_at == Duration::ZERO {
             endpoint.drained_at = now;
-            let id = endpoint.id.clone();
             self.outcome.drained += 1;
-            self.checker.drained(now, &id, self.in_touch_since(machine));
+            self.checker.drained(now, id);
         }
     }
 
--- a/crates/simulation/tests/limits.rs
+++ b/crates/simulation/tests/limits.rs
@@ -54,6 +54,7 @@
 #[case(LimitMutant::ChecksBeforeWaitOnly)]
 #[case(LimitMutant::SlackForEach)]
 #[case(LimitMutant::SendsToDraining)]
+#[case(LimitMutant::AcknowledgesDrainingAlone)]
 fn a_broken_sidecar_is_found_out(#[case] mutant: LimitMutant) {
     let found = (0..500).find(|seed| {
         let settings = LimitSettings { mutant: Some(mutant), ..settings(3, 12, *seed) };
