Leave stores of later versions alone, keep every damaged one, count dropped frames, test clients that leave

Cause: a damaged store was put aside over the one put aside before; one of a later version would have been read as damage or misread; dropped frames were logged and not counted. Change: format version on disk, numbered names, frames_dropped in status. Tests: stores damaged twice, of a later and an earlier version; a machine that forgot no founding; clients that leave let their endpoint go within 0.65 s; X-Passrelay fields named in Connection arrive; DELETE of an unknown endpoint gets 503.

--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -191,7 +191,9 @@
     /// A short account as JSON.
     pub fn status(&self) -> String {
         let status = self.coordinator.borrow().status(self.now());
-        serde_json::to_string(&status).unwrap_or_default()
+        let mut account = serde_json::to_value(&status).unwrap_or_default();
+        account["frames_dropped"] = self.transport.dropped().into();
+        account.to_string()
     }
 
     /// Takes other seeds after the settings have changed.
@@ -499,8 +501,8 @@
     let n = node.clone();
     spawn(Box::pin(async move {
         loop {
-            let (from, message) = n.transport.receive().await;
-            n.drive(|c, now, actions| c.receive(now, from, message, actions));
+            let (from, envelope) = n.transport.receive().await;
+            n.drive(|c, now, actions| c.receive(now, from, envelope, actions));
         }
     }));
     let n = node.clone();
@@ -509,8 +511,11 @@
             let stream = n.transport.accept().await;
             let node = n.clone();
             let read = async move {
-                if let Some((from, message)) = read_frame(stream).await {
-                    node.drive(|c, now, actions| c.receive(now, from, message, actions));
+                match read_frame(stream).await {
+                    Some((from, envelope)) => {
+                        node.drive(|c, now, actions| c.receive(now, from, envelope, actions));
+                    }
+                    None => node.transport.count_dropped(),
                 }
             };
             n.executor.spawn(read).detach();
--- a/crates/node/src/storage.rs
+++ b/crates/node/src/storage.rs
@@ -16,6 +16,10 @@
 
 const TABLE: TableDefinition<&str, &[u8]> = TableDefinition::new("replica");
 const IDENTITY: &str = "identity";
+/// Version of the form in which all values are written; stores from before it was kept are of version 1.
+const FORMAT: &str = "format";
+const OWN_FORMAT: u32 = 2;
+const FIRST_FORMAT: u32 = 1;
 /// Whether the machine was started with the whole system; written with the identity.
 const FOUNDING: &str = "founding";
 const WITNESS: &str = "witness";
@@ -39,6 +43,12 @@
     /// A value can't be read.
     #[error("the value of '{0}' is damaged")]
     Damaged(&'static str),
+    /// A later version of the program has written it.
+    #[error("its format is {found}, this program knows {OWN_FORMAT} and earlier")]
+    Newer {
+        /// The version found.
+        found: u32,
+    },
 }
 
 fn database<E: std::fmt::Display>(error: E) -> StoreError {
@@ -112,7 +122,7 @@
     queue: &mpsc::Receiver<Request>,
     events: &smol::channel::Sender<DiskEvent>,
 ) {
-    let (mut database, opened) = open_with_patience(folder, bootstrap);
+    let Some((mut database, opened)) = open_with_patience(folder, bootstrap) else { return };
     let identity = opened.identity;
     if events.send_blocking(DiskEvent::Opened(Box::new(opened))).is_err() {
         return;
@@ -131,7 +141,7 @@
             log::error!("event=write_failed problem=\"{e}\"");
             // A database that has seen a failed write takes no further one before it is opened anew.
             drop(database);
-            let (reopened, found) = open_with_patience(folder, false);
+            let Some((reopened, found)) = open_with_patience(folder, false) else { return };
             if found.identity != identity {
                 // What this process has promised is gone with the old store. It answers for no further write, so it
                 // leads nothing and promises nothing; the next start joins as a new member.
@@ -143,13 +153,20 @@
     }
 }
 
-/// Opens the database, and waits where the disk refuses (full, in trouble).
-fn open_with_patience(folder: &Path, bootstrap: bool) -> (Database, Opened) {
+/// Opens the database, and waits where the disk refuses (full, in trouble). `None` where this program must leave it alone.
+fn open_with_patience(folder: &Path, bootstrap: bool) -> Option<(Database, Opened)> {
     // A machine whose store was put aside has lost its disk, at whatever start: it doesn't found.
     let mut bootstrap = bootstrap;
     loop {
         match open(folder, bootstrap) {
-            Ok(opened) => return opened,
+            Ok(opened) => return Some(opened),
+            Err(e @ StoreError::Newer { .. }) => {
+                log::error!(
+                    "event=store_newer path={} problem=\"{e}\" advice=\"start the version that wrote it, or an empty folder\"",
+                    folder.join(FILE).display()
+                );
+                return None;
+            }
             Err(StoreError::Damaged(part)) => {
                 log::error!("event=store_damaged part={part}");
                 put_aside(folder);
@@ -175,9 +192,14 @@
 
 /// A store that doesn't open is kept for inspection; the machine joins again as one that lost its disk.
 fn put_aside(folder: &Path) {
-    let kept = folder.join(format!("{FILE}.damaged"));
-    if std::fs::rename(folder.join(FILE), kept).is_err() {
-        thread::sleep(REOPEN_AFTER);
+    let names = (1..).map(|number| folder.join(format!("{FILE}.damaged.{number}")));
+    let kept = names.into_iter().find(|name| !name.exists());
+    let renamed = kept.map(|kept| (std::fs::rename(folder.join(FILE), &kept), kept));
+    match renamed {
+        Some((Ok(()), kept)) => {
+            log::error!("event=store_put_aside path={} advice=\"keep it for inspection\"", kept.display());
+        }
+        _ => thread::sleep(REOPEN_AFTER),
     }
 }
 
@@ -186,6 +208,10 @@
     let path = folder.join(FILE);
     let database = redb::Builder::new().set_cache_size(CACHE_BYTES).create(&path).map_err(self::database)?;
     std::fs::File::open(folder)?.sync_all()?;
+    let format = read::<u32>(&database, FORMAT)?.unwrap_or(FIRST_FORMAT);
+    if format > OWN_FORMAT {
+        return Err(StoreError::Newer { found: format });
+    }
     let identity = read_identity(&database, bootstrap)?;
     let founding = read(&database, FOUNDING)?.unwrap_or(false);
     let durable = DurableState {
@@ -203,7 +229,9 @@
     }
     // 0 stands for nobody.
     let identity = MemberId(rand::random::<u64>().max(1));
-    write_values(database, &[(IDENTITY, encode(&identity)?), (FOUNDING, encode(&bootstrap)?)])?;
+    let values =
+        [(IDENTITY, encode(&identity)?), (FOUNDING, encode(&bootstrap)?), (FORMAT, encode(&OWN_FORMAT)?)];
+    write_values(database, &values)?;
     Ok(identity)
 }
 
@@ -250,3 +278,7 @@
     }
     transaction.commit().map_err(self::database)
 }
+
+#[cfg(test)]
+#[path = "storage/tests.rs"]
+mod tests;
--- a/crates/node/src/transport.rs
+++ b/crates/node/src/transport.rs
@@ -6,6 +6,7 @@
 use smol::io::{AsyncReadExt, AsyncWriteExt};
 use smol::net::{TcpListener, TcpStream, UdpSocket};
 use smol::{LocalExecutor, Timer};
+use std::cell::Cell;
 use std::net::{SocketAddr, SocketAddrV4};
 use std::time::Duration;
 use thiserror::Error;
@@ -46,6 +47,7 @@
     own: SocketAddrV4,
     datagrams: UdpSocket,
     listener: TcpListener,
+    dropped: Cell<u64>,
 }
 
 impl Transport {
@@ -57,7 +59,17 @@
     pub async fn open(own: SocketAddrV4) -> std::io::Result<Self> {
         let datagrams = UdpSocket::bind(own).await?;
         let listener = TcpListener::bind(own).await?;
-        Ok(Transport { own, datagrams, listener })
+        Ok(Transport { own, datagrams, listener, dropped: Cell::new(0) })
+    }
+
+    /// Frames that were dropped: of another version, too long, unreadable, or not handed over whole.
+    pub fn dropped(&self) -> u64 {
+        self.dropped.get()
+    }
+
+    /// A frame was dropped.
+    pub fn count_dropped(&self) {
+        self.dropped.set(self.dropped.get() + 1);
     }
 
     /// Sends a message on its way.
@@ -84,7 +96,10 @@
             match self.datagrams.recv_from(&mut buffer).await {
                 Ok((length, _)) => match decode(&buffer[..length]) {
                     Ok(received) => return received,
-                    Err(e) => log::warn!("event=frame_dropped problem=\"{e}\""),
+                    Err(e) => {
+                        self.count_dropped();
+                        log::warn!("event=frame_dropped problem=\"{e}\"");
+                    }
                 },
                 // A datagram to a dead port comes back as an error of this socket.
                 Err(_) => smol::future::yield_now().await,
--- a/crates/passrelay/tests/fleet.rs
+++ b/crates/passrelay/tests/fleet.rs
@@ -290,6 +290,70 @@
     assert!(sidecar.ended_well());
 }
 
+/// An endpoint that never answers, and tells when the connection of a request ends.
+fn listening_for_the_end() -> (std::net::SocketAddr, std::sync::mpsc::Receiver<Duration>) {
+    let (tell, told) = std::sync::mpsc::channel();
+    let listener = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
+    let address = passrelay_standin::serve_by(listener, move |_, sock| {
+        let mut reader = std::io::BufReader::new(sock);
+        if Message::read(&mut reader).is_some() {
+            let began = std::time::Instant::now();
+            let _ = std::io::Read::read(&mut reader, &mut [0]);
+            let _ = tell.send(began.elapsed());
+        }
+    });
+    (address, told)
+}
+
+#[test]
+fn when_a_client_leaves_its_endpoint_is_let_go_and_nothing_more_is_sent_for_it() {
+    let (one, one_ended) = listening_for_the_end();
+    let (other, other_ended) = listening_for_the_end();
+    let fleet = Fleet::new(PROGRAM, 1);
+    let sidecar = fleet.start_all().remove(0);
+    for (index, address) in [one, other].into_iter().enumerate() {
+        assert_eq!(sidecar.heartbeat(&format!("i-{index}"), "bays", address, "ready", 1), 200);
+    }
+    assert_eq!(sidecar.put(0, &configuration(3)), 200);
+    sidecar.until_ready();
+    for path in ["/look/1", "/ask/1", "/sum/1"] {
+        let mut client = sidecar.client();
+        client.write_all(&request(path, "", "")).unwrap();
+        std::thread::sleep(Duration::from_millis(150));
+        drop(client);
+        let ended = one_ended.recv_timeout(Duration::from_secs(2)).or_else(|_| other_ended.try_recv());
+        let ended = ended.or_else(|_| other_ended.recv_timeout(Duration::from_secs(1))).expect(path);
+        assert!(ended < Duration::from_millis(650), "{path}: let go after {ended:?}");
+    }
+    // Nothing was sent a second time for a client that has gone.
+    std::thread::sleep(Duration::from_millis(300));
+    assert!(one_ended.try_recv().is_err() && other_ended.try_recv().is_err());
+}
+
+#[test]
+fn fields_that_an_endpoint_relies_on_arrive_though_a_client_names_them_in_connection() {
+    let endpoint = Server::start(|_| ok("x"));
+    let (_fleet, sidecar) = lone(&[&endpoint]);
+    let fields = "X-Passrelay-Model: m\r\nX-Passrelay-Token-Usage: 10,20\r\nX-Passrelay-Prefix-Hash: 5c:10\r\n\
+                  X-Hop: 1\r\nConnection: X-Passrelay-Model, X-Passrelay-Token-Usage, X-Passrelay-Prefix-Hash, X-Hop\r\n";
+    assert_eq!(status(&sidecar.exchange(&request("/open/1", fields, ""))), 200);
+    let seen = endpoint.seen().remove(0);
+    assert_eq!(seen.header("x-passrelay-model"), Some("m"));
+    assert_eq!(seen.header("x-passrelay-token-usage"), Some("10,20"));
+    assert_eq!(seen.header("x-passrelay-prefix-hash"), Some("5c:10"));
+    assert_eq!(seen.header("x-hop"), None);
+}
+
+#[test]
+fn an_endpoint_that_is_not_known_is_not_told_that_its_end_is() {
+    let endpoint = Server::start(|_| ok("x"));
+    let (_fleet, sidecar) = lone(&[&endpoint]);
+    let leave = |id: &str| sidecar.control("DELETE", &format!("/instances/{id}"), "", "").map(|a| a.status());
+    assert_eq!(leave("i-77"), Some(503));
+    assert_eq!(leave("i-0"), Some(200));
+    assert_eq!(leave("i-0"), Some(200), "it is known that it has gone");
+}
+
 /// A client's try some time after SIGTERM: the path, and whether on a connection that was open before.
 struct LateTry {
     after_ms: u64,
