--- a/crates/control-plane/src/replication/leadership.rs
+++ b/crates/control-plane/src/replication/leadership.rs
@@ -38,6 +38,20 @@
     asked_at: Duration,
 }
 
+/// What a member answers to a ping.
+pub(super) struct PongReport {
+    /// The member.
+    pub(super) by: MemberId,
+    /// Term of the ping.
+    pub(super) term: u64,
+    /// Round of the ping.
+    pub(super) round: u64,
+    /// Position of the record that the member has stored.
+    pub(super) position: (u64, u64),
+    /// The state that it has synced.
+    pub(super) synced: StateVersion,
+}
+
 /// The state of one primary in one term.
 pub(super) struct Leadership {
     own: Member,
@@ -188,17 +202,15 @@
         self.next_ping = Duration::ZERO;
     }
 
-    #[allow(clippy::too_many_arguments)]
+    /// A member has answered a ping.
     pub(super) fn pong(
         &mut self,
         now: Duration,
-        by: MemberId,
-        (term, round): (u64, u64),
-        position: (u64, u64),
-        synced: StateVersion,
+        report: &PongReport,
         state: &Arc<ReplicatedState>,
         actions: &mut Vec<ReplicaAction>,
     ) {
+        let PongReport { by, term, round, position, synced } = *report;
         if term != self.term {
             return;
         }
--- a/crates/control-plane/src/replication/replica.rs
+++ b/crates/control-plane/src/replication/replica.rs
@@ -1,17 +1,18 @@
 //! One member: witness, backup and, when elected, primary.
 
+mod election;
+mod follower;
+
 use super::founder::Founder;
-use super::leadership::Leadership;
+use super::leadership::{Leadership, PongReport};
 use super::types::{
     DurableState, DurableWrite, EpochRecord, Member, MemberId, ProtocolFault, ReplicaAction, ReplicaSettings,
-    ReplicatedState, ReplicationEnvelope, ReplicationMessage, Sender, StateVersion, TakenOrder, Ticket,
-    WitnessState,
+    ReplicatedState, ReplicationEnvelope, ReplicationMessage, Sender, TakenOrder, Ticket, WitnessState,
 };
 use passrelay_dissemination::{CoreHint, Incarnation};
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 use std::collections::{BTreeMap, BTreeSet};
-use std::net::SocketAddrV4;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -299,7 +300,8 @@
             ReplicationMessage::Pong { term, round, position, synced } => {
                 if let Role::Primary(leadership) = &mut self.role {
                     let state = self.state.clone();
-                    leadership.pong(now, from.member.id, (term, round), position, synced, &state, actions);
+                    let report = PongReport { by: from.member.id, term, round, position, synced };
+                    leadership.pong(now, &report, &state, actions);
                 }
             }
             ReplicationMessage::Replicate { term, state } => {
@@ -404,215 +406,6 @@
         !self.hint.as_ref().is_some_and(replaced)
     }
 
-    /// Whether this member is to stand for the first term of all: no record is known anywhere, as far as it has heard.
-    fn may_found(&self, now: Duration) -> bool {
-        let again = self.has_fault(ProtocolFault::FoundsAgain);
-        let unfounded = self.witness.record.is_none() && (self.hint.is_none() || again);
-        unfounded && self.founder.as_ref().is_some_and(|founder| founder.may_found(now))
-    }
-
-    /// The record whose quorum decides an election in which this member stands: the newest stored, or before the first
-    /// one the seeds.
-    fn electorate(&self, now: Duration) -> Option<EpochRecord> {
-        self.witness.record.clone().or_else(|| self.founder.as_ref()?.electorate(now))
-    }
-
-    fn ask_for_place(&mut self, now: Duration, actions: &mut Vec<ReplicaAction>) {
-        let member = self.settings.own;
-        let founding = self.founder.is_some() && self.witness.record.is_none();
-        if let Some(founder) = &mut self.founder {
-            founder.present(now, member);
-        }
-        if let Some(hint) = &self.hint {
-            let message = ReplicationMessage::Join { member, founding };
-            actions.push(ReplicaAction::Send { to: hint.primary, addressee: None, message });
-        } else if founding {
-            for to in self.settings.seeds.clone() {
-                actions.push(ReplicaAction::Send {
-                    to,
-                    addressee: None,
-                    message: ReplicationMessage::Present { member },
-                });
-            }
-        }
-    }
-
-    /// Addresses of everyone whose word a candidate may need, by a record.
-    fn electors(record: &EpochRecord) -> BTreeSet<SocketAddrV4> {
-        record.members.iter().chain(&record.previous_members).map(|m| m.address).collect()
-    }
-
-    fn send_to_electors(
-        &self,
-        record: &EpochRecord,
-        message: &ReplicationMessage,
-        actions: &mut Vec<ReplicaAction>,
-    ) {
-        for to in Self::electors(record) {
-            if to != self.settings.own.address {
-                actions.push(ReplicaAction::Send { to, addressee: None, message: message.clone() });
-            }
-        }
-    }
-
-    fn begin_pre_vote(&mut self, now: Duration, actions: &mut Vec<ReplicaAction>) {
-        let Some(record) = self.electorate(now) else { return };
-        let term = self.witness.promised.max(record.term) + 1;
-        let granted = BTreeSet::from([self.settings.own.id]);
-        self.role = Role::PreCandidate { term, granted, until: now + PRE_CANDIDACY };
-        self.send_to_electors(&record, &ReplicationMessage::PreVote { term }, actions);
-        self.count_pre_votes(now, actions);
-    }
-
-    fn answer_pre_vote(&mut self, now: Duration, from: Sender, term: u64, actions: &mut Vec<ReplicaAction>) {
-        let leads = self.leadership().is_some();
-        let patience = self.settings.election_timeout.mul_f64(0.8);
-        let quiet = self.heard_primary.is_none_or(|at| now.saturating_sub(at) >= patience);
-        if term > self.witness.promised && quiet && !leads {
-            actions.push(reply(from, ReplicationMessage::PreVoteGranted { term }));
-        } else if term <= self.witness.promised {
-            self.refuse(from, actions);
-        }
-    }
-
-    fn pre_vote_granted(
-        &mut self,
-        now: Duration,
-        from: Sender,
-        for_term: u64,
-        actions: &mut Vec<ReplicaAction>,
-    ) {
-        if let Role::PreCandidate { term, granted, .. } = &mut self.role {
-            if *term == for_term {
-                granted.insert(from.member.id);
-                self.count_pre_votes(now, actions);
-            }
-        }
-    }
-
-    fn count_pre_votes(&mut self, now: Duration, actions: &mut Vec<ReplicaAction>) {
-        let Role::PreCandidate { term, granted, .. } = &self.role else { return };
-        let Some(record) = self.electorate(now) else { return };
-        if record.is_quorum(granted) {
-            let term = *term;
-            self.begin_candidacy(now, term, actions);
-        }
-    }
-
-    fn begin_candidacy(&mut self, now: Duration, term: u64, actions: &mut Vec<ReplicaAction>) {
-        let Some(record) = self.electorate(now) else { return };
-        self.witness.promised = term;
-        self.witness.promised_to = Some(self.settings.own.id);
-        self.role = Role::Candidate { term, promises: BTreeMap::new(), until: now + CANDIDACY };
-        self.write_witness(now, Vec::new(), actions);
-        let message = ReplicationMessage::Prepare { term, candidate: self.settings.own.id };
-        self.send_to_electors(&record, &message, actions);
-    }
-
-    fn answer_prepare(
-        &mut self,
-        now: Duration,
-        from: Sender,
-        term: u64,
-        candidate: MemberId,
-        actions: &mut Vec<ReplicaAction>,
-    ) {
-        let again = term == self.witness.promised && self.witness.promised_to == Some(candidate);
-        if term <= self.witness.promised && !again {
-            self.refuse(from, actions);
-            return;
-        }
-        self.witness.promised = term;
-        self.witness.promised_to = Some(candidate);
-        self.role = Role::Follower;
-        self.put_off_campaign(now);
-        let promise = ReplicationMessage::Promise { term, record: self.witness.record.clone() };
-        self.write_witness(now, vec![(from, promise)], actions);
-    }
-
-    fn promised_by(
-        &mut self,
-        now: Duration,
-        from: Sender,
-        for_term: u64,
-        record: Option<EpochRecord>,
-        actions: &mut Vec<ReplicaAction>,
-    ) {
-        if let Role::Candidate { term, promises, .. } = &mut self.role {
-            if *term == for_term {
-                promises.insert(from.member.id, record);
-                self.count_promises(now, actions);
-            }
-        }
-    }
-
-    fn count_promises(&mut self, now: Duration, actions: &mut Vec<ReplicaAction>) {
-        let Role::Candidate { term, promises, .. } = &self.role else { return };
-        let term = *term;
-        let own = self.settings.own;
-        // The own promise counts once it is on disk, and nothing begins before: a member that led with a promise it then
-        // forgot could lead the same term twice.
-        if !promises.contains_key(&own.id) {
-            return;
-        }
-        let voters: BTreeSet<MemberId> = promises.keys().copied().collect();
-        let newest = promises.values().flatten().max_by_key(|r| r.position()).cloned();
-        let newest = match self.settings.fault {
-            Some(ProtocolFault::CampaignsWithOldRecord) => self.durable_witness.record.clone(),
-            _ => newest,
-        };
-        let Some(newest) = newest else {
-            self.found(now, term, &voters, actions);
-            return;
-        };
-        if !newest.is_quorum(&voters) {
-            // The newest record may name members that were not asked yet.
-            let message = ReplicationMessage::Prepare { term, candidate: self.settings.own.id };
-            if self.witness.record.as_ref().is_none_or(|r| r.position() < newest.position()) {
-                self.send_to_electors(&newest, &message, actions);
-            }
-            return;
-        }
-        if !newest.in_sync.contains(&own.id) || newest.member(own.id).is_none() {
-            self.role = Role::Follower;
-            let timeout = self.settings.election_timeout;
-            self.campaign_at = now + timeout * 2;
-            return;
-        }
-        let record = EpochRecord { term, sequence: 0, primary: own.id, ..newest };
-        self.lead(now, record, actions);
-    }
-
-    /// No elector has stored any record: the first one follows, once a majority of them has promised.
-    fn found(
-        &mut self,
-        now: Duration,
-        term: u64,
-        voters: &BTreeSet<MemberId>,
-        actions: &mut Vec<ReplicaAction>,
-    ) {
-        let Some(founder) = &self.founder else { return };
-        let elected = founder.electorate(now).is_some_and(|electorate| electorate.is_quorum(voters));
-        if let Some(record) = founder.first_record(now, term).filter(|_| elected) {
-            self.lead(now, record, actions);
-        }
-    }
-
-    /// Takes the lead of a term with a record that is still to come into force.
-    fn lead(&mut self, now: Duration, record: EpochRecord, actions: &mut Vec<ReplicaAction>) {
-        let term = record.term;
-        let leadership = Leadership::new(now, &self.settings, record);
-        self.role = Role::Primary(Box::new(leadership));
-        self.store_proposal(now, actions);
-        // The state goes out under the own term, so that older primaries' unfinished changes give way to it.
-        let version = StateVersion { term, index: self.state.version.index };
-        let mut state = ReplicatedState { version, ..(*self.state).clone() };
-        if self.has_fault(ProtocolFault::ForgetsOrdersAtFailover) {
-            state.orders.clear();
-        }
-        self.take_state(now, Arc::new(state), actions);
-    }
-
     /// Stores the record that the own leadership proposes, once for each proposal.
     fn store_proposal(&mut self, now: Duration, actions: &mut Vec<ReplicaAction>) {
         let Role::Primary(leadership) = &self.role else { return };
@@ -655,133 +448,4 @@
             _ => {}
         }
     }
-
-    fn answer_accept(
-        &mut self,
-        now: Duration,
-        from: Sender,
-        record: EpochRecord,
-        actions: &mut Vec<ReplicaAction>,
-    ) {
-        if record.term < self.witness.promised {
-            self.refuse(from, actions);
-            return;
-        }
-        let position = record.position();
-        let accepted = ReplicationMessage::Accepted { position };
-        let durable = self.durable_witness.record.as_ref().map(EpochRecord::position);
-        if durable >= Some(position) {
-            actions.push(reply(from, accepted));
-            return;
-        }
-        let founded = record.primary == self.settings.own.id && self.witness.record.is_none();
-        if record.term > self.witness.promised {
-            self.witness.promised = record.term;
-            self.witness.promised_to = Some(record.primary);
-        }
-        if founded {
-            self.lead(now, record, actions);
-            return;
-        }
-        self.follow(now);
-        if self.witness.record.as_ref().is_none_or(|r| r.position() < position) {
-            self.witness.record = Some(record);
-        }
-        if self.has_fault(ProtocolFault::RecordsUnsynced) && self.durable_witness.record.is_some() {
-            self.durable_witness = self.witness.clone();
-            actions.push(reply(from, accepted));
-            return;
-        }
-        self.write_witness(now, vec![(from, accepted)], actions);
-    }
-
-    fn answer_ping(
-        &mut self,
-        now: Duration,
-        from: Sender,
-        term: u64,
-        round: u64,
-        actions: &mut Vec<ReplicaAction>,
-    ) {
-        if term < self.witness.promised {
-            self.refuse(from, actions);
-            return;
-        }
-        self.follow(now);
-        let position = self.durable_witness.record.as_ref().map_or((0, 0), EpochRecord::position);
-        let synced = self.durable_state.version;
-        actions.push(reply(from, ReplicationMessage::Pong { term, round, position, synced }));
-    }
-
-    fn answer_replicate(
-        &mut self,
-        now: Duration,
-        from: Sender,
-        term: u64,
-        state: Arc<ReplicatedState>,
-        actions: &mut Vec<ReplicaAction>,
-    ) {
-        if term < self.witness.promised || state.version.term != term {
-            self.refuse(from, actions);
-            return;
-        }
-        self.follow(now);
-        let state = match self.settings.fault {
-            Some(ProtocolFault::ReplicatesNoOrders) => {
-                Arc::new(ReplicatedState { orders: Default::default(), ..(*state).clone() })
-            }
-            _ => state,
-        };
-        let version = state.version;
-        let synced = ReplicationMessage::Synced { term, version };
-        if self.durable_state.version >= version {
-            actions.push(reply(from, synced));
-            return;
-        }
-        let under_way = |w: &PendingWrite| w.write.state.as_ref().is_some_and(|s| s.version >= version);
-        if self.state.version >= version && self.writes.values().any(under_way) {
-            return;
-        }
-        let mut write = DurableWrite { witness: None, state: Some(state.clone()) };
-        if term > self.witness.promised {
-            self.witness.promised = term;
-            self.witness.promised_to = None;
-            write.witness = Some(self.witness.clone());
-        }
-        self.state = state;
-        self.write(now, write, vec![(from, synced)], actions);
-    }
-
-    /// Something of a lower term than promised came.
-    fn refuse(&self, from: Sender, actions: &mut Vec<ReplicaAction>) {
-        actions.push(reply(from, ReplicationMessage::Refused { promised: self.witness.promised }));
-    }
-
-    /// A primary of the promised term or a later one was heard.
-    fn follow(&mut self, now: Duration) {
-        self.heard_primary = Some(now);
-        self.role = Role::Follower;
-        self.put_off_campaign(now);
-    }
-
-    fn refused(&mut self, now: Duration, promised: u64) {
-        let outrun = match &self.role {
-            Role::Follower => false,
-            Role::PreCandidate { term, .. } | Role::Candidate { term, .. } => promised >= *term,
-            Role::Primary(leadership) => promised > leadership.term(),
-        };
-        let stood = matches!(self.role, Role::PreCandidate { .. } | Role::Candidate { .. });
-        if outrun && stood {
-            // Another stood at the same time. If it wins, it is heard before the next try.
-            self.campaign_again_soon(now);
-        } else if outrun {
-            self.role = Role::Follower;
-            self.put_off_campaign(now);
-        }
-        // Only remembered, not promised: the next candidacy has to go above it.
-        if promised > self.witness.promised {
-            self.witness.promised = promised;
-            self.witness.promised_to = None;
-        }
-    }
 }
