Test single endings of answers on sockets: route's time, deadlines, pipelining, early and late answers, reloads

Each over loopback against stand-in endpoints: 504 at the route's time, what is left handed to a second endpoint, connections refused or never up, two requests at once, an answer before a long body is read, SIGHUP between sending and answer, a second answer 500 ms late.

--- a/crates/passrelay/tests/fleet.rs
+++ b/crates/passrelay/tests/fleet/main.rs
@@ -1,5 +1,7 @@
 //! The router fleet as processes on loopback: requests, streams, the operators' calls, the planned end.
 
+mod answers;
+
 use passrelay_standin::fleet::{read_all, Fleet, Sidecar};
 use passrelay_standin::{answer, until, Message, Reply, Server};
 use serde_json::{json, Value};
