Work out a state's hand-over time once, split traffic without an allocation, name nobody's identity once

The audience of a primary was gathered anew for each member at each pong; each split request built a list, and each configuration looked routes up one by one; identity 0 was written in two places; the fault injector took what is due out of its lists in three copies; Cluster::is_cut had no caller.

--- a/crates/control-plane/src/coordinator.rs
+++ b/crates/control-plane/src/coordinator.rs
@@ -309,7 +309,7 @@
     }
 
     fn carry_replica(&self, from: Vec<ReplicaAction>, actions: &mut Vec<Action>) {
-        let nobody = Member { id: MemberId(0), address: self.own.address };
+        let nobody = Member { id: MemberId::NOBODY, address: self.own.address };
         let sender = self.replica.as_ref().map_or(nobody, Replica::own);
         actions.extend(from.into_iter().map(|action| match action {
             ReplicaAction::Send { to, addressee, message } => {
--- a/crates/control-plane/src/replication/founder.rs
+++ b/crates/control-plane/src/replication/founder.rs
@@ -11,9 +11,6 @@
 use std::net::SocketAddrV4;
 use std::time::Duration;
 
-/// Stands for the member at a seed that has not been heard; no member has this identity, so it never votes.
-const UNKNOWN: MemberId = MemberId(0);
-
 /// What a counted machine knows of the others before there is a record.
 #[derive(Debug)]
 pub(super) struct Founder {
@@ -65,7 +62,7 @@
         Some(EpochRecord {
             term: 0,
             sequence: 0,
-            primary: UNKNOWN,
+            primary: MemberId::NOBODY,
             previous_members: members.clone(),
             members,
             in_sync: BTreeSet::new(),
@@ -74,7 +71,7 @@
 
     fn counted_seeds(&self) -> Option<Vec<Member>> {
         let member = |address: &SocketAddrV4| {
-            let id = self.electors.get(address).copied().unwrap_or(UNKNOWN);
+            let id = self.electors.get(address).copied().unwrap_or(MemberId::NOBODY);
             Member { id, address: *address }
         };
         let counted = self.seeds.iter().filter(|seed| !self.without_disk.contains(seed));
--- a/crates/control-plane/src/replication/leadership.rs
+++ b/crates/control-plane/src/replication/leadership.rs
@@ -157,8 +157,10 @@
     ) {
         self.newest = Some((state.clone(), now));
         self.uncommitted.insert(state.version.index, state.clone());
-        for member in self.audience() {
-            if !self.is_under_way(now, member.id, state) {
+        let audience = self.audience();
+        let patience = hand_over_patience(state, audience.len());
+        for member in audience {
+            if !self.is_under_way(now, member.id, patience) {
                 self.send_state(now, member, state, actions);
             }
         }
@@ -166,11 +168,10 @@
 
     /// Whether a state is on its way to a member, this one or an earlier: the newest follows once that is synced, so that
     /// states don't pile up on a narrow link.
-    fn is_under_way(&self, now: Duration, id: MemberId, state: &ReplicatedState) -> bool {
+    fn is_under_way(&self, now: Duration, id: MemberId, patience: Duration) -> bool {
         let has = self.synced.get(&id).copied().unwrap_or_default();
-        let takes = state.hand_over_time() * u32::try_from(self.audience().len()).unwrap_or(u32::MAX);
         let sent = self.sent.get(&id);
-        sent.is_some_and(|(version, at)| *version > has && now.saturating_sub(*at) < RESEND_AFTER + takes)
+        sent.is_some_and(|(version, at)| *version > has && now.saturating_sub(*at) < patience)
     }
 
     pub(super) fn wants_to_join(&mut self, now: Duration, member: Member, founding: bool) {
@@ -315,9 +316,10 @@
             return;
         }
         let own = self.own.id;
+        let patience = hand_over_patience(state, self.audience().len());
         for member in record.members.iter().filter(|m| m.id != own) {
             let has = self.synced.get(&member.id).copied().unwrap_or_default();
-            if has < state.version && !self.is_under_way(now, member.id, state) {
+            if has < state.version && !self.is_under_way(now, member.id, patience) {
                 self.send_state(now, *member, state, actions);
             }
         }
@@ -460,3 +462,8 @@
             .copied()
     }
 }
+
+/// How long a state may be on its way to one of so many members before it is sent again.
+fn hand_over_patience(state: &ReplicatedState, members: usize) -> Duration {
+    RESEND_AFTER + state.hand_over_time() * u32::try_from(members).unwrap_or(u32::MAX)
+}
--- a/crates/control-plane/src/replication/types.rs
+++ b/crates/control-plane/src/replication/types.rs
@@ -17,6 +17,11 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 pub struct MemberId(pub u64);
 
+impl MemberId {
+    /// Stands for a member that is not known; no disk draws it, so it never votes.
+    pub const NOBODY: MemberId = MemberId(0);
+}
+
 /// A member and where it is.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Member {
--- a/crates/data-plane/src/traffic_split.rs
+++ b/crates/data-plane/src/traffic_split.rs
@@ -5,7 +5,7 @@
 //! from another point, so that all together keep the shares as well.
 
 use passrelay_configuration::{Configuration, Route};
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
 use std::hash::{DefaultHasher, Hash, Hasher};
 
 /// Fractional part of the golden ratio: of all steps the one whose multiples lie most evenly.
@@ -26,22 +26,23 @@
 
     /// The service whose turn it is; the empty name where a route has none.
     pub fn choose<'a>(&mut self, route: &'a Route) -> &'a str {
-        let weighted: Vec<_> = route.backends.iter().filter(|b| b.weight > 0.0).collect();
-        if weighted.len() < 2 {
-            return weighted.first().copied().or(route.backends.last()).map_or("", |b| b.service.as_str());
+        let mut weighted = route.backends.iter().filter(|b| b.weight > 0.0);
+        if weighted.clone().nth(1).is_none() {
+            return weighted.next().or(route.backends.last()).map_or("", |b| b.service.as_str());
         }
-        let all: f64 = weighted.iter().map(|b| b.weight).sum();
+        let all: f64 = weighted.clone().map(|b| b.weight).sum();
         let mut left = self.next_point(&route.name) * all;
-        let chosen = weighted.iter().find(|b| {
+        let chosen = weighted.clone().find(|b| {
             left -= b.weight;
             left < 0.0
         });
-        chosen.or(weighted.last()).map_or("", |b| b.service.as_str())
+        chosen.or(weighted.next_back()).map_or("", |b| b.service.as_str())
     }
 
     /// Forgets routes that are no more.
     pub fn retain(&mut self, configuration: &Configuration) {
-        self.points.retain(|name, _| configuration.routes.iter().any(|r| r.name == *name));
+        let names: HashSet<&str> = configuration.routes.iter().map(|r| r.name.as_str()).collect();
+        self.points.retain(|name, _| names.contains(name.as_str()));
     }
 
     fn next_point(&mut self, route: &str) -> f64 {
--- a/crates/simulation/src/cluster.rs
+++ b/crates/simulation/src/cluster.rs
@@ -442,11 +442,6 @@
         }
     }
 
-    /// Whether nothing passes between a machine and some other one.
-    pub fn is_cut(&self, machine: usize) -> bool {
-        self.cuts.iter().any(|(from, to)| *from == machine || *to == machine)
-    }
-
     /// An operator calls at a machine. `None` if nobody is there; else the name of the call, and what is seen at once.
     pub fn call(&mut self, machine: usize, request: OperatorRequest) -> Option<(CallKey, Vec<Seen>)> {
         let one = &mut self.machines[machine];
--- a/crates/simulation/src/faults.rs
+++ b/crates/simulation/src/faults.rs
@@ -89,8 +89,7 @@
         let now = cluster.now();
         self.lost.retain(|_, until| *until > now);
         self.disks_lost.retain(|_, until| *until > now);
-        let due: Vec<usize> = self.healing.iter().filter(|(at, _)| *at <= now).map(|(_, m)| *m).collect();
-        self.healing.retain(|(at, _)| *at > now);
+        let due = take_due(&mut self.healing, now);
         if !due.is_empty() {
             for machine in std::mem::take(&mut self.killed_at_healing) {
                 restart(cluster, machine, Duration::from_millis(300));
@@ -99,17 +98,12 @@
         for machine in due {
             cluster.join(machine);
         }
-        let losing: Vec<usize> =
-            self.losing_disk.iter().filter(|(at, _)| *at <= now).map(|(_, m)| *m).collect();
-        self.losing_disk.retain(|(at, _)| *at > now);
-        for machine in losing {
+        for machine in take_due(&mut self.losing_disk, now) {
             cluster.crash(machine);
             cluster.wipe(machine);
             cluster.start_after(machine, Duration::from_millis(300));
         }
-        let back: Vec<usize> = self.returning.iter().filter(|(at, _)| *at <= now).map(|(_, m)| *m).collect();
-        self.returning.retain(|(at, _)| *at > now);
-        for machine in back {
+        for machine in take_due(&mut self.returning, now) {
             cluster.bring_back(machine);
             cluster.start_after(machine, Duration::ZERO);
         }
@@ -353,6 +347,13 @@
     }
 }
 
+/// Takes out the machines whose time has come.
+fn take_due(planned: &mut Vec<(Duration, usize)>, now: Duration) -> Vec<usize> {
+    let due = planned.iter().filter(|(at, _)| *at <= now).map(|(_, machine)| *machine).collect();
+    planned.retain(|(at, _)| *at > now);
+    due
+}
+
 /// A minority misses changes while one of the others loses its disk and the rest are dark for a while.
 fn lose_disk_beside_cut(cluster: &mut Cluster, outside: &[usize], span: Duration) {
     for (index, machine) in outside.iter().enumerate() {
