--- a/crates/passrelay/tests/fleet/answers.rs
+++ b/crates/passrelay/tests/fleet/answers.rs
@@ -1,7 +1,7 @@
 //! An answer goes to its caller alone, in its time, and a call that may not be repeated runs once: single cases. Random
 //! ones are in `exchanges.rs`.
 
-use super::{configuration, lone, ok, request, status, PROGRAM};
+use super::{in_service, lone, ok, request, status, with_timeout, PROGRAM};
 use passrelay_standin::fleet::{read_all, Fleet, Sidecar};
 use passrelay_standin::{answer, full_listener, serve_by, until, Message, Reply, Server};
 use serde_json::json;
@@ -11,19 +11,9 @@
 
 /// A sidecar with endpoints at these addresses; routes have this time.
 fn before(addresses: &[SocketAddr], timeout_ms: u64) -> (Fleet, Sidecar) {
-    let fleet = Fleet::new(PROGRAM, 1);
-    let sidecar = fleet.start_all().remove(0);
-    for (index, address) in addresses.iter().enumerate() {
-        assert_eq!(sidecar.heartbeat(&format!("i-{index}"), "bays", *address, "ready", 1), 200);
-    }
-    let mut document = configuration(3);
-    for route in document["routes"].as_array_mut().unwrap() {
-        route["timeout-ms"] = json!(timeout_ms);
-    }
+    let mut document = with_timeout(timeout_ms);
     document["limits"]["max-body-bytes"] = json!(4_000_000);
-    assert_eq!(sidecar.put(0, &document), 200);
-    sidecar.until_ready();
-    (fleet, sidecar)
+    in_service(Fleet::new(PROGRAM, 1), addresses, &document)
 }
 
 #[test]
--- a/crates/passrelay/tests/fleet/main.rs
+++ b/crates/passrelay/tests/fleet/main.rs
@@ -6,6 +6,7 @@
 use passrelay_standin::{answer, until, Message, Reply, Server};
 use serde_json::{json, Value};
 use std::io::Write;
+use std::net::SocketAddr;
 use std::time::Duration;
 
 const PROGRAM: &str = env!("CARGO_BIN_EXE_passrelay");
@@ -39,17 +40,30 @@
 
 /// One sidecar with a configuration, and endpoints in service.
 fn lone(endpoints: &[&Server]) -> (Fleet, Sidecar) {
-    let fleet = Fleet::new(PROGRAM, 1);
+    let addresses: Vec<_> = endpoints.iter().map(|endpoint| endpoint.address).collect();
+    in_service(Fleet::new(PROGRAM, 1), &addresses, &configuration(3))
+}
+
+/// The one sidecar of a fleet with this configuration, and endpoints at these addresses in service.
+fn in_service(fleet: Fleet, addresses: &[SocketAddr], configuration: &Value) -> (Fleet, Sidecar) {
     let sidecar = fleet.start_all().remove(0);
-    for (index, endpoint) in endpoints.iter().enumerate() {
-        let id = format!("i-{index}");
-        assert_eq!(sidecar.heartbeat(&id, "bays", endpoint.address, "ready", 1), 200);
+    for (index, address) in addresses.iter().enumerate() {
+        assert_eq!(sidecar.heartbeat(&format!("i-{index}"), "bays", *address, "ready", 1), 200);
     }
-    assert_eq!(sidecar.put(0, &configuration(3)), 200);
+    assert_eq!(sidecar.put(0, configuration), 200);
     sidecar.until_ready();
     (fleet, sidecar)
 }
 
+/// The configuration with this time for all routes.
+fn with_timeout(timeout_ms: u64) -> Value {
+    let mut document = configuration(3);
+    for route in document["routes"].as_array_mut().unwrap() {
+        route["timeout-ms"] = json!(timeout_ms);
+    }
+    document
+}
+
 fn ok(body: &str) -> Reply {
     answer(200, "X-Passrelay-Request-Id: r1\r\nX-Passrelay-Response-Seal: s1\r\n", body.as_bytes())
 }
@@ -293,7 +307,7 @@
 }
 
 /// An endpoint that never answers, and tells when the connection of a request ends.
-fn listening_for_the_end() -> (std::net::SocketAddr, std::sync::mpsc::Receiver<Duration>) {
+fn listening_for_the_end() -> (SocketAddr, std::sync::mpsc::Receiver<Duration>) {
     let (tell, told) = std::sync::mpsc::channel();
     let listener = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
     let address = passrelay_standin::serve_by(listener, move |_, sock| {
@@ -311,13 +325,7 @@
 fn when_a_client_leaves_its_endpoint_is_let_go_and_nothing_more_is_sent_for_it() {
     let (one, one_ended) = listening_for_the_end();
     let (other, other_ended) = listening_for_the_end();
-    let fleet = Fleet::new(PROGRAM, 1);
-    let sidecar = fleet.start_all().remove(0);
-    for (index, address) in [one, other].into_iter().enumerate() {
-        assert_eq!(sidecar.heartbeat(&format!("i-{index}"), "bays", address, "ready", 1), 200);
-    }
-    assert_eq!(sidecar.put(0, &configuration(3)), 200);
-    sidecar.until_ready();
+    let (_fleet, sidecar) = in_service(Fleet::new(PROGRAM, 1), &[one, other], &configuration(3));
     for path in ["/look/1", "/ask/1", "/sum/1"] {
         let mut client = sidecar.client();
         client.write_all(&request(path, "", "")).unwrap();
@@ -375,14 +383,7 @@
     });
     let mut fleet = Fleet::new(PROGRAM, 1);
     fleet.grace_s = 8;
-    let mut sidecar = fleet.start_all().remove(0);
-    assert_eq!(sidecar.heartbeat("i-0", "bays", endpoint.address, "ready", 1), 200);
-    let mut long = configuration(3);
-    for route in long["routes"].as_array_mut().unwrap() {
-        route["timeout-ms"] = json!(15_000);
-    }
-    assert_eq!(sidecar.put(0, &long), 200);
-    sidecar.until_ready();
+    let (_fleet, mut sidecar) = in_service(fleet, &[endpoint.address], &with_timeout(15_000));
     let late =
         |after_ms, path, deadline_ms, kept, expected| LateTry { after_ms, path, deadline_ms, kept, expected };
     let tries = [
