Make the crossing of a held last byte and a leaving client deterministic

who_leaves_behind_a_held_last_byte_is_not_sent_on failed once under load: nothing made sure that the process stood still and that the client's end had arrived before it went on. The test now waits for both, by the state of the process and of the client's socket; what it asserts is unchanged.

--- a/crates/passrelay/tests/endings.rs
+++ b/crates/passrelay/tests/endings.rs
@@ -113,7 +113,7 @@
 }
 
 // Guards against the last byte of a request sent on after its client has left: on a connection that has been idle it is
-// held back for a moment. The program is stopped meanwhile, so that it finds the request and the end in one turn.
+// held back for a moment. The program is stopped until both have arrived, so that it finds the request and the end in one turn.
 #[test]
 fn who_leaves_behind_a_held_last_byte_is_not_sent_on() {
     let node = Server::start(|_| answer(200, "", b"ok"));
@@ -123,10 +123,10 @@
         // The connection to the node idles long enough for the last byte to be held.
         sleep(Duration::from_millis(70));
         let mut caller = relay.caller();
-        relay.signal("STOP");
+        relay.pause();
         caller.send(&request("pay", 5.0, b""));
-        drop(caller);
-        relay.signal("CONT");
+        caller.leave();
+        relay.resume();
         relay.until_nobody_is_there();
     }
     a_while();
--- a/crates/testing/test-support/src/lib.rs
+++ b/crates/testing/test-support/src/lib.rs
@@ -407,6 +407,20 @@
         assert!(kill.success());
     }
 
+    /// Stops the process; returns once it stands still, so that whatever happens next happens before its next turn.
+    pub fn pause(&self) {
+        self.signal("STOP");
+        let status = format!("/proc/{}/status", self.child.id());
+        until("it stands still", || {
+            std::fs::read_to_string(&status).is_ok_and(|text| text.contains("\nState:\tT"))
+        });
+    }
+
+    /// Lets a paused process go on.
+    pub fn resume(&self) {
+        self.signal("CONT");
+    }
+
     /// Replaces its configuration and says so.
     pub fn reload(&self, text: &str) {
         std::fs::write(&self.file, text).unwrap();
@@ -457,6 +471,20 @@
     )
 }
 
+/// State of a socket in `/proc/net/tcp` that has sent its end and had it acknowledged, and not heard that of the other side.
+const FIN_WAIT_2: &str = "05";
+
+/// Whether the other side's system has acknowledged the end of the loopback connection from this port.
+fn is_end_acknowledged(own: SocketAddr) -> bool {
+    let sockets = std::fs::read_to_string("/proc/net/tcp").expect("the list of sockets");
+    let local = format!("0100007F:{:04X}", own.port());
+    sockets.lines().skip(1).any(|line| {
+        let mut columns = line.split_ascii_whitespace().skip(1);
+        let is_own = columns.next() == Some(local.as_str());
+        is_own && columns.nth(1) == Some(FIN_WAIT_2)
+    })
+}
+
 /// A caller's connection.
 pub struct Caller {
     reader: BufReader<TcpStream>,
@@ -485,6 +513,13 @@
         let _ = self.reader.get_ref().shutdown(Shutdown::Write);
     }
 
+    /// Ends the connection; returns once the other side's system has acknowledged the end, and with it all that was sent.
+    pub fn leave(mut self) {
+        let own = self.reader.get_ref().local_addr().unwrap();
+        self.say_goodbye();
+        until("the end of the connection has arrived", || is_end_acknowledged(own));
+    }
+
     /// Leaves by a reset.
     pub fn reset(self) {
         let _ = SockRef::from(self.reader.get_ref()).set_linger(Some(Duration::ZERO));
