--- a/crates/router/configuration/src/lib.rs
+++ b/crates/router/configuration/src/lib.rs
@@ -3,11 +3,13 @@
 //! The problem: operators write and change the document by hand and by program, and a faulty one must be rejected with every
 //! error in it and where each stands. [`Configuration::read`] walks a document with a path-tracking reader and reports all
 //! errors at once, with their paths. [`apply_patch`] makes a new document from an old one and a patch by name. [`Difference`]
-//! compares two documents and makes the patch that leads from one to the other.
+//! compares two documents and makes the patch that leads from one to the other. [`DocumentDelta`] is the difference of two
+//! documents' texts, for transfer between processes.
 //!
 //! Storing a document and agreeing on it is for the control plane; what a configuration means for a request, for the data plane.
 
 mod difference;
+mod document_delta;
 mod errors;
 mod model;
 mod patch;
@@ -15,6 +17,7 @@
 mod validate;
 
 pub use difference::{Difference, ItemChange, ItemDifference};
+pub use document_delta::{DeltaError, DocumentDelta};
 pub use errors::{ValidationError, ValidationErrorKind, ValidationErrors};
 pub use model::{Backend, Configuration, Limits, Route, RouteType, Service, Tenant, TokenUnit};
 pub use patch::apply_patch;
--- a/crates/router/control-plane/src/replication.rs
+++ b/crates/router/control-plane/src/replication.rs
@@ -26,6 +26,7 @@
 mod replica;
 mod settings;
 mod state;
+mod state_delta;
 mod voter_discovery;
 
 pub use action::ReplicaAction;
@@ -40,3 +41,4 @@
 pub use replica::Replica;
 pub use settings::ReplicaSettings;
 pub use state::{AppliedChange, ReplicatedState, StateVersion};
+pub use state_delta::{StateDelta, StateDeltaError};
--- a/crates/router/control-plane/src/replication/leadership.rs
+++ b/crates/router/control-plane/src/replication/leadership.rs
@@ -22,7 +22,7 @@
 use membership::Joiner;
 use progress::ProgressTracker;
 use proposal::Proposal;
-use state_transfer::NewestState;
+use state_transfer::{NewestState, RecentDeltas};
 use std::collections::BTreeMap;
 use std::sync::Arc;
 use std::time::Duration;
@@ -46,6 +46,8 @@
     progress: ProgressTracker,
     /// Set by the first [`Leadership::replicate`]. Invariant: its version is of this term.
     newest: Option<NewestState>,
+    /// How the newest state came about from those before it.
+    recent_deltas: RecentDeltas,
     /// States that are not known to be committed, by index.
     uncommitted: BTreeMap<u64, Arc<ReplicatedState>>,
     /// Invariant: its version is of this term and never decreases, and every in-sync member has synced it.
@@ -68,6 +70,7 @@
             next_heartbeat: now,
             progress: ProgressTracker::new(now),
             newest: None,
+            recent_deltas: RecentDeltas::default(),
             uncommitted: BTreeMap::new(),
             committed: None,
             joiners: BTreeMap::new(),
--- a/crates/router/control-plane/src/replication/leadership/heartbeat.rs
+++ b/crates/router/control-plane/src/replication/leadership/heartbeat.rs
@@ -25,6 +25,8 @@
     pub(in crate::replication) position: RecordPosition,
     /// Version of the state that is durable at the member.
     pub(in crate::replication) synced: StateVersion,
+    /// Whether the member understands states as differences.
+    pub(in crate::replication) accepts_deltas: bool,
 }
 
 impl Leadership {
@@ -59,6 +61,7 @@
         if pong.term != self.term {
             return;
         }
+        self.progress.record_accepts_deltas(pong.from, pong.accepts_deltas);
         self.handle_synced(context, pong.from, pong.term, pong.synced);
         if let Some(record) = &self.in_force {
             self.rounds.handle_reply(context.now, pong.round, pong.from, record);
--- a/crates/router/control-plane/src/replication/leadership/progress.rs
+++ b/crates/router/control-plane/src/replication/leadership/progress.rs
@@ -20,6 +20,10 @@
     /// The highest version that it has reported as durable. Invariant: never decreases within a term.
     synced: StateVersion,
     transfer: Option<Transfer>,
+    /// Whether it understands states as differences, as its last reply says.
+    accepts_deltas: bool,
+    /// Whether it has rejected differences; it gets the whole state until it has synced one.
+    needs_whole_state: bool,
 }
 
 /// Progress of all members in one term.
@@ -38,7 +42,28 @@
     pub(super) fn record_synced(&mut self, now: Duration, id: MemberId, version: StateVersion) {
         let progress = self.members.entry(id).or_default();
         progress.last_contact = Some(now);
-        progress.synced = progress.synced.max(version);
+        if version > progress.synced {
+            progress.synced = version;
+            progress.needs_whole_state = false;
+        }
+    }
+
+    /// A member has said whether it understands states as differences.
+    pub(super) fn record_accepts_deltas(&mut self, id: MemberId, accepts_deltas: bool) {
+        self.members.entry(id).or_default().accepts_deltas = accepts_deltas;
+    }
+
+    /// A member could not apply differences: what was sent to it is lost.
+    pub(super) fn record_rejected_deltas(&mut self, id: MemberId) {
+        let progress = self.members.entry(id).or_default();
+        progress.needs_whole_state = true;
+        progress.transfer = None;
+    }
+
+    /// The state that differences for a member have to begin from; `None` where it has to get the whole state.
+    pub(super) fn delta_base(&self, id: MemberId) -> Option<StateVersion> {
+        let progress = self.members.get(&id)?;
+        (progress.accepts_deltas && !progress.needs_whole_state).then_some(progress.synced)
     }
 
     /// A state was sent to a member.
--- a/crates/router/control-plane/src/replication/message.rs
+++ b/crates/router/control-plane/src/replication/message.rs
@@ -3,6 +3,7 @@
 use super::epoch::{EpochRecord, RecordPosition};
 use super::identity::{Member, MemberId};
 use super::state::{ReplicatedState, StateVersion};
+use super::state_delta::StateDelta;
 use serde::{Deserialize, Serialize};
 use std::net::SocketAddrV4;
 use std::sync::Arc;
@@ -97,6 +98,10 @@
         position: RecordPosition,
         /// Version of the durable state.
         synced: StateVersion,
+        /// Whether the member understands [`ReplicationMessage::ReplicateDeltas`]. Absent in messages of earlier builds,
+        /// and then not written either.
+        #[serde(default, rename = "deltas", skip_serializing_if = "std::ops::Not::not")]
+        accepts_deltas: bool,
     },
     /// A state for a backup to sync.
     Replicate {
@@ -105,6 +110,19 @@
         /// The state.
         state: Arc<ReplicatedState>,
     },
+    /// A state for a backup to sync, as the differences from the one that it holds. Sent only to members that have said
+    /// that they understand it.
+    ReplicateDeltas {
+        /// Term of the primary.
+        term: u64,
+        /// The differences, each from the state that the one before it results in.
+        deltas: Vec<Arc<StateDelta>>,
+    },
+    /// Differences can't be applied here; the whole state is needed.
+    DeltasRejected {
+        /// Term of the primary that sent them.
+        term: u64,
+    },
     /// The state is durable.
     Synced {
         /// Term of the primary that sent it.
@@ -123,6 +141,7 @@
             | ReplicationMessage::Accepted { .. }
             | ReplicationMessage::Rejected { .. }
             | ReplicationMessage::Pong { .. }
+            | ReplicationMessage::DeltasRejected { .. }
             | ReplicationMessage::Synced { .. } => true,
             ReplicationMessage::Present { .. }
             | ReplicationMessage::NonVotingSeed { .. }
@@ -131,7 +150,8 @@
             | ReplicationMessage::Prepare { .. }
             | ReplicationMessage::Accept { .. }
             | ReplicationMessage::Ping { .. }
-            | ReplicationMessage::Replicate { .. } => false,
+            | ReplicationMessage::Replicate { .. }
+            | ReplicationMessage::ReplicateDeltas { .. } => false,
         }
     }
 }
--- a/crates/router/control-plane/src/replication/mutation.rs
+++ b/crates/router/control-plane/src/replication/mutation.rs
@@ -9,6 +9,7 @@
 use super::epoch::EpochRecord;
 use super::identity::{Member, MemberId};
 use super::state::ReplicatedState;
+use super::state_delta::{StateDelta, StateDeltaError};
 use crate::configuration_change::ConfigurationChange;
 use std::sync::Arc;
 use std::time::Duration;
@@ -53,6 +54,8 @@
     DropsAppliedChangesAtFailover,
     /// Replies are sent although the write that they depend on failed.
     PromisesOnFullDisk,
+    /// A backup takes a delta for applied, whatever state it holds, and keeps its old document under the new version.
+    SkipsDeltas,
 }
 
 /// The mutation of one member, if any.
@@ -120,6 +123,18 @@
         }
         received
     }
+
+    /// The delta applied to the state that it is made from: what a backup stores of it.
+    pub(super) fn state_after_delta(
+        self,
+        state: &ReplicatedState,
+        delta: &StateDelta,
+    ) -> Result<ReplicatedState, StateDeltaError> {
+        if self.has(ProtocolMutation::SkipsDeltas) {
+            return Ok(ReplicatedState { version: delta.version, ..state.clone() });
+        }
+        state.apply_delta(delta)
+    }
 }
 
 /// Decisions of a candidate.
--- a/crates/router/control-plane/src/replication/replica.rs
+++ b/crates/router/control-plane/src/replication/replica.rs
@@ -235,13 +235,20 @@
             }
             ReplicationMessage::Rejected { promised } => self.handle_rejection(now, promised),
             ReplicationMessage::Ping { term, round, .. } => self.handle_ping(context, from, term, round),
-            ReplicationMessage::Pong { term, round, position, synced } => {
-                let pong = PongReport { from: from.member.id, term, round, position, synced };
+            ReplicationMessage::Pong { term, round, position, synced, accepts_deltas } => {
+                let from = from.member.id;
+                let pong = PongReport { from, term, round, position, synced, accepts_deltas };
                 self.handle_pong(context, &pong);
             }
             ReplicationMessage::Replicate { term, state } => {
                 self.handle_replicate(context, from, term, state);
             }
+            ReplicationMessage::ReplicateDeltas { term, deltas } => {
+                self.handle_replicate_deltas(context, from, term, &deltas);
+            }
+            ReplicationMessage::DeltasRejected { term } => {
+                self.handle_rejected_deltas(context, from.member.id, term);
+            }
             ReplicationMessage::Synced { term, version } => {
                 self.handle_synced(context, from.member.id, term, version);
             }
--- a/crates/router/control-plane/src/replication/replica/follower.rs
+++ b/crates/router/control-plane/src/replication/replica/follower.rs
@@ -8,6 +8,7 @@
 use crate::replication::identity::Sender;
 use crate::replication::message::ReplicationMessage;
 use crate::replication::state::ReplicatedState;
+use crate::replication::state_delta::{StateDelta, StateDeltaError};
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -69,7 +70,8 @@
         self.follow(context.now);
         let position = self.durable_witness.record.as_ref().map(EpochRecord::position).unwrap_or_default();
         let synced = self.durable_state.version;
-        context.reply(from, ReplicationMessage::Pong { term, round, position, synced });
+        let accepts_deltas = self.settings.accepts_deltas;
+        context.reply(from, ReplicationMessage::Pong { term, round, position, synced, accepts_deltas });
     }
 
     /// Syncs a state of the promised term or a later one; the reply waits until it is durable.
@@ -105,6 +107,49 @@
         self.write(context, write, vec![PendingReply { to: from, message: synced }]);
     }
 
+    /// Syncs a state that comes as the differences from the one held here. Where they can't be applied the sender has to
+    /// send the whole state.
+    pub(super) fn handle_replicate_deltas(
+        &mut self,
+        context: &mut Context,
+        from: Sender,
+        term: u64,
+        deltas: &[Arc<StateDelta>],
+    ) {
+        // A build before differences does not understand the message.
+        if !self.settings.accepts_deltas {
+            return;
+        }
+        let Some(newest) = deltas.last().map(|delta| delta.version) else { return };
+        if term < self.witness.promised || newest.term != term {
+            self.reject(context, from);
+            return;
+        }
+        if self.state.version >= newest {
+            // It came before, and is durable or being written.
+            let state = self.state.clone();
+            self.handle_replicate(context, from, term, state);
+            return;
+        }
+        match self.state_after(deltas) {
+            Ok(state) => self.handle_replicate(context, from, term, Arc::new(state)),
+            Err(_) => {
+                self.follow(context.now);
+                context.reply(from, ReplicationMessage::DeltasRejected { term });
+            }
+        }
+    }
+
+    /// The state that results from the one held here by these differences. Those up to the state held here are passed over.
+    fn state_after(&self, deltas: &[Arc<StateDelta>]) -> Result<ReplicatedState, StateDeltaError> {
+        let held = self.state.version;
+        let mut state = (*self.state).clone();
+        for delta in deltas.iter().filter(|delta| delta.version > held) {
+            state = self.settings.mutation.state_after_delta(&state, delta)?;
+        }
+        Ok(state)
+    }
+
     /// Rejects a message of a lower term than promised.
     pub(super) fn reject(&self, context: &mut Context, from: Sender) {
         context.reply(from, ReplicationMessage::Rejected { promised: self.witness.promised });
--- a/crates/router/control-plane/src/replication/replica/primary.rs
+++ b/crates/router/control-plane/src/replication/replica/primary.rs
@@ -60,6 +60,11 @@
         leadership.handle_synced(context, from, term, version);
     }
 
+    pub(super) fn handle_rejected_deltas(&mut self, context: &mut Context, from: MemberId, term: u64) {
+        let Role::Primary(leadership) = &mut self.role else { return };
+        leadership.handle_rejected_deltas(context, from, term);
+    }
+
     /// Stores the record that this primary proposes, once for each proposal.
     pub(super) fn store_proposed_record(&mut self, context: &mut Context) {
         let Role::Primary(leadership) = &self.role else { return };
--- a/crates/router/control-plane/src/replication/settings.rs
+++ b/crates/router/control-plane/src/replication/settings.rs
@@ -19,6 +19,9 @@
     pub seeds: Vec<SocketAddrV4>,
     /// Minimum time without contact to a primary before an election starts.
     pub election_timeout: Duration,
+    /// Whether this member takes states as differences. Only the cluster simulation turns it off, for members that run an
+    /// earlier build.
+    pub accepts_deltas: bool,
     /// Seed of this member's random choices; differs between members, so that their timers do.
     pub random_seed: u64,
     /// A deliberately broken rule, in the cluster simulation only; [`Mutations::NONE`] otherwise.
--- a/crates/router/control-plane/tests/replica.rs
+++ b/crates/router/control-plane/tests/replica.rs
@@ -28,6 +28,7 @@
         bootstrapping: false,
         seeds: vec![member(1).address],
         election_timeout: Duration::from_millis(320),
+        accepts_deltas: true,
         random_seed: 1,
         mutation: Mutations::NONE,
     };
--- a/crates/router/control-plane/tests/sample_data.rs
+++ b/crates/router/control-plane/tests/sample_data.rs
@@ -1,5 +1,5 @@
-//! Sample data written by version 0.2.0 before the renaming: every message between processes and every value on a
-//! member's disk, in `data/messages.hex`, one `name hex` a line.
+//! Sample data written by version 0.2.0 before the renaming, and of messages that came later by the build that added them:
+//! every message between processes and every value on a member's disk, in `data/messages.hex`, one `name hex` a line.
 //!
 //! Each is read and written again and has to come out byte for byte. The names are those on the wire. Which there have
 //! to be is asked of the types themselves, so that nothing here rests on what the variants are called in the source.
@@ -18,7 +18,7 @@
 
 const SAMPLES: &str = include_str!("data/messages.hex");
 /// Lines of the file.
-const LINES: usize = 38;
+const LINES: usize = 41;
 
 /// The samples: name and bytes.
 fn samples() -> Vec<(&'static str, Vec<u8>)> {
--- /dev/null
+++ b/crates/router/control-plane/tests/state_delta.rs
@@ -0,0 +1,202 @@
+//! States that travel as differences: what results, what is rejected, and how builds without them are served.
+
+use passrelay_control_plane::replication::{
+    AppliedChange, DurableState, EpochRecord, Member, MemberId, Mutations, Replica, ReplicaAction, ReplicaSettings,
+    ReplicatedState, ReplicationEnvelope, ReplicationMessage, StateDelta, StateDeltaError, StateVersion, WitnessState,
+};
+use passrelay_dissemination::Incarnation;
+use rstest::rstest;
+use serde::{Deserialize, Serialize};
+use serde_json::json;
+use std::net::{Ipv4Addr, SocketAddrV4};
+use std::sync::Arc;
+use std::time::Duration;
+
+const NOW: Duration = Duration::from_secs(10);
+const PEER_INCARNATION: Incarnation = Incarnation(5);
+/// More changes than a state remembers.
+const MANY_CHANGES: u64 = 600;
+
+/// A document of some length, one item of which is that of the generation.
+fn document(generation: u64) -> Arc<str> {
+    let item = |number: u64| json!({ "name": format!("r-{number}"), "text": "x".repeat(60) });
+    let mut items: Vec<_> = (0..20).map(item).collect();
+    items[(generation % 20) as usize]["text"] = json!(format!("changed by {generation}"));
+    json!({ "generation": generation, "items": items }).to_string().into()
+}
+
+fn change(generation: u64) -> AppliedChange {
+    AppliedChange { generation, digest: [generation as u8; 32] }
+}
+
+/// The state of term 1 after so many changes.
+fn state(changes: u64) -> ReplicatedState {
+    (1..=changes).fold(ReplicatedState::default(), |state, generation| {
+        state.after(1, generation, document(generation), change(generation))
+    })
+}
+
+fn next(state: &ReplicatedState) -> ReplicatedState {
+    let generation = state.generation + 1;
+    state.after(1, generation, document(generation), change(generation))
+}
+
+fn delta(state: &ReplicatedState) -> Arc<StateDelta> {
+    Arc::new(next(state).delta_from(state).expect("a change of one item is short"))
+}
+
+#[rstest]
+#[case::second_change(1)]
+#[case::a_history_that_is_full(MANY_CHANGES)]
+fn a_delta_results_in_the_next_state(#[case] changes: u64) {
+    let base = state(changes);
+    assert_eq!(base.apply_delta(&delta(&base)), Ok(next(&base)));
+}
+
+#[test]
+fn a_delta_applies_to_its_base_only() {
+    let base = state(3);
+    let delta = delta(&base);
+    assert_eq!(state(2).apply_delta(&delta), Err(StateDeltaError::OtherBase));
+    assert_eq!(next(&base).apply_delta(&delta), Err(StateDeltaError::OtherBase));
+    let other_term = ReplicatedState { version: StateVersion { term: 2, index: 3 }, ..base };
+    assert_eq!(other_term.apply_delta(&delta), Err(StateDeltaError::OtherBase));
+}
+
+#[test]
+fn there_is_no_delta_from_nothing_over_a_gap_or_of_a_new_document() {
+    let first = state(1);
+    assert_eq!(first.delta_from(&ReplicatedState::default()), None);
+    assert_eq!(state(3).delta_from(&first), None);
+    let replaced = first.after(1, 2, "[]".into(), change(2));
+    assert_eq!(replaced.delta_from(&first), None, "a delta of a short document is no shorter");
+}
+
+fn member(id: u64) -> Member {
+    let port = 7_000 + u16::try_from(id).expect("a small id");
+    Member { id: MemberId(id), address: SocketAddrV4::new(Ipv4Addr::LOCALHOST, port) }
+}
+
+/// A member of three, with member 2 as primary of term 1, whose disk holds this state.
+fn replica(state: ReplicatedState, accepts_deltas: bool) -> Replica {
+    let members = vec![member(1), member(2), member(3)];
+    let record = EpochRecord {
+        term: 1,
+        sequence: 0,
+        primary: MemberId(2),
+        previous_members: members.clone(),
+        in_sync: members.iter().map(|member| member.id).collect(),
+        members,
+    };
+    let witness = WitnessState { promised: 1, promised_to: Some(MemberId(2)), record: Some(record) };
+    let settings = ReplicaSettings {
+        own: member(1),
+        tolerated_losses: 1,
+        bootstrapping: false,
+        seeds: vec![member(1).address],
+        election_timeout: Duration::from_millis(320),
+        accepts_deltas,
+        random_seed: 1,
+        mutation: Mutations::NONE,
+    };
+    Replica::new(NOW, settings, DurableState { witness, state })
+}
+
+fn receive(replica: &mut Replica, message: ReplicationMessage) -> Vec<ReplicaAction> {
+    let mut actions = Vec::new();
+    let envelope = ReplicationEnvelope { sender: member(2), message };
+    replica.receive(NOW, PEER_INCARNATION, envelope, &mut actions);
+    actions
+}
+
+#[test]
+fn a_backup_syncs_the_state_that_deltas_lead_to_before_it_replies() {
+    let base = state(2);
+    let newest = next(&next(&base));
+    let deltas = vec![delta(&base), delta(&next(&base))];
+    let mut replica = replica(base, true);
+    let actions = receive(&mut replica, ReplicationMessage::ReplicateDeltas { term: 1, deltas });
+    let [ReplicaAction::Write { write_id, write }] = actions.as_slice() else { panic!("{actions:?}") };
+    assert_eq!(write.state.as_deref(), Some(&newest));
+    let mut replies = Vec::new();
+    replica.written(NOW, *write_id, true, &mut replies);
+    let synced = ReplicationMessage::Synced { term: 1, version: newest.version };
+    assert!(matches!(&replies[..], [ReplicaAction::Send { message, .. }] if *message == synced), "{replies:?}");
+}
+
+#[test]
+fn a_backup_passes_over_deltas_that_it_has_applied() {
+    let base = state(2);
+    let deltas = vec![delta(&base), delta(&next(&base))];
+    let newest = next(&next(&base));
+    let mut replica = replica(next(&base), true);
+    let actions = receive(&mut replica, ReplicationMessage::ReplicateDeltas { term: 1, deltas });
+    let [ReplicaAction::Write { write, .. }] = actions.as_slice() else { panic!("{actions:?}") };
+    assert_eq!(write.state.as_deref(), Some(&newest));
+}
+
+#[test]
+fn a_backup_that_has_the_newest_state_says_so_again() {
+    let base = state(2);
+    let newest = next(&base);
+    let mut replica = replica(newest.clone(), true);
+    let deltas = vec![delta(&base)];
+    let actions = receive(&mut replica, ReplicationMessage::ReplicateDeltas { term: 1, deltas });
+    let synced = ReplicationMessage::Synced { term: 1, version: newest.version };
+    assert!(matches!(&actions[..], [ReplicaAction::Send { message, .. }] if *message == synced), "{actions:?}");
+}
+
+// Guards against a member that stays behind because it can't apply what it is sent, and against one that applies it to
+// another state: it has to ask for the whole state, and change nothing.
+#[rstest]
+#[case::it_missed_a_change(state(1))]
+#[case::it_has_no_state(ReplicatedState::default())]
+fn a_backup_without_the_base_asks_for_the_whole_state(#[case] held: ReplicatedState) {
+    let mut replica = replica(held.clone(), true);
+    let deltas = vec![delta(&state(2))];
+    let actions = receive(&mut replica, ReplicationMessage::ReplicateDeltas { term: 1, deltas });
+    let rejected = ReplicationMessage::DeltasRejected { term: 1 };
+    assert!(matches!(&actions[..], [ReplicaAction::Send { message, .. }] if *message == rejected), "{actions:?}");
+    assert_eq!(**replica.state(), held);
+}
+
+#[test]
+fn deltas_of_a_lower_term_than_promised_are_rejected() {
+    let base = state(2);
+    let mut replica = replica(base.clone(), true);
+    receive(&mut replica, ReplicationMessage::Prepare { term: 2, candidate: MemberId(2) });
+    let deltas = vec![delta(&base)];
+    let actions = receive(&mut replica, ReplicationMessage::ReplicateDeltas { term: 1, deltas });
+    let rejected = ReplicationMessage::Rejected { promised: 2 };
+    assert!(matches!(&actions[..], [ReplicaAction::Send { message, .. }] if *message == rejected), "{actions:?}");
+}
+
+/// The pong of a build that knows no deltas.
+#[derive(Debug, PartialEq, Serialize, Deserialize)]
+enum EarlierMessage {
+    Pong { term: u64, round: u64, position: (u64, u64), synced: StateVersion },
+}
+
+#[rstest]
+#[case::current_build(true)]
+#[case::earlier_build(false)]
+fn builds_with_and_without_deltas_read_each_others_pongs(#[case] accepts_deltas: bool) {
+    let mut replica = replica(state(2), accepts_deltas);
+    let ping = ReplicationMessage::Ping { term: 1, round: 4, position: Default::default() };
+    let actions = receive(&mut replica, ping);
+    let [ReplicaAction::Send { message, .. }] = actions.as_slice() else { panic!("{actions:?}") };
+    let mut bytes = Vec::new();
+    ciborium::into_writer(message, &mut bytes).expect("it is written");
+    let version = state(2).version;
+    let expected = EarlierMessage::Pong { term: 1, round: 4, position: (1, 0), synced: version };
+    let read: EarlierMessage = ciborium::from_reader(bytes.as_slice()).expect("an earlier build reads it");
+    assert_eq!(read, expected);
+
+    let mut earlier = Vec::new();
+    ciborium::into_writer(&expected, &mut earlier).expect("it is written");
+    match ciborium::from_reader(earlier.as_slice()).expect("it is read") {
+        ReplicationMessage::Pong { accepts_deltas, .. } => assert!(!accepts_deltas, "it has not said so"),
+        other => panic!("not a pong: {other:?}"),
+    }
+    assert_eq!(earlier == bytes, !accepts_deltas, "a build that takes none writes what earlier ones wrote");
+}
--- a/crates/router/dissemination/src/gossip.rs
+++ b/crates/router/dissemination/src/gossip.rs
@@ -44,6 +44,9 @@
     pub seeds: Vec<SocketAddrV4>,
     /// Interval of an endpoint's heartbeats.
     pub heartbeat: Duration,
+    /// Whether this sidecar takes configurations as deltas. Only the cluster simulation turns it off, for sidecars that run
+    /// an earlier build.
+    pub accepts_deltas: bool,
     /// Seed of this sidecar's random choices.
     pub random_seed: u64,
     /// A broken version, in simulations only; the default is none.
@@ -77,7 +80,7 @@
             rng: ChaCha8Rng::seed_from_u64(settings.random_seed),
             registry: Registry::new(settings.heartbeat),
             core: None,
-            configuration: ConfigurationState::default(),
+            configuration: ConfigurationState::new(settings.accepts_deltas),
             freshness: Freshness::new(settings.mutation),
             requests: PendingRequests::default(),
             announcements: PendingAnnouncements::default(),
@@ -131,7 +134,7 @@
     ) {
         let context = &mut Context::new(now, actions);
         if let Some(configuration) = configuration {
-            self.apply_configuration(context, configuration.clone());
+            self.apply_committed(context, configuration.clone());
         }
         let index = configuration.map_or(0, |configuration| configuration.index);
         if index <= self.configuration.index() {
@@ -196,8 +199,13 @@
                 self.handle_digest_response(context, from, &digest, fresh_age_ms);
             }
             GossipMessage::Announce { index } => self.configuration.fetch_if_newer(context, from, index),
-            GossipMessage::Fetch { have } => self.configuration.transfer(context, from, have),
+            GossipMessage::Fetch { have, accepts_deltas } => {
+                self.configuration.transfer(context, from, have, accepts_deltas);
+            }
             GossipMessage::Configuration(configuration) => self.apply_configuration(context, configuration),
+            GossipMessage::ConfigurationDeltas(deltas) => {
+                self.apply_configuration_deltas(context, from, &deltas);
+            }
             GossipMessage::Records(records) => {
                 let changed = self.registry.merge(now, records);
                 self.broadcast_records(context, changed);
--- a/crates/router/dissemination/src/gossip/configuration.rs
+++ b/crates/router/dissemination/src/gossip/configuration.rs
@@ -3,28 +3,49 @@
 //! A sidecar that gets a newer configuration announces its index to a few peers, and digests carry the index as well. Whoever
 //! learns of a newer index fetches the document from the peer it learned it from. One fetch is in flight at a time; the document
 //! may be large, and an announcement reaches each sidecar several times.
+//!
+//! A change alters little of a document, so it travels as a delta. The primary makes it once; all others pass on the deltas
+//! that they received. A sidecar that is further behind than the deltas reach, or whose document they don't fit, gets the
+//! whole document.
 
 use super::actions::Context;
 use super::{Gossip, GossipAction, BROADCAST_FANOUT};
-use crate::messages::{CommittedConfiguration, GossipMessage};
+use crate::messages::{CommittedConfiguration, ConfigurationDelta, GossipMessage};
+use passrelay_configuration::{DeltaError, DocumentDelta};
+use std::collections::VecDeque;
 use std::net::SocketAddrV4;
+use std::sync::Arc;
 use std::time::Duration;
 
 /// Timeout for the transfer of a small configuration; after it another peer may be asked ...
 const BASE_FETCH_TIMEOUT: Duration = Duration::from_millis(120);
 /// ... extended for each KiB of the configuration in force, as an estimate of the next, for slow links.
 const FETCH_TIMEOUT_PER_KIB: Duration = Duration::from_micros(1_000);
+/// Deltas that are kept for peers; one that has missed more changes gets the whole document.
+const MAX_DELTAS: usize = 16;
+/// Deltas to a peer are sent only while they have together less than this fraction of the document's length.
+const MAX_DELTAS_FRACTION: f64 = 0.5;
 
 /// The configuration in force and the fetch in flight.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub(super) struct ConfigurationState {
     /// Its index never decreases.
     current: Option<CommittedConfiguration>,
+    /// How the configuration in force came about, oldest first, each from the configuration that the one before it results in;
+    /// the last one results in the configuration in force.
+    deltas: VecDeque<Arc<ConfigurationDelta>>,
     /// When the last fetch was sent; None once a configuration arrived.
     fetch_sent_at: Option<Duration>,
+    /// Whether this sidecar takes deltas.
+    accepts_deltas: bool,
 }
 
 impl ConfigurationState {
+    /// No configuration yet.
+    pub(super) fn new(accepts_deltas: bool) -> Self {
+        ConfigurationState { current: None, deltas: VecDeque::new(), fetch_sent_at: None, accepts_deltas }
+    }
+
     pub(super) fn current(&self) -> Option<&CommittedConfiguration> {
         self.current.as_ref()
     }
@@ -34,8 +55,12 @@
         self.current.as_ref().map_or(0, |configuration| configuration.index)
     }
 
+    fn document_length(&self) -> usize {
+        self.current.as_ref().map_or(0, |configuration| configuration.document.len())
+    }
+
     fn fetch_timeout(&self) -> Duration {
-        let kib = self.current.as_ref().map_or(0, |configuration| configuration.document.len() / 1_024);
+        let kib = self.document_length() / 1_024;
         BASE_FETCH_TIMEOUT + FETCH_TIMEOUT_PER_KIB * u32::try_from(kib).unwrap_or(u32::MAX)
     }
 
@@ -45,17 +70,38 @@
 
     /// Fetches the configuration of `index` from a peer unless it is known or a fetch is in flight.
     pub(super) fn fetch_if_newer(&mut self, context: &mut Context, from: SocketAddrV4, index: u64) {
-        let have = self.index();
-        if index > have && !self.is_fetch_in_flight(context.now) {
-            self.fetch_sent_at = Some(context.now);
-            context.send(from, GossipMessage::Fetch { have });
+        if index > self.index() && !self.is_fetch_in_flight(context.now) {
+            self.fetch(context, from, self.accepts_deltas);
         }
     }
 
+    fn fetch(&mut self, context: &mut Context, from: SocketAddrV4, accepts_deltas: bool) {
+        self.fetch_sent_at = Some(context.now);
+        context.send(from, GossipMessage::Fetch { have: self.index(), accepts_deltas });
+    }
+
     /// Responds to a fetch of whoever has the configuration of index `have`.
-    pub(super) fn transfer(&self, context: &mut Context, to: SocketAddrV4, have: u64) {
-        if let Some(configuration) = self.current.as_ref().filter(|current| current.index > have) {
-            context.send(to, GossipMessage::Configuration(configuration.clone()));
+    pub(super) fn transfer(&self, context: &mut Context, to: SocketAddrV4, have: u64, accepts_deltas: bool) {
+        let Some(configuration) = self.current.as_ref().filter(|current| current.index > have) else { return };
+        let deltas = if accepts_deltas { self.deltas_since(have) } else { Vec::new() };
+        let message = if deltas.is_empty() {
+            GossipMessage::Configuration(configuration.clone())
+        } else {
+            GossipMessage::ConfigurationDeltas(deltas)
+        };
+        context.send(to, message);
+    }
+
+    /// The deltas that lead from the configuration of an index to that in force; empty where they are not all known, or
+    /// nearly as long as the document.
+    fn deltas_since(&self, index: u64) -> Vec<Arc<ConfigurationDelta>> {
+        let deltas: Vec<_> = self.deltas.iter().skip_while(|delta| delta.base_index != index).cloned().collect();
+        let size: usize = deltas.iter().map(|delta| delta.document.encoded_size()).sum();
+        let is_short = (size as f64) < MAX_DELTAS_FRACTION * self.document_length() as f64;
+        if is_short {
+            deltas
+        } else {
+            Vec::new()
         }
     }
 
@@ -65,9 +111,54 @@
             return false;
         }
         self.fetch_sent_at = None;
+        self.deltas.clear();
         self.current = Some(configuration.clone());
         true
     }
+
+    /// As [`Self::replace`], and makes the delta from the configuration before it, for peers.
+    fn replace_and_compare(&mut self, configuration: &CommittedConfiguration) -> bool {
+        let previous = self.current.take_if(|current| current.index < configuration.index);
+        let mut deltas = std::mem::take(&mut self.deltas);
+        if let Some(previous) = previous {
+            deltas.push_back(Arc::new(ConfigurationDelta {
+                base_index: previous.index,
+                index: configuration.index,
+                generation: configuration.generation,
+                document: DocumentDelta::between(&previous.document, &configuration.document),
+            }));
+        }
+        let replaced = self.replace(configuration);
+        self.keep_deltas(deltas);
+        replaced
+    }
+
+    /// The configuration that deltas lead to from the one in force; None where none of them is newer. Those up to the one in
+    /// force are passed over.
+    fn apply_deltas(
+        &self,
+        deltas: &[Arc<ConfigurationDelta>],
+    ) -> Result<Option<CommittedConfiguration>, DeltaError> {
+        let Some(current) = &self.current else { return Err(DeltaError::DigestMismatch) };
+        let mut result: Option<CommittedConfiguration> = None;
+        for delta in deltas.iter().filter(|delta| delta.index > current.index) {
+            let base = result.as_ref().unwrap_or(current);
+            if delta.base_index != base.index {
+                return Err(DeltaError::DigestMismatch);
+            }
+            let document = delta.document.apply(&base.document)?.into();
+            let (index, generation) = (delta.index, delta.generation);
+            result = Some(CommittedConfiguration { index, generation, document });
+        }
+        Ok(result)
+    }
+
+    fn keep_deltas(&mut self, mut deltas: VecDeque<Arc<ConfigurationDelta>>) {
+        while deltas.len() > MAX_DELTAS {
+            deltas.pop_front();
+        }
+        self.deltas = deltas;
+    }
 }
 
 impl Gossip {
@@ -77,9 +168,43 @@
         context: &mut Context,
         configuration: CommittedConfiguration,
     ) {
-        if !self.configuration.replace(&configuration) {
+        if self.configuration.replace(&configuration) {
+            self.announce_configuration(context, configuration);
+        }
+    }
+
+    /// As [`Self::apply_configuration`] where this process is the source: it makes the delta that all others pass on.
+    pub(super) fn apply_committed(&mut self, context: &mut Context, configuration: CommittedConfiguration) {
+        if self.configuration.replace_and_compare(&configuration) {
+            self.announce_configuration(context, configuration);
+        }
+    }
+
+    /// Applies deltas; where they don't fit, fetches the whole document from their sender.
+    pub(super) fn apply_configuration_deltas(
+        &mut self,
+        context: &mut Context,
+        from: SocketAddrV4,
+        deltas: &[Arc<ConfigurationDelta>],
+    ) {
+        if !self.configuration.accepts_deltas {
             return;
         }
+        match self.configuration.apply_deltas(deltas) {
+            Ok(Some(configuration)) => {
+                let mut known = std::mem::take(&mut self.configuration.deltas);
+                let held = self.configuration.index();
+                known.extend(deltas.iter().filter(|delta| delta.index > held).cloned());
+                self.configuration.replace(&configuration);
+                self.configuration.keep_deltas(known);
+                self.announce_configuration(context, configuration);
+            }
+            Ok(None) => {}
+            Err(_) => self.configuration.fetch(context, from, false),
+        }
+    }
+
+    fn announce_configuration(&mut self, context: &mut Context, configuration: CommittedConfiguration) {
         let index = configuration.index;
         context.emit(GossipAction::Configured(configuration));
         for peer in self.view.select(context.now, BROADCAST_FANOUT, &mut self.rng) {
--- a/crates/router/dissemination/src/lib.rs
+++ b/crates/router/dissemination/src/lib.rs
@@ -38,7 +38,7 @@
 
 pub use gossip::{Announcement, Gossip, GossipAction, GossipSettings};
 pub use load::{EndpointLoad, OutcomeCounts, Outcomes};
-pub use messages::{CommittedConfiguration, CoreHint, Digest, GossipMessage};
+pub use messages::{CommittedConfiguration, ConfigurationDelta, CoreHint, Digest, GossipMessage};
 pub use mutation::ActiveMutation;
 #[cfg(feature = "mutations")]
 pub use mutation::GossipMutation;
--- a/crates/router/dissemination/src/messages.rs
+++ b/crates/router/dissemination/src/messages.rs
@@ -3,6 +3,7 @@
 
 use crate::partial_view::PeerDescriptor;
 use crate::registry::{EndpointRecord, RegistryDigest};
+use passrelay_configuration::DocumentDelta;
 use serde::{Deserialize, Serialize};
 use std::net::SocketAddrV4;
 use std::sync::Arc;
@@ -18,6 +19,23 @@
     pub document: Arc<str>,
 }
 
+/// The difference of a committed configuration from the one before it.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ConfigurationDelta {
+    /// Index of the configuration that it applies to.
+    #[serde(rename = "b")]
+    pub base_index: u64,
+    /// Index of the resulting configuration.
+    #[serde(rename = "i")]
+    pub index: u64,
+    /// Generation of the resulting configuration.
+    #[serde(rename = "g")]
+    pub generation: u64,
+    /// The difference of the documents.
+    #[serde(rename = "d")]
+    pub document: DocumentDelta,
+}
+
 /// Where the core is, according to the newest epoch record that a sidecar has seen.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct CoreHint {
@@ -86,9 +104,16 @@
     Fetch {
         /// Index of the sender's configuration; 0 for none.
         have: u64,
+        /// Whether the sender understands [`GossipMessage::ConfigurationDeltas`]. Absent in messages of earlier builds, and
+        /// then not written either.
+        #[serde(default, rename = "deltas", skip_serializing_if = "std::ops::Not::not")]
+        accepts_deltas: bool,
     },
     /// Transfers a configuration.
     Configuration(CommittedConfiguration),
+    /// Transfers a configuration as the differences from that of the requester, oldest first. Only an answer to a fetch that
+    /// accepts them.
+    ConfigurationDeltas(Vec<Arc<ConfigurationDelta>>),
     /// Endpoint records: changed ones being broadcast, or those of buckets in which two digests differ.
     Records(Vec<EndpointRecord>),
 }
--- a/crates/router/dissemination/tests/gossip.rs
+++ b/crates/router/dissemination/tests/gossip.rs
@@ -4,6 +4,7 @@
     ActiveMutation, CommittedConfiguration, CoreHint, Digest, Gossip, GossipAction, GossipMessage,
     GossipSettings, Incarnation, Peer, RegistryDigest,
 };
+use rstest::rstest;
 use std::net::SocketAddrV4;
 use std::time::Duration;
 
@@ -25,6 +26,7 @@
         own: address(1),
         seeds: vec![address(2)],
         heartbeat: at(1_200),
+        accepts_deltas: true,
         random_seed: 1,
         mutation: ActiveMutation::default(),
     })
@@ -126,3 +128,94 @@
     let timely = receive(&mut gossip, at(1_110), 2, response(later_request_id, 0, 1));
     assert!(timely.contains(&confirmed));
 }
+
+// ---- Configurations as deltas ----
+
+/// A document of some length, one item of which is that of the index.
+fn long_document(index: u64) -> String {
+    let item = |number: u64| format!(r#"{{"name":"r-{number}","text":"{}"}}"#, "x".repeat(60));
+    let mut items: Vec<String> = (0..20).map(item).collect();
+    items[(index % 20) as usize] = format!(r#"{{"name":"changed by {index}"}}"#);
+    format!(r#"{{"generation":{index},"items":[{}]}}"#, items.join(","))
+}
+
+fn long_configuration(index: u64) -> CommittedConfiguration {
+    configuration(index, &long_document(index))
+}
+
+/// The sidecar of host 1 after it has got these configurations as the core committed them.
+fn source(indexes: std::ops::RangeInclusive<u64>) -> Gossip {
+    let mut gossip = gossip();
+    for index in indexes {
+        let committed = long_configuration(index);
+        gossip.observe_committed(at(0), Some(&committed), Some(at(0)), &mut Vec::new());
+    }
+    gossip
+}
+
+/// What a sidecar sends upon a fetch.
+fn transferred(gossip: &mut Gossip, have: u64, accepts_deltas: bool) -> GossipMessage {
+    let actions = receive(gossip, at(10), 3, GossipMessage::Fetch { have, accepts_deltas });
+    match actions.as_slice() {
+        [GossipAction::Send { message, .. }] => message.clone(),
+        other => panic!("not one message: {other:?}"),
+    }
+}
+
+#[test]
+fn who_is_some_changes_behind_gets_deltas_and_passes_them_on() {
+    let deltas = transferred(&mut source(1..=4), 1, true);
+    let GossipMessage::ConfigurationDeltas(sent) = &deltas else { panic!("{deltas:?}") };
+    assert_eq!(sent.len(), 3);
+    let mut relay = gossip();
+    receive(&mut relay, at(0), 2, GossipMessage::Configuration(long_configuration(1)));
+    let actions = receive(&mut relay, at(20), 2, deltas.clone());
+    assert!(actions.contains(&GossipAction::Configured(long_configuration(4))), "{actions:?}");
+    assert_eq!(transferred(&mut relay, 1, true), deltas, "it holds what it received");
+    let GossipMessage::ConfigurationDeltas(last) = transferred(&mut relay, 3, true) else { panic!() };
+    assert_eq!(last, sent[2..]);
+}
+
+#[rstest]
+#[case::it_has_none(0, true)]
+#[case::it_takes_no_deltas(3, false)]
+#[case::it_is_too_far_behind(2, true)]
+fn who_can_not_be_sent_deltas_gets_the_whole_document(#[case] have: u64, #[case] accepts_deltas: bool) {
+    let whole = GossipMessage::Configuration(long_configuration(40));
+    assert_eq!(transferred(&mut source(1..=40), have, accepts_deltas), whole);
+}
+
+#[test]
+fn a_document_that_is_replaced_is_sent_as_a_whole() {
+    let mut gossip = source(1..=1);
+    let replaced = configuration(2, "{}");
+    gossip.observe_committed(at(5), Some(&replaced), Some(at(5)), &mut Vec::new());
+    assert_eq!(transferred(&mut gossip, 1, true), GossipMessage::Configuration(replaced));
+}
+
+// Guards against a sidecar that stays behind, or takes a wrong document, because deltas don't fit its own.
+#[rstest]
+#[case::it_missed_a_change(Some(long_configuration(1)))]
+#[case::it_has_none(None)]
+fn deltas_that_do_not_fit_make_it_fetch_the_whole_document(#[case] held: Option<CommittedConfiguration>) {
+    let deltas = transferred(&mut source(1..=4), 2, true);
+    let mut gossip = gossip();
+    if let Some(held) = held.clone() {
+        receive(&mut gossip, at(0), 2, GossipMessage::Configuration(held));
+    }
+    let actions = receive(&mut gossip, at(20), 2, deltas);
+    let have = held.as_ref().map_or(0, |held| held.index);
+    let fetch = GossipMessage::Fetch { have, accepts_deltas: false };
+    assert_eq!(actions, [GossipAction::Send { to: address(2), addressee: None, message: fetch }]);
+    assert_eq!(gossip.configuration(), held.as_ref());
+}
+
+#[test]
+fn deltas_that_arrive_twice_change_nothing() {
+    let deltas = transferred(&mut source(1..=3), 2, true);
+    let mut gossip = gossip();
+    receive(&mut gossip, at(0), 2, GossipMessage::Configuration(long_configuration(2)));
+    receive(&mut gossip, at(20), 2, deltas.clone());
+    assert_eq!(receive(&mut gossip, at(21), 2, deltas), []);
+    assert_eq!(gossip.configuration(), Some(&long_configuration(3)));
+}
--- a/crates/router/node/src/background_tasks.rs
+++ b/crates/router/node/src/background_tasks.rs
@@ -121,6 +121,7 @@
             bootstrapping,
             seeds: settings.internal_seeds(),
             election_timeout: ELECTION_TIMEOUT,
+            accepts_deltas: true,
             random_seed: rand::random(),
             mutation: Mutations::NONE,
         }
--- a/crates/router/node/src/process.rs
+++ b/crates/router/node/src/process.rs
@@ -124,6 +124,7 @@
             own: settings.internal_address(),
             seeds: settings.internal_seeds(),
             heartbeat: settings.heartbeat,
+            accepts_deltas: true,
             random_seed: rand::random(),
             mutation: Default::default(),
         },
--- a/crates/testing/cluster-simulation/src/cluster.rs
+++ b/crates/testing/cluster-simulation/src/cluster.rs
@@ -14,7 +14,7 @@
 
 pub use network::PartitionDirection;
 pub use observation::{CallKey, Observation};
-pub use settings::ClusterSettings;
+pub use settings::{Builds, ClusterSettings};
 
 use event_queue::{Event, EventQueue};
 use machine::Machine;
--- a/crates/testing/cluster-simulation/src/cluster/machine.rs
+++ b/crates/testing/cluster-simulation/src/cluster/machine.rs
@@ -204,6 +204,7 @@
         let random_seed = self.rng.random();
         let drawn = Incarnation(self.rng.random());
         let reuses_request_ids = fault == Some(ProtocolMutation::ReusesRequestIds);
+        let accepts_deltas = !self.settings.runs_earlier_build(machine);
         let starting = &mut self.machines[machine];
         let bootstrap = !starting.started_before;
         starting.started_before = true;
@@ -219,6 +220,7 @@
                 bootstrapping: opened.bootstrap,
                 seeds: seeds.clone(),
                 election_timeout: ELECTION_TIMEOUT,
+                accepts_deltas,
                 random_seed,
                 mutation: fault.into(),
             };
@@ -229,6 +231,7 @@
                 own,
                 seeds,
                 heartbeat: HEARTBEAT,
+                accepts_deltas,
                 random_seed,
                 mutation: self.settings.gossip_mutation.into(),
             },
--- a/crates/testing/cluster-simulation/src/cluster/network.rs
+++ b/crates/testing/cluster-simulation/src/cluster/network.rs
@@ -156,11 +156,17 @@
                 state.document.as_ref().map_or(0, |document| document.len()) / COMPRESSION_RATIO
                     + state.applied_changes.len() * BYTES_PER_APPLIED_CHANGE
             }
+            ReplicationMessage::ReplicateDeltas { deltas, .. } => {
+                deltas.iter().map(|delta| delta.document.encoded_size() + BYTES_PER_APPLIED_CHANGE).sum()
+            }
             _ => 0,
         },
         Message::Gossip(GossipMessage::Configuration(configuration)) => {
             configuration.document.len() / COMPRESSION_RATIO
         }
+        Message::Gossip(GossipMessage::ConfigurationDeltas(deltas)) => {
+            deltas.iter().map(|delta| delta.document.encoded_size()).sum()
+        }
         _ => 0,
     }
 }
--- a/crates/testing/cluster-simulation/src/cluster/settings.rs
+++ b/crates/testing/cluster-simulation/src/cluster/settings.rs
@@ -8,6 +8,17 @@
 /// Voters from which on a cluster tolerates two failures at a time.
 const VOTERS_FOR_TWO_LOSSES: usize = 5;
 
+/// Which builds of the program the machines of a cluster run.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Builds {
+    /// All the current one.
+    Current,
+    /// Every second machine one that knows no deltas, as in the middle of an upgrade.
+    Mixed,
+    /// All one that knows no deltas.
+    Earlier,
+}
+
 /// What a cluster consists of, and which of its parts are broken on purpose.
 #[derive(Clone, Debug)]
 pub struct ClusterSettings {
@@ -23,6 +34,8 @@
     pub loss: f64,
     /// Bandwidth of each machine's uplink for documents, in bytes per second; 0 for unlimited. Other messages take none.
     pub link_bytes_per_s: u64,
+    /// Which builds of the program the machines run.
+    pub builds: Builds,
     /// Mutation of all disks, for testing the checker.
     pub disk_mutation: Option<DiskMutation>,
     /// Mutation of the replication protocol at all voters, for testing the checker.
@@ -34,6 +47,15 @@
 }
 
 impl ClusterSettings {
+    /// Whether a machine runs a build that knows no deltas.
+    pub(crate) fn runs_earlier_build(&self, machine: usize) -> bool {
+        match self.builds {
+            Builds::Current => false,
+            Builds::Mixed => machine % 2 == 1,
+            Builds::Earlier => true,
+        }
+    }
+
     /// A cluster of this size without mutations, on a network that loses messages for every third seed.
     pub fn new(voters: usize, machines: usize, seed: u64) -> Self {
         ClusterSettings {
@@ -43,6 +65,7 @@
             delay: Duration::from_micros(500),
             loss: if seed % 3 == 0 { 0.05 } else { 0.0 },
             link_bytes_per_s: 0,
+            builds: Builds::Current,
             disk_mutation: None,
             fault: None,
             gossip_mutation: None,
--- a/crates/testing/cluster-simulation/src/faults/correlated.rs
+++ b/crates/testing/cluster-simulation/src/faults/correlated.rs
@@ -71,6 +71,27 @@
         }
     }
 
+    /// A partition between the primary and the other voters, or all other machines, whatever is tolerated. Returns the
+    /// primary; none while another partition lasts.
+    pub fn inject_primary_isolation(&mut self, cluster: &mut Cluster) -> Option<usize> {
+        let primary = cluster.primary().filter(|_| self.healing.is_empty())?;
+        let duration = Duration::from_millis(cluster.rng.random_range(600..5_000));
+        let until = cluster.now() + duration;
+        let all_machines = cluster.rng.random_bool(0.3);
+        let mut others = cluster.all_except(&[primary]);
+        others.retain(|machine| all_machines || cluster.is_voter(*machine));
+        let direction = [PartitionDirection::Both, PartitionDirection::Outbound, PartitionDirection::Inbound]
+            [cluster.rng.random_range(0..3)];
+        cluster.partition(&[primary], &others, direction);
+        self.budget.delay_recovery(until);
+        self.plan_healing(&[primary], until);
+        for machine in running_voters(cluster) {
+            self.budget.record_fault(machine, until);
+            self.budget.record_loss(machine, until);
+        }
+        Some(primary)
+    }
+
     /// The primary's disk stalls, and a machine that forwards operators' calls to the primary restarts at once: calls of
     /// its earlier incarnation are still in flight there.
     pub fn inject_quick_restart(&mut self, cluster: &mut Cluster, machine: usize) {
--- a/crates/testing/cluster-simulation/src/history.rs
+++ b/crates/testing/cluster-simulation/src/history.rs
@@ -30,6 +30,9 @@
     Mixed,
     /// Partitions of up to half of the voters for up to 25 s, in one or both directions.
     LongPartitions,
+    /// The primary is partitioned from the other voters, for seconds and in one or both directions, while operators call it
+    /// more often than others.
+    IsolatedPrimaries,
     /// Operators use the same generation for different changes, and resend acknowledged ones at any later time.
     Races,
     /// Voters are replaced, some of them return, and another is lost soon after; all lose power at once.
@@ -51,8 +54,10 @@
     pub catch_up: Duration,
     /// Duration before the final fault.
     pub length: Duration,
-    /// Bytes of padding in each document.
+    /// Bytes of padding in each document, in one piece.
     pub padding: usize,
+    /// Items of some 100 bytes in each document that no change touches.
+    pub items: usize,
 }
 
 /// The result of a history.
--- a/crates/testing/cluster-simulation/src/history/operator.rs
+++ b/crates/testing/cluster-simulation/src/history/operator.rs
@@ -18,6 +18,8 @@
 const RETRY_TIMEOUT: Duration = Duration::from_secs(1);
 /// Prefix of the name of the service that carries a change's id.
 const CHANGE_ID_PREFIX: &str = "order-";
+/// Text of an item that no change touches, in bytes.
+const ITEM_TEXT_BYTES: usize = 80;
 
 /// What a call was for.
 #[derive(Clone, Debug)]
@@ -61,6 +63,11 @@
     generation: u64,
 }
 
+/// Items of a document that no change touches.
+fn untouched_items(count: usize) -> Value {
+    (0..count).map(|number| json!({ "name": number, "text": "x".repeat(ITEM_TEXT_BYTES) })).collect()
+}
+
 impl History {
     /// Queues a change on the generation that operators know. Racing operators often choose the same new generation.
     pub(super) fn propose_change(&mut self) {
@@ -69,12 +76,15 @@
         let base = self.known_generation;
         let max_increment = if self.settings.scenario == Scenario::Races { 2 } else { 5 };
         let generation = base + self.cluster.rng.random_range(1..=max_increment);
-        let document = json!({
+        let mut document = json!({
             "generation": generation,
             "routes": [],
             "services": [{ "name": "s" }, { "name": format!("{CHANGE_ID_PREFIX}{}", id.0) }],
             "note": "x".repeat(self.settings.padding),
         });
+        if self.settings.items > 0 {
+            document["items"] = untouched_items(self.settings.items);
+        }
         let change =
             ConfigurationChange { kind: ChangeKind::Replace, base, body: document.to_string().into() };
         let now = self.cluster.now();
@@ -126,7 +136,9 @@
     fn call(&mut self, purpose: CallPurpose, request: OperatorRequest) -> Option<CallKey> {
         // Drawn in every scenario.
         let prefers = self.cluster.rng.random_bool(0.5);
-        let machine = if prefers && self.settings.scenario == Scenario::Races {
+        let has_preference =
+            matches!(self.settings.scenario, Scenario::Races | Scenario::IsolatedPrimaries);
+        let machine = if prefers && has_preference {
             self.preferred_machine
         } else {
             self.cluster.rng.random_range(0..self.cluster.len())
--- a/crates/testing/cluster-simulation/src/history/schedule.rs
+++ b/crates/testing/cluster-simulation/src/history/schedule.rs
@@ -26,7 +26,8 @@
                 self.propose_change();
             }
         }
-        if self.cluster.rng.random_bool(0.05) {
+        let reads_often = self.settings.scenario == Scenario::IsolatedPrimaries;
+        if self.cluster.rng.random_bool(if reads_often { 0.4 } else { 0.05 }) {
             self.read();
         }
         if self.cluster.rng.random_bool(if races { 0.1 } else { 0.02 }) {
@@ -46,6 +47,10 @@
             Scenario::LongPartitions if self.cluster.rng.random_bool(0.01) => {
                 self.faults.inject_long_partition(&mut self.cluster);
             }
+            Scenario::IsolatedPrimaries if self.cluster.rng.random_bool(0.04) => {
+                let isolated = self.faults.inject_primary_isolation(&mut self.cluster);
+                self.preferred_machine = isolated.unwrap_or(self.preferred_machine);
+            }
             Scenario::Repairs if self.cluster.rng.random_bool(0.02) => {
                 self.faults.inject_returning_voter(&mut self.cluster);
             }
--- a/crates/testing/cluster-simulation/tests/histories.rs
+++ b/crates/testing/cluster-simulation/tests/histories.rs
@@ -1,6 +1,6 @@
 //! Random histories violate no property, and the checker detects broken protocols and disks.
 
-use passrelay_cluster_simulation::cluster::ClusterSettings;
+use passrelay_cluster_simulation::cluster::{Builds, ClusterSettings};
 use passrelay_cluster_simulation::disk::DiskMutation;
 use passrelay_cluster_simulation::history::{play, HistorySettings, Scenario};
 use passrelay_cluster_simulation::seeds::seeds_from;
@@ -8,16 +8,22 @@
 use rstest::rstest;
 use std::time::Duration;
 
+/// Every second history has documents that are long enough for changes to travel as deltas, and half of these have machines
+/// that know none.
 fn settings(scenario: Scenario, voters: usize, machines: usize, seed: u64) -> HistorySettings {
+    let builds = if seed % 4 == 3 { Builds::Mixed } else { Builds::Current };
     HistorySettings {
-        cluster: ClusterSettings::new(voters, machines, seed),
+        cluster: ClusterSettings { builds, ..ClusterSettings::new(voters, machines, seed) },
         scenario,
         catch_up: Duration::from_secs(4),
         length: Duration::from_secs(20),
         padding: 0,
+        items: if seed % 2 == 1 { ITEMS } else { 0 },
     }
 }
 
+/// Items of a document that no change touches.
+const ITEMS: usize = 15;
 /// Padding of a document where links are slow, in bytes.
 const LARGE_PADDING: usize = 60_000;
 /// Bandwidths of slow links: 10 and 100 Mbit/s, in bytes per second.
@@ -73,6 +79,18 @@
     violates_nothing(Scenario::LongPartitions, voters, machines, histories);
 }
 
+#[rstest]
+#[case::three_voters_of_six(3, 6, 200)]
+#[case::five_voters_of_eight(5, 8, 150)]
+#[case::eight_voters_of_twelve(8, 12, 100)]
+fn a_primary_without_the_others_confirms_nothing(
+    #[case] voters: usize,
+    #[case] machines: usize,
+    #[case] histories: u64,
+) {
+    violates_nothing(Scenario::IsolatedPrimaries, voters, machines, histories);
+}
+
 #[rstest]
 #[case::three_voters_of_six(3, 6, 200)]
 #[case::five_voters_of_eight(5, 8, 150)]
@@ -132,7 +150,7 @@
 
 #[rstest]
 #[case(ProtocolMutation::AcceptsBeforeSync, Scenario::Mixed)]
-#[case(ProtocolMutation::ShrinksInSyncSetWithoutQuorum, Scenario::Mixed)]
+#[case(ProtocolMutation::ShrinksInSyncSetWithoutQuorum, Scenario::IsolatedPrimaries)]
 #[case(ProtocolMutation::CountsReplacedMember, Scenario::Mixed)]
 #[case(ProtocolMutation::OmitsAppliedChanges, Scenario::Mixed)]
 #[case(ProtocolMutation::ReadsUnconfirmed, Scenario::Mixed)]
@@ -141,12 +159,13 @@
 #[case(ProtocolMutation::BootstrapsAgain, Scenario::Mixed)]
 #[case(ProtocolMutation::BootstrapsWithoutSeeds, Scenario::Bootstrap)]
 #[case(ProtocolMutation::ReusesRequestIds, Scenario::Races)]
-#[case(ProtocolMutation::ConfirmsAtArrival, Scenario::LongPartitions)]
+#[case(ProtocolMutation::ConfirmsAtArrival, Scenario::IsolatedPrimaries)]
 #[case(ProtocolMutation::AcknowledgesByGeneration, Scenario::Races)]
 #[case(ProtocolMutation::AdmitsUnsyncedMember, Scenario::Repairs)]
 #[case(ProtocolMutation::CampaignsWithOldRecord, Scenario::LongPartitions)]
 #[case(ProtocolMutation::DropsAppliedChangesAtFailover, Scenario::Races)]
 #[case(ProtocolMutation::PromisesOnFullDisk, Scenario::Races)]
+#[case(ProtocolMutation::SkipsDeltas, Scenario::Mixed)]
 fn a_broken_protocol_is_found_out(#[case] fault: ProtocolMutation, #[case] scenario: Scenario) {
     is_detected(&format!("{fault:?}"), scenario, |cluster| cluster.fault = Some(fault));
 }
--- a/crates/testing/cluster-simulation/tests/traces.rs
+++ b/crates/testing/cluster-simulation/tests/traces.rs
@@ -4,7 +4,7 @@
 //! Into the digests go numbers and what stands on the wire, never a name out of the source. A table holds two digests a
 //! row, over the first 20 seeds and over 100; only the former are played unless `TRACE_SEEDS=100` is set.
 
-use passrelay_cluster_simulation::cluster::{Cluster, ClusterSettings, Observation, HEARTBEAT};
+use passrelay_cluster_simulation::cluster::{Builds, Cluster, ClusterSettings, Observation, HEARTBEAT};
 use passrelay_cluster_simulation::failover::{time_to_acknowledge, PrimaryLoss};
 use passrelay_cluster_simulation::faults::FaultInjector;
 use passrelay_cluster_simulation::history::{self, HistorySettings, Scenario};
@@ -100,6 +100,7 @@
             catch_up: Duration::from_secs(4),
             length: Duration::from_secs(20),
             padding: 0,
+            items: 0,
         };
         history_into(&settings, digest);
     });
@@ -129,6 +130,7 @@
             catch_up: Duration::from_secs(4),
             length: Duration::from_secs(5),
             padding: 20_000,
+            items: 0,
         };
         settings.cluster.link_bytes_per_s = 1_250_000;
         history_into(&settings, &mut digest);
@@ -325,16 +327,19 @@
 }
 
 #[rstest]
-#[case::three_of_six(3, 6, [0x7ef6_56bf_c261_962e, 0x5129_090e_ba51_fc07])]
-#[case::five_of_twelve(5, 12, [0x5a90_898e_bee0_e451, 0x93f7_ad35_054c_9893])]
+#[case::three_of_six(Builds::Earlier, 3, 6, [0x7ef6_56bf_c261_962e, 0x5129_090e_ba51_fc07])]
+#[case::five_of_twelve(Builds::Earlier, 5, 12, [0x5a90_898e_bee0_e451, 0x93f7_ad35_054c_9893])]
+#[case::three_of_six_with_deltas(Builds::Current, 3, 6, [0xb364_eb04_a2aa_cc05, 0x01d6_6f4e_d50f_9188])]
+#[case::five_of_twelve_with_deltas(Builds::Current, 5, 12, [0xdd5f_56ca_49bf_19be, 0x55d4_6ca3_6b79_6b1d])]
 fn everything_seen_of_a_cluster_is_as_before(
+    #[case] builds: Builds,
     #[case] counted: usize,
     #[case] machines: usize,
     #[case] expected: [u64; 2],
 ) {
     let mut seen = [0; 4];
     same_as_before(expected, |seed, digest| {
-        let settings = ClusterSettings::new(counted, machines, seed);
+        let settings = ClusterSettings { builds, ..ClusterSettings::new(counted, machines, seed) };
         let faults = FaultInjector::new(settings.tolerated_losses, Duration::from_secs(4));
         let cluster = Cluster::new(settings);
         Watched { cluster, faults, digest, seen: &mut seen, generation: 0, questions: 0 }.play();
