Keep the seeds of the first start on disk, and refuse a foreign store

A machine restarted with other seeds before there was a record could elect among those, so that two lists could elect two records. A redb database of another program in the place of the store was taken for damaged or written to; it is refused with its path and tables, and not a byte of it changes.

--- a/crates/router/control-plane/src/replication/bootstrap_election.rs
+++ b/crates/router/control-plane/src/replication/bootstrap_election.rs
@@ -1,6 +1,7 @@
 //! The bootstrap election: who votes on the first record, who becomes a member, and when a seed may stand.
 //!
-//! What all processes know alike at the first start of the cluster are the addresses of the seeds. So the electorate of
+//! What all processes know alike at the first start of the cluster are the addresses of the seeds. A machine keeps them on
+//! its disk until there is a record: the seeds of a later start may be others. So the electorate of
 //! the first record are the voting seeds: it is an ordinary election ([`super::Replica`]) whose quorum is a majority of
 //! them. Two sides of a partition can't both have that, and a record that some seed has accepted is found by whoever
 //! stands later. A seed counts as a voter until it announces that it is none.
@@ -35,7 +36,7 @@
     pub(super) fn new(now: Duration, settings: &ReplicaSettings) -> Self {
         BootstrapElection {
             own: settings.own,
-            seeds: settings.seeds.clone(),
+            seeds: settings.bootstrap_seeds.clone(),
             tolerated_losses: settings.tolerated_losses,
             voter_discovery: VoterDiscovery::new(now),
             electors: BTreeMap::new(),
--- a/crates/router/control-plane/src/replication/replica/join.rs
+++ b/crates/router/control-plane/src/replication/replica/join.rs
@@ -4,6 +4,7 @@
 use crate::replication::context::Context;
 use crate::replication::epoch::RecordPosition;
 use crate::replication::message::ReplicationMessage;
+use crate::replication::settings::ReplicaSettings;
 use passrelay_dissemination::CoreHint;
 use std::time::Duration;
 
@@ -41,7 +42,10 @@
         if let Some(hint) = &self.core_hint {
             context.send(hint.primary, ReplicationMessage::Join { member, bootstrapping });
         } else if bootstrapping {
-            for seed in &self.settings.seeds {
+            // Those of the first start elect; later ones may know a primary by now.
+            let ReplicaSettings { seeds, bootstrap_seeds, .. } = &self.settings;
+            let later_seeds = seeds.iter().filter(|seed| !bootstrap_seeds.contains(seed));
+            for seed in bootstrap_seeds.iter().chain(later_seeds) {
                 context.send(*seed, ReplicationMessage::Present { member });
             }
         }
--- a/crates/router/control-plane/src/replication/settings.rs
+++ b/crates/router/control-plane/src/replication/settings.rs
@@ -15,8 +15,12 @@
     /// Whether this member was started for the first start of the cluster and its disk has held no record since. Stored
     /// on the disk, so that a process that is killed during the bootstrap continues with it.
     pub bootstrapping: bool,
-    /// Addresses of the seeds for internal messages; the voters among them elect the first record.
+    /// Addresses of the seeds for internal messages.
     pub seeds: Vec<SocketAddrV4>,
+    /// The seeds of this machine's first start; the voters among them elect the first record. Invariant: the same at each
+    /// start of a machine. They are stored with its identity, since two lists of seeds at one machine could elect two
+    /// records.
+    pub bootstrap_seeds: Vec<SocketAddrV4>,
     /// Minimum time without contact to a primary before an election starts.
     pub election_timeout: Duration,
     /// Whether this member takes states as differences. Only the cluster simulation turns it off, for members that run an
--- a/crates/router/control-plane/tests/replica.rs
+++ b/crates/router/control-plane/tests/replica.rs
@@ -27,6 +27,7 @@
         tolerated_losses: 1,
         bootstrapping: false,
         seeds: vec![member(1).address],
+        bootstrap_seeds: vec![member(1).address],
         election_timeout: Duration::from_millis(320),
         accepts_deltas: true,
         random_seed: 1,
--- a/crates/router/control-plane/tests/state_delta.rs
+++ b/crates/router/control-plane/tests/state_delta.rs
@@ -94,6 +94,7 @@
         tolerated_losses: 1,
         bootstrapping: false,
         seeds: vec![member(1).address],
+        bootstrap_seeds: vec![member(1).address],
         election_timeout: Duration::from_millis(320),
         accepts_deltas,
         random_seed: 1,
--- a/crates/router/node/src/background_tasks.rs
+++ b/crates/router/node/src/background_tasks.rs
@@ -112,7 +112,7 @@
 
 /// The store is open: from now on this machine takes part in replication.
 fn attach_replica(driver: &CoordinatorDriver, settings: &CurrentSettings, opened: StoreContents) {
-    let StoreContents { identity: id, bootstrapping, durable, endpoints } = opened;
+    let StoreContents { identity: id, bootstrapping, bootstrap_seeds, durable, endpoints } = opened;
     let replica = {
         let settings = settings.borrow();
         ReplicaSettings {
@@ -120,6 +120,7 @@
             tolerated_losses: settings.tolerated_losses,
             bootstrapping,
             seeds: settings.internal_seeds(),
+            bootstrap_seeds: bootstrap_seeds.unwrap_or_else(|| settings.internal_seeds()),
             election_timeout: ELECTION_TIMEOUT,
             accepts_deltas: true,
             random_seed: rand::random(),
--- a/crates/router/node/src/process.rs
+++ b/crates/router/node/src/process.rs
@@ -17,7 +17,7 @@
 use crate::request_context::RequestContext;
 use crate::settings::{CurrentSettings, NodeSettings, SettingsError};
 use crate::signals;
-use crate::storage::{Storage, StorageEvent};
+use crate::storage::{StartKind, Storage, StorageEvent};
 use crate::tasks::{BackgroundTasks, Spawner};
 use crate::transport::Transport;
 use passrelay_control_plane::{Coordinator, CoordinatorSettings};
@@ -141,8 +141,12 @@
     let data_dir = settings.data_dir.clone().filter(|_| settings.counts_for_quorum);
     let Some(data_dir) = data_dir else { return Ok(None) };
     let (events, received) = smol::channel::unbounded();
-    let storage =
-        Storage::start(data_dir, settings.bootstrap, events).map_err(system("thread of the disk"))?;
+    let start = if settings.bootstrap {
+        StartKind::Bootstrap { seeds: settings.internal_seeds() }
+    } else {
+        StartKind::Join
+    };
+    let storage = Storage::start(data_dir, start, events).map_err(system("thread of the disk"))?;
     Ok(Some((storage, received)))
 }
 
--- a/crates/router/node/src/storage/error.rs
+++ b/crates/router/node/src/storage/error.rs
@@ -22,6 +22,12 @@
         /// The decoder's error.
         source: ciborium::de::Error<std::io::Error>,
     },
+    /// Another program has written the database.
+    #[error("it is another program's: its tables are {}", tables.join(", "))]
+    Foreign {
+        /// The names of its tables.
+        tables: Vec<String>,
+    },
     /// A later version of the program has written the store.
     #[error("its format is {found}, this program knows {known} and earlier")]
     Newer {
@@ -47,7 +53,10 @@
         match self {
             StoreError::Database(source) => indicates_damage(&source.to_string()),
             StoreError::Encoding(source) => indicates_damage(&source.to_string()),
-            StoreError::File(_) | StoreError::Undecodable { .. } | StoreError::Newer { .. } => false,
+            StoreError::File(_)
+            | StoreError::Undecodable { .. }
+            | StoreError::Foreign { .. }
+            | StoreError::Newer { .. } => false,
         }
     }
 }
--- a/crates/router/node/src/storage/format.rs
+++ b/crates/router/node/src/storage/format.rs
@@ -3,7 +3,7 @@
 use super::error::StoreError;
 use passrelay_control_plane::replication::DurableWrite;
 use passrelay_dissemination::EndpointRecord;
-use redb::{Database, TableDefinition};
+use redb::{Database, ReadableTableMetadata, TableDefinition, TableError, TableHandle};
 use serde::de::DeserializeOwned;
 use serde::Serialize;
 
@@ -14,6 +14,8 @@
 pub const FORMAT: &str = "format";
 /// Whether the store was created while the whole fleet was bootstrapped; written with the identity.
 pub const BOOTSTRAPPING: &str = "founding";
+/// The seeds of the fleet's first start; written with the identity of a machine that took part in it.
+pub const BOOTSTRAP_SEEDS: &str = "founding-seeds";
 /// The replica's state as a witness.
 pub const WITNESS: &str = "witness";
 /// The replicated state.
@@ -43,6 +45,35 @@
     Ok(EncodedValue { key, bytes })
 }
 
+/// Checks that no other program has written the database. Reads only: what is foreign stays as it is.
+///
+/// # Errors
+///
+/// Returns [`StoreError::Foreign`] where the database holds tables, and none or another kind of this program's, or
+/// this program's without an identity; or the database's error.
+pub fn check_owner(database: &Database) -> Result<(), StoreError> {
+    let transaction = database.begin_read().map_err(StoreError::database)?;
+    let tables: Vec<String> =
+        transaction.list_tables().map_err(StoreError::database)?.map(|table| table.name().to_owned()).collect();
+    if tables.is_empty() {
+        return Ok(());
+    }
+    let table = match transaction.open_table(TABLE) {
+        Ok(table) => table,
+        Err(TableError::TableDoesNotExist(_) | TableError::TableTypeMismatch { .. }) => {
+            return Err(StoreError::Foreign { tables });
+        }
+        Err(error) => return Err(StoreError::database(error)),
+    };
+    // The identity is written by the transaction that creates the table.
+    let has_identity = table.get(IDENTITY).map_err(StoreError::database)?.is_some();
+    if has_identity || table.is_empty().map_err(StoreError::database)? {
+        Ok(())
+    } else {
+        Err(StoreError::Foreign { tables })
+    }
+}
+
 /// Reads the value of a key, if there is one.
 ///
 /// # Errors
@@ -53,7 +84,7 @@
     let table = match transaction.open_table(TABLE) {
         Ok(table) => table,
         // The store has just been created.
-        Err(redb::TableError::TableDoesNotExist(_)) => return Ok(None),
+        Err(TableError::TableDoesNotExist(_)) => return Ok(None),
         Err(error) => return Err(StoreError::database(error)),
     };
     let Some(value) = table.get(key).map_err(StoreError::database)? else { return Ok(None) };
--- a/crates/router/node/src/storage/mod.rs
+++ b/crates/router/node/src/storage/mod.rs
@@ -16,7 +16,7 @@
 use std::thread;
 use writer::StoreRequest;
 
-pub use open::StoreContents;
+pub use open::{StartKind, StoreContents};
 pub use writer::StorageEvent;
 
 /// The queue to the storage thread.
@@ -25,21 +25,21 @@
 }
 
 impl Storage {
-    /// Starts the thread. Events come through the channel. `bootstrap` says that the whole fleet starts for
-    /// the first time; a store that is created now records it.
+    /// Starts the thread. Events come through the channel. A store that is created now records how the machine
+    /// was started.
     ///
     /// # Errors
     ///
     /// Returns the operating system's error where no thread can be started.
     pub fn start(
         data_dir: PathBuf,
-        bootstrap: bool,
+        start: StartKind,
         events: smol::channel::Sender<StorageEvent>,
     ) -> std::io::Result<Self> {
         let (requests, queue) = mpsc::channel();
         thread::Builder::new()
             .name("disk".to_owned())
-            .spawn(move || writer::run(&data_dir, bootstrap, &queue, &events))?;
+            .spawn(move || writer::run(&data_dir, &start, &queue, &events))?;
         Ok(Storage { requests })
     }
 
--- a/crates/router/node/src/storage/writer.rs
+++ b/crates/router/node/src/storage/writer.rs
@@ -2,7 +2,7 @@
 
 use super::error::StoreError;
 use super::format::{write_endpoints, write_replica};
-use super::open::{open_with_retry, OpenStore, StoreContents};
+use super::open::{open_with_retry, OpenStore, StartKind, StoreContents};
 use crate::logging::{log_event, Quoted};
 use passrelay_control_plane::replication::{DurableWrite, MemberId, WriteId};
 use passrelay_dissemination::EndpointRecord;
@@ -38,8 +38,13 @@
 }
 
 /// Runs until the process ends, or the store has to be given up.
-pub fn run(data_dir: &Path, bootstrap: bool, queue: &Receiver<StoreRequest>, events: &Sender<StorageEvent>) {
-    let Some(OpenStore { mut database, contents }) = open_with_retry(data_dir, bootstrap) else { return };
+pub fn run(
+    data_dir: &Path,
+    start: &StartKind,
+    queue: &Receiver<StoreRequest>,
+    events: &Sender<StorageEvent>,
+) {
+    let Some(OpenStore { mut database, contents }) = open_with_retry(data_dir, start) else { return };
     let identity = contents.identity;
     if events.send_blocking(StorageEvent::Opened(Box::new(contents))).is_err() {
         return;
@@ -80,7 +85,7 @@
 }
 
 fn reopen(data_dir: &Path, identity: MemberId) -> Option<Database> {
-    let OpenStore { database, contents } = open_with_retry(data_dir, false)?;
+    let OpenStore { database, contents } = open_with_retry(data_dir, &StartKind::Join)?;
     if contents.identity != identity {
         // What this process has promised as an acceptor is lost with the old store. It acknowledges no
         // further write, so it leads nothing and accepts nothing; the next start joins as a new member.
--- a/crates/testing/cluster-simulation/src/cluster/machine.rs
+++ b/crates/testing/cluster-simulation/src/cluster/machine.rs
@@ -7,6 +7,7 @@
 use passrelay_control_plane::replication::{Member, ProtocolMutation, ReplicaSettings};
 use passrelay_control_plane::{Coordinator, CoordinatorSettings};
 use passrelay_dissemination::{GossipSettings, Incarnation};
+use rand::seq::SliceRandom;
 use rand::Rng;
 use std::net::{Ipv4Addr, SocketAddrV4};
 use std::time::Duration;
@@ -162,6 +163,15 @@
         successor
     }
 
+    /// Draws other seeds from the machines that are there. Only processes that start from now on are told of them.
+    pub fn change_seeds(&mut self) {
+        let mut candidates: Vec<usize> =
+            (0..self.machines.len()).filter(|machine| !self.machines[*machine].removed).collect();
+        candidates.shuffle(&mut self.rng);
+        candidates.truncate(self.seed_machines.len());
+        self.seed_machines = candidates;
+    }
+
     /// Brings a machine that was replaced back with its old disk; it isn't started yet.
     pub fn restore(&mut self, machine: usize) {
         self.machines[machine].removed = false;
@@ -213,12 +223,13 @@
         starting.next_call = 1;
         let own = starting.address;
         let replica = starting.disk.as_mut().map(|disk| {
-            let opened = disk.open(bootstrap);
+            let opened = disk.open(bootstrap, &seeds);
             let settings = ReplicaSettings {
                 own: Member { id: opened.identity, address: own },
                 tolerated_losses,
                 bootstrapping: opened.bootstrap,
                 seeds: seeds.clone(),
+                bootstrap_seeds: opened.bootstrap_seeds,
                 election_timeout: ELECTION_TIMEOUT,
                 accepts_deltas,
                 random_seed,
--- a/crates/testing/cluster-simulation/src/disk.rs
+++ b/crates/testing/cluster-simulation/src/disk.rs
@@ -6,6 +6,7 @@
 use passrelay_control_plane::replication::{DurableState, DurableWrite, MemberId, WriteId};
 use rand::Rng;
 use std::collections::VecDeque;
+use std::net::SocketAddrV4;
 use std::time::Duration;
 
 /// How much later than acknowledged a write is synced under `DiskMutation::AcknowledgesBeforeSync`.
@@ -32,6 +33,8 @@
     DropsAppliedChanges,
     /// That the disk took part in the cluster's bootstrap is lost at each restart.
     ForgetsBootstrap,
+    /// The seeds of the first start are replaced by those of the last one.
+    ForgetsSeeds,
 }
 
 /// What a process finds on its disk when it starts.
@@ -41,6 +44,8 @@
     pub identity: MemberId,
     /// Whether the disk was first used in the cluster's bootstrap.
     pub bootstrap: bool,
+    /// The seeds of the disk's first use.
+    pub bootstrap_seeds: Vec<SocketAddrV4>,
     /// The synced records.
     pub state: DurableState,
 }
@@ -51,6 +56,8 @@
     identity: MemberId,
     /// Whether this disk was first used in the cluster's bootstrap; `None` before its first use.
     bootstrap: Option<bool>,
+    /// The seeds at its first use; empty before.
+    bootstrap_seeds: Vec<SocketAddrV4>,
     synced: DurableState,
     /// Writes in flight, in the order in which they end.
     pending: VecDeque<PendingWrite>,
@@ -69,6 +76,7 @@
         Disk {
             identity: MemberId(rng.random_range(1..u64::MAX)),
             bootstrap: None,
+            bootstrap_seeds: Vec::new(),
             synced: DurableState::default(),
             pending: VecDeque::new(),
             mutation,
@@ -128,8 +136,11 @@
     }
 
     /// What a process that starts finds; `bootstrap` says whether its machine takes part in the cluster's bootstrap now,
-    /// and is stored if the disk was never used.
-    pub fn open(&mut self, bootstrap: bool) -> OpenedDisk {
+    /// and is stored with the seeds if the disk was never used.
+    pub fn open(&mut self, bootstrap: bool, seeds: &[SocketAddrV4]) -> OpenedDisk {
+        if self.bootstrap.is_none() || self.mutation == Some(DiskMutation::ForgetsSeeds) {
+            self.bootstrap_seeds = seeds.to_vec();
+        }
         let stored = *self.bootstrap.get_or_insert(bootstrap);
         let forgets = self.mutation == Some(DiskMutation::ForgetsBootstrap);
         match self.mutation {
@@ -146,6 +157,7 @@
         OpenedDisk {
             identity: self.identity,
             bootstrap: if forgets { bootstrap } else { stored },
+            bootstrap_seeds: self.bootstrap_seeds.clone(),
             state: self.synced.clone(),
         }
     }
--- a/crates/testing/cluster-simulation/src/faults/correlated.rs
+++ b/crates/testing/cluster-simulation/src/faults/correlated.rs
@@ -125,6 +125,17 @@
         self.disk_losses.push(cluster.now() + lost_after, primary);
     }
 
+    /// Some voters restart, each after a moment; their disks stay.
+    pub fn inject_restarts(&mut self, cluster: &mut Cluster) {
+        for machine in running_voters(cluster) {
+            if cluster.rng.random_bool(0.4) {
+                let delay = Duration::from_millis(cluster.rng.random_range(20..400));
+                self.budget.delay_recovery(cluster.now() + delay);
+                restart(cluster, machine, delay);
+            }
+        }
+    }
+
     /// All machines fall into two random groups with a partition between them.
     pub fn inject_network_split(&mut self, cluster: &mut Cluster) {
         if !self.healing.is_empty() {
--- a/crates/testing/cluster-simulation/src/history.rs
+++ b/crates/testing/cluster-simulation/src/history.rs
@@ -41,6 +41,8 @@
     ManyChanges,
     /// Crashes, partitions and power losses before the cluster has bootstrapped.
     Bootstrap,
+    /// The same while the list of seeds changes: machines that restart are told other ones.
+    BootstrapWithOtherSeeds,
 }
 
 /// What a history consists of.
@@ -101,7 +103,7 @@
 /// Plays a history.
 pub fn play(settings: &HistorySettings) -> Outcome {
     let mut history = History::new(settings.clone());
-    if settings.scenario == Scenario::Bootstrap {
+    if matches!(settings.scenario, Scenario::Bootstrap | Scenario::BootstrapWithOtherSeeds) {
         history.run_faulty_bootstrap();
     } else {
         history.advance(BOOTSTRAP_TIMEOUT);
--- a/crates/testing/cluster-simulation/src/history/schedule.rs
+++ b/crates/testing/cluster-simulation/src/history/schedule.rs
@@ -15,6 +15,9 @@
 /// Interval at which they are sent.
 const MANY_CHANGES_INTERVAL: Duration = Duration::from_millis(5);
 
+/// By then every machine has been started for the first time.
+const FIRST_STARTS: Duration = Duration::from_millis(600);
+
 impl History {
     /// One poll interval: at times changes, a read, a resent change and faults.
     pub(super) fn run_interval(&mut self) {
@@ -91,6 +94,9 @@
             if self.cluster.rng.random_bool(0.2) && self.pending.len() < MAX_PENDING_CHANGES {
                 self.propose_change();
             }
+            if self.settings.scenario == Scenario::BootstrapWithOtherSeeds {
+                self.change_seeds_and_restart();
+            }
             let next = self.cluster.now() + POLL_INTERVAL;
             self.advance(next);
         }
@@ -100,6 +106,20 @@
         self.faults.bound_disk_losses(None);
     }
 
+    /// At times the list of seeds changes, and as often some machines restart, so that machines start with different lists.
+    /// At their first start all have the same one.
+    fn change_seeds_and_restart(&mut self) {
+        if self.cluster.now() < FIRST_STARTS {
+            return;
+        }
+        if self.cluster.rng.random_bool(0.15) {
+            self.cluster.change_seeds();
+        }
+        if self.cluster.rng.random_bool(0.15) {
+            self.faults.inject_restarts(&mut self.cluster);
+        }
+    }
+
     /// Hundreds of changes in a row while a voter is down; it has to catch up in time when it is back.
     pub(super) fn run_many_changes(&mut self) {
         let changes = if self.settings.cluster.seed % 8 == 0 { 1_500 } else { 300 };
--- a/crates/testing/cluster-simulation/tests/histories.rs
+++ b/crates/testing/cluster-simulation/tests/histories.rs
@@ -139,6 +139,18 @@
     violates_nothing(Scenario::Bootstrap, voters, machines, histories);
 }
 
+#[rstest]
+#[case::three_voters_of_six(3, 6, 200)]
+#[case::five_voters_of_eight(5, 8, 150)]
+#[case::eight_voters_of_twelve(8, 12, 100)]
+fn the_system_is_founded_once_where_machines_restart_with_other_seeds(
+    #[case] voters: usize,
+    #[case] machines: usize,
+    #[case] histories: u64,
+) {
+    violates_nothing(Scenario::BootstrapWithOtherSeeds, voters, machines, histories);
+}
+
 #[test]
 fn machines_that_return_catch_up_well_before_they_have_to() {
     for seed in seeds(100) {
@@ -192,6 +204,7 @@
 #[case(DiskMutation::KeepsIdentityWhenWiped, Scenario::Repairs)]
 #[case(DiskMutation::DropsAppliedChanges, Scenario::Mixed)]
 #[case(DiskMutation::ForgetsBootstrap, Scenario::Bootstrap)]
+#[case(DiskMutation::ForgetsSeeds, Scenario::BootstrapWithOtherSeeds)]
 fn a_broken_disk_is_found_out(#[case] mutation: DiskMutation, #[case] scenario: Scenario) {
     is_detected(&format!("{mutation:?}"), scenario, |cluster| cluster.disk_mutation = Some(mutation));
 }
