Name the malformed size in the 400, test catch-up on bad disks, measure changes

A member that missed hundreds of changes has to catch up in time on a slow, a full and a stalled disk too. The example configuration_changes prints what a change costs with and without deltas.

--- a/crates/router/configuration/src/document_delta.rs
+++ b/crates/router/configuration/src/document_delta.rs
@@ -61,7 +61,8 @@
 impl DocumentDelta {
     /// The difference of `target` from `base`. Takes time in proportion to both lengths.
     pub fn between(base: &str, target: &str) -> Self {
-        let offsets: HashMap<&str, usize> = segments(base).map(|segment| (segment.text, segment.offset)).collect();
+        let offsets: HashMap<&str, usize> =
+            segments(base).map(|segment| (segment.text, segment.offset)).collect();
         let mut hunks = Vec::new();
         for segment in segments(target) {
             // Many segments stand in several places; one that goes on with the range before it needs no hunk of its own.
--- a/crates/router/configuration/tests/document_delta.rs
+++ b/crates/router/configuration/tests/document_delta.rs
@@ -63,7 +63,8 @@
 fn a_delta_that_results_in_too_much_is_rejected() {
     let base = " ".repeat(1 << 20);
     let copy = json!({ "C": { "o": 0, "l": base.len() } });
-    let delta: DocumentDelta = serde_json::from_value(json!({ "h": vec![copy; 40], "d": NO_DIGEST })).unwrap();
+    let delta: DocumentDelta =
+        serde_json::from_value(json!({ "h": vec![copy; 40], "d": NO_DIGEST })).unwrap();
     assert_eq!(delta.apply(&base), Err(DeltaError::TooLong));
 }
 
--- a/crates/router/control-plane/tests/state_delta.rs
+++ b/crates/router/control-plane/tests/state_delta.rs
@@ -1,8 +1,9 @@
 //! States that travel as differences: what results, what is rejected, and how builds without them are served.
 
 use passrelay_control_plane::replication::{
-    AppliedChange, DurableState, EpochRecord, Member, MemberId, Mutations, Replica, ReplicaAction, ReplicaSettings,
-    ReplicatedState, ReplicationEnvelope, ReplicationMessage, StateDelta, StateDeltaError, StateVersion, WitnessState,
+    AppliedChange, DurableState, EpochRecord, Member, MemberId, Mutations, Replica, ReplicaAction,
+    ReplicaSettings, ReplicatedState, ReplicationEnvelope, ReplicationMessage, StateDelta, StateDeltaError,
+    StateVersion, WitnessState,
 };
 use passrelay_dissemination::Incarnation;
 use rstest::rstest;
@@ -122,7 +123,10 @@
     let mut replies = Vec::new();
     replica.written(NOW, *write_id, true, &mut replies);
     let synced = ReplicationMessage::Synced { term: 1, version: newest.version };
-    assert!(matches!(&replies[..], [ReplicaAction::Send { message, .. }] if *message == synced), "{replies:?}");
+    assert!(
+        matches!(&replies[..], [ReplicaAction::Send { message, .. }] if *message == synced),
+        "{replies:?}"
+    );
 }
 
 #[test]
@@ -144,7 +148,10 @@
     let deltas = vec![delta(&base)];
     let actions = receive(&mut replica, ReplicationMessage::ReplicateDeltas { term: 1, deltas });
     let synced = ReplicationMessage::Synced { term: 1, version: newest.version };
-    assert!(matches!(&actions[..], [ReplicaAction::Send { message, .. }] if *message == synced), "{actions:?}");
+    assert!(
+        matches!(&actions[..], [ReplicaAction::Send { message, .. }] if *message == synced),
+        "{actions:?}"
+    );
 }
 
 // Guards against a member that stays behind because it can't apply what it is sent, and against one that applies it to
@@ -157,7 +164,10 @@
     let deltas = vec![delta(&state(2))];
     let actions = receive(&mut replica, ReplicationMessage::ReplicateDeltas { term: 1, deltas });
     let rejected = ReplicationMessage::DeltasRejected { term: 1 };
-    assert!(matches!(&actions[..], [ReplicaAction::Send { message, .. }] if *message == rejected), "{actions:?}");
+    assert!(
+        matches!(&actions[..], [ReplicaAction::Send { message, .. }] if *message == rejected),
+        "{actions:?}"
+    );
     assert_eq!(**replica.state(), held);
 }
 
@@ -169,7 +179,10 @@
     let deltas = vec![delta(&base)];
     let actions = receive(&mut replica, ReplicationMessage::ReplicateDeltas { term: 1, deltas });
     let rejected = ReplicationMessage::Rejected { promised: 2 };
-    assert!(matches!(&actions[..], [ReplicaAction::Send { message, .. }] if *message == rejected), "{actions:?}");
+    assert!(
+        matches!(&actions[..], [ReplicaAction::Send { message, .. }] if *message == rejected),
+        "{actions:?}"
+    );
 }
 
 /// The pong of a build that knows no deltas.
--- a/crates/router/dissemination/src/gossip/configuration.rs
+++ b/crates/router/dissemination/src/gossip/configuration.rs
@@ -82,7 +82,9 @@
 
     /// Responds to a fetch of whoever has the configuration of index `have`.
     pub(super) fn transfer(&self, context: &mut Context, to: SocketAddrV4, have: u64, accepts_deltas: bool) {
-        let Some(configuration) = self.current.as_ref().filter(|current| current.index > have) else { return };
+        let Some(configuration) = self.current.as_ref().filter(|current| current.index > have) else {
+            return;
+        };
         let deltas = if accepts_deltas { self.deltas_since(have) } else { Vec::new() };
         let message = if deltas.is_empty() {
             GossipMessage::Configuration(configuration.clone())
@@ -95,7 +97,8 @@
     /// The deltas that lead from the configuration of an index to that in force; empty where they are not all known, or
     /// nearly as long as the document.
     fn deltas_since(&self, index: u64) -> Vec<Arc<ConfigurationDelta>> {
-        let deltas: Vec<_> = self.deltas.iter().skip_while(|delta| delta.base_index != index).cloned().collect();
+        let deltas: Vec<_> =
+            self.deltas.iter().skip_while(|delta| delta.base_index != index).cloned().collect();
         let size: usize = deltas.iter().map(|delta| delta.document.encoded_size()).sum();
         let is_short = (size as f64) < MAX_DELTAS_FRACTION * self.document_length() as f64;
         if is_short {
--- a/crates/router/node/src/request/inbound.rs
+++ b/crates/router/node/src/request/inbound.rs
@@ -42,7 +42,8 @@
     ///
     /// # Errors
     ///
-    /// Returns [`Failure::BadRequest`] without a host, or where a field can't be read.
+    /// Returns [`Failure::BadRequest`] without a host, or where a field can't be read; [`Failure::BadPrompt`] where that is
+    /// the declared size of the prompt.
     pub fn parse(parts: Parts, arrived: Duration) -> Result<Self, Failure> {
         let text = |name: &HeaderName| parts.headers.get(name).and_then(|value| value.to_str().ok());
         let host = parts.uri.host().or_else(|| text(&HOST)).ok_or(Failure::BadRequest)?.to_owned();
@@ -50,7 +51,7 @@
         let key = bearer.map(|key| key.trim().to_owned());
         let timeout = parse_timeout(text(&DEADLINE))?;
         let token_usage = parts.headers.get(&TOKEN_USAGE).map(HeaderValue::as_bytes);
-        let prompt = Prompt::read(token_usage, text(&PREFIX_HASH)).map_err(|_| Failure::BadRequest)?;
+        let prompt = Prompt::read(token_usage, text(&PREFIX_HASH))?;
         let path_and_query = parts.uri.path_and_query().map_or("/", |path| path.as_str());
         Ok(InboundRequest {
             uri: path_and_query.parse().map_err(|_| Failure::BadRequest)?,
--- a/crates/router/node/src/responses.rs
+++ b/crates/router/node/src/responses.rs
@@ -6,6 +6,7 @@
 use http_body_util::{BodyExt, Full};
 use hyper::header::{HeaderValue, CONNECTION, CONTENT_TYPE, RETRY_AFTER};
 use hyper::{Response, StatusCode};
+use passrelay_data_plane::prompt::PromptError;
 use std::convert::Infallible;
 use std::pin::Pin;
 use std::time::Duration;
@@ -51,6 +52,9 @@
     /// The head or body is malformed.
     #[error("the request can't be read")]
     BadRequest,
+    /// The declared size of the prompt is malformed.
+    #[error("{0}")]
+    BadPrompt(#[from] PromptError),
     /// The body is longer than the limit.
     #[error("the body is too long")]
     BodyTooLong,
@@ -86,7 +90,7 @@
             }
             Failure::NoRoute => (StatusCode::NOT_FOUND, None),
             Failure::UnknownKey => (StatusCode::UNAUTHORIZED, None),
-            Failure::BadRequest => (StatusCode::BAD_REQUEST, None),
+            Failure::BadRequest | Failure::BadPrompt(_) => (StatusCode::BAD_REQUEST, None),
             Failure::BodyTooLong => (StatusCode::PAYLOAD_TOO_LARGE, None),
             Failure::TooSlow => (StatusCode::REQUEST_TIMEOUT, None),
             Failure::OverQuota => (StatusCode::TOO_MANY_REQUESTS, RETRY_LATER),
@@ -97,6 +101,11 @@
         }
     }
 
+    /// Whether part of the request's body may not have been read, so that the connection can't carry another request.
+    fn leaves_body_unread(self) -> bool {
+        matches!(self, Failure::BodyTooLong | Failure::TooSlow | Failure::BadRequest | Failure::BadPrompt(_))
+    }
+
     /// The response to the client.
     pub fn response(self) -> Response<Body> {
         let (status, retry_after) = self.status();
@@ -107,7 +116,7 @@
                 response.headers_mut().insert(RETRY_AFTER, value);
             }
         }
-        if matches!(self, Failure::BodyTooLong | Failure::TooSlow | Failure::BadRequest) {
+        if self.leaves_body_unread() {
             response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
         }
         response
--- a/crates/router/node/src/storage/format.rs
+++ b/crates/router/node/src/storage/format.rs
@@ -53,8 +53,11 @@
 /// this program's without an identity; or the database's error.
 pub fn check_owner(database: &Database) -> Result<(), StoreError> {
     let transaction = database.begin_read().map_err(StoreError::database)?;
-    let tables: Vec<String> =
-        transaction.list_tables().map_err(StoreError::database)?.map(|table| table.name().to_owned()).collect();
+    let tables: Vec<String> = transaction
+        .list_tables()
+        .map_err(StoreError::database)?
+        .map(|table| table.name().to_owned())
+        .collect();
     if tables.is_empty() {
         return Ok(());
     }
--- /dev/null
+++ b/crates/testing/cluster-simulation/examples/configuration_changes.rs
@@ -0,0 +1,150 @@
+//! Measures what a change of a large configuration costs, with and without deltas: bytes sent, processor time, the time until
+//! the operator is answered, and the time in which a member that was down catches up.
+//!
+//! `cargo run --release -p passrelay-cluster-simulation --example configuration_changes`
+
+use passrelay_cluster_simulation::cluster::{Builds, Cluster, ClusterSettings, Observation};
+use passrelay_control_plane::configuration_change::{ChangeKind, ConfigurationChange};
+use passrelay_control_plane::OperatorRequest;
+use serde_json::{json, Value};
+use std::time::{Duration, Instant};
+
+/// Routes and tenants of the document.
+const ROUTES: usize = 1_600;
+const TENANTS: usize = 250;
+/// Links of 10 Mbit/s, in bytes per second.
+const LINK_BYTES_PER_S: u64 = 1_250_000;
+/// A change without an answer is sent again after this.
+const RETRY_TIMEOUT: Duration = Duration::from_secs(3);
+/// Interval at which the simulation is advanced while something is awaited.
+const POLL_INTERVAL: Duration = Duration::from_millis(5);
+/// A member that has not caught up by then counts with this time.
+const CATCH_UP_TIMEOUT: Duration = Duration::from_secs(60);
+
+fn route(number: usize, timeout_ms: u64) -> Value {
+    json!({ "name": format!("r-{number}"), "hostname": "relay.example", "path-prefix": format!("/p{number}/"),
+        "route-type": "streaming", "timeout-ms": timeout_ms, "target-latency-ms": 500, "priority": 0,
+        "backend": "model", "max-attempts": 2, "session-affinity": true, "resumable": true })
+}
+
+fn first_document() -> String {
+    let routes: Vec<Value> = (0..ROUTES).map(|number| route(number, 3_000)).collect();
+    let tenant = |number: usize| {
+        json!({ "name": format!("t-{number}"), "api-keys": [format!("key-{number}-a"), format!("key-{number}-b")],
+            "priority": 1, "unit": "token_usage", "rate-per-s": 100_000, "burst": 100_000 })
+    };
+    let tenants: Vec<Value> = (0..TENANTS).map(tenant).collect();
+    json!({ "generation": 1, "routes": routes, "services": [{ "name": "model" }], "tenants": tenants })
+        .to_string()
+}
+
+/// The change of one route.
+fn patch(generation: u64) -> String {
+    let changed = route(generation as usize % ROUTES, 2_000 + generation);
+    json!({ "generation": generation, "upsert": { "routes": [changed] } }).to_string()
+}
+
+/// Sends a change until it is acknowledged; how long that took in simulated time.
+fn apply(cluster: &mut Cluster, change: &ConfigurationChange) -> Duration {
+    let began = cluster.now();
+    loop {
+        let primary = cluster.primary().unwrap_or(0);
+        let sent_at = cluster.now();
+        let call = cluster.call(primary, OperatorRequest::Change(change.clone()));
+        let mut seen = call.map(|(_, seen)| seen).unwrap_or_default();
+        while cluster.now() < sent_at + RETRY_TIMEOUT {
+            let acknowledged = |seen: &Observation| matches!(seen, Observation::Answered { answer, .. } if answer.status == 200);
+            if seen.iter().any(acknowledged) {
+                return cluster.now() - began;
+            }
+            let next = cluster.now() + POLL_INTERVAL;
+            seen = cluster.run_until(next);
+        }
+    }
+}
+
+fn index_at(cluster: &Cluster, machine: usize) -> u64 {
+    let replica = cluster.process(machine).and_then(|process| process.replica());
+    replica.map_or(0, |replica| replica.state().version.index)
+}
+
+/// Starts a member again and waits until it holds the newest state; how long that took.
+fn catch_up(cluster: &mut Cluster, machine: usize, index: u64) -> Duration {
+    let began = cluster.now();
+    cluster.start_after(machine, Duration::ZERO);
+    while index_at(cluster, machine) < index && cluster.now() < began + CATCH_UP_TIMEOUT {
+        let next = cluster.now() + POLL_INTERVAL;
+        cluster.run_until(next);
+    }
+    cluster.now() - began
+}
+
+/// In milliseconds; `part` from 0 to 1.
+fn quantile(times: &mut [Duration], part: f64) -> u128 {
+    times.sort_unstable();
+    times[((times.len() - 1) as f64 * part) as usize].as_millis()
+}
+
+/// Prints a row of the table.
+fn measure(builds: Builds, voters: usize, machines: usize, changes: u64) {
+    let settings = ClusterSettings {
+        builds,
+        loss: 0.0,
+        link_bytes_per_s: LINK_BYTES_PER_S,
+        ..ClusterSettings::new(voters, machines, 1)
+    };
+    let mut cluster = Cluster::new(settings);
+    cluster.run_until(Duration::from_secs(5));
+    let document = first_document();
+    apply(
+        &mut cluster,
+        &ConfigurationChange { kind: ChangeKind::Replace, base: 0, body: document.as_str().into() },
+    );
+    let next = cluster.now() + Duration::from_secs(5);
+    cluster.run_until(next);
+    let primary = cluster.primary().unwrap_or(0);
+    let down = (0..voters).find(|voter| *voter != primary).unwrap_or(0);
+    cluster.crash(down);
+    let next = cluster.now() + Duration::from_secs(2);
+    cluster.run_until(next);
+
+    cluster.counts_bytes = true;
+    let before = cluster.bytes.clone();
+    let began = Instant::now();
+    let began_at = cluster.now();
+    let mut waits = Vec::new();
+    for generation in 2..2 + changes {
+        let body = patch(generation).into();
+        waits.push(apply(
+            &mut cluster,
+            &ConfigurationChange { kind: ChangeKind::Patch, base: generation - 1, body },
+        ));
+    }
+    let processor = began.elapsed();
+    let simulated = cluster.now() - began_at;
+    let sent: Vec<u64> = cluster.bytes.iter().zip(&before).map(|(after, before)| after - before).collect();
+    let sidecars = &sent[voters..];
+    let newest = index_at(&cluster, primary);
+    let caught_up = catch_up(&mut cluster, down, newest);
+    println!(
+        "| {builds:?} | {voters} of {machines} | {changes} | {} | {:.1} | {:.1} | {:.2} | {} / {} | {:.0} | {} |",
+        document.len() / 1_000,
+        sent[primary] as f64 / changes as f64 / 1_000.0,
+        sidecars.iter().sum::<u64>() as f64 / sidecars.len() as f64 / changes as f64 / 1_000.0,
+        processor.as_secs_f64() * 1_000.0 / changes as f64 / machines as f64,
+        quantile(&mut waits, 0.5),
+        quantile(&mut waits, 0.99),
+        simulated.as_secs_f64(),
+        caught_up.as_millis(),
+    );
+}
+
+fn main() {
+    println!("| builds | members of machines | changes | document, KB | KB a change, primary | KB a change, sidecar | processor, ms a change and machine | answered, ms p50 / p99 | all, s | caught up, ms |");
+    println!("| --- | --- | --- | --- | --- | --- | --- | --- | --- | --- |");
+    for (voters, machines, changes) in [(3, 12, 300), (3, 12, 1_500), (8, 90, 300)] {
+        for builds in [Builds::Earlier, Builds::Current] {
+            measure(builds, voters, machines, changes);
+        }
+    }
+}
--- a/crates/testing/cluster-simulation/src/cluster/machine.rs
+++ b/crates/testing/cluster-simulation/src/cluster/machine.rs
@@ -190,6 +190,13 @@
         }
     }
 
+    /// Slows a disk down for good: each sync takes this long.
+    pub fn slow_disk(&mut self, machine: usize, latency: Duration) {
+        if let Some(disk) = &mut self.machines[machine].disk {
+            disk.latency = latency;
+        }
+    }
+
     /// Fills a disk: writes fail until the time is over.
     pub fn fill_disk(&mut self, machine: usize, duration: Duration) {
         let until = self.now + duration;
--- a/crates/testing/cluster-simulation/src/history.rs
+++ b/crates/testing/cluster-simulation/src/history.rs
@@ -39,6 +39,8 @@
     Repairs,
     /// Hundreds of changes over slow links while a voter is down.
     ManyChanges,
+    /// The same, and the voter's disk is slow, full or stalled for a while once it is back.
+    ManyChangesOnBadDisk,
     /// Crashes, partitions and power losses before the cluster has bootstrapped.
     Bootstrap,
     /// The same while the list of seeds changes: machines that restart are told other ones.
@@ -108,7 +110,7 @@
     } else {
         history.advance(BOOTSTRAP_TIMEOUT);
     }
-    if settings.scenario == Scenario::ManyChanges {
+    if matches!(settings.scenario, Scenario::ManyChanges | Scenario::ManyChangesOnBadDisk) {
         history.run_many_changes();
     }
     let until = history.cluster.now() + settings.length;
--- a/crates/testing/cluster-simulation/src/history/operator.rs
+++ b/crates/testing/cluster-simulation/src/history/operator.rs
@@ -136,8 +136,7 @@
     fn call(&mut self, purpose: CallPurpose, request: OperatorRequest) -> Option<CallKey> {
         // Drawn in every scenario.
         let prefers = self.cluster.rng.random_bool(0.5);
-        let has_preference =
-            matches!(self.settings.scenario, Scenario::Races | Scenario::IsolatedPrimaries);
+        let has_preference = matches!(self.settings.scenario, Scenario::Races | Scenario::IsolatedPrimaries);
         let machine = if prefers && has_preference {
             self.preferred_machine
         } else {
--- a/crates/testing/cluster-simulation/src/history/schedule.rs
+++ b/crates/testing/cluster-simulation/src/history/schedule.rs
@@ -15,6 +15,10 @@
 /// Interval at which they are sent.
 const MANY_CHANGES_INTERVAL: Duration = Duration::from_millis(5);
 
+/// Time that a sync takes on a slow disk.
+const SLOW_SYNC: Duration = Duration::from_millis(120);
+/// How long a disk is full or stalled.
+const DISK_FAULT: Duration = Duration::from_millis(1_500);
 /// By then every machine has been started for the first time.
 const FIRST_STARTS: Duration = Duration::from_millis(600);
 
@@ -141,6 +145,9 @@
         }
         self.lost_answer_probability = LOST_ANSWER_PROBABILITY;
         self.cluster.start_after(down, Duration::ZERO);
+        if self.settings.scenario == Scenario::ManyChangesOnBadDisk {
+            self.inject_disk_fault(down);
+        }
         let back_at = self.cluster.now() + self.settings.catch_up;
         self.advance(back_at);
         let newest = (0..self.cluster.len()).map(|machine| self.index_at(machine)).max().unwrap_or(0);
@@ -149,6 +156,15 @@
         }
     }
 
+    /// A disk is slow, full or stalled, each for a third of the seeds.
+    fn inject_disk_fault(&mut self, machine: usize) {
+        match self.settings.cluster.seed % 3 {
+            0 => self.cluster.slow_disk(machine, SLOW_SYNC),
+            1 => self.cluster.fill_disk(machine, DISK_FAULT),
+            _ => self.cluster.stall_disk(machine, DISK_FAULT),
+        }
+    }
+
     /// The index of the state that a machine's replica holds; 0 without one.
     fn index_at(&self, machine: usize) -> u64 {
         let replica = self.cluster.process(machine).and_then(|process| process.replica());
--- a/crates/testing/cluster-simulation/tests/histories.rs
+++ b/crates/testing/cluster-simulation/tests/histories.rs
@@ -26,6 +26,8 @@
 const ITEMS: usize = 15;
 /// Padding of a document where links are slow, in bytes.
 const LARGE_PADDING: usize = 60_000;
+/// As many items make a document of about that length.
+const MANY_ITEMS: usize = 550;
 /// Bandwidths of slow links: 10 and 100 Mbit/s, in bytes per second.
 const SLOW_LINKS: [u64; 2] = [1_250_000, 12_500_000];
 
@@ -43,7 +45,12 @@
     for seed in seeds(histories) {
         let mut settings = settings(scenario, voters, machines, seed);
         if scenario == Scenario::ManyChanges {
-            settings.padding = LARGE_PADDING;
+            // In one piece, so that each change ships the whole document.
+            (settings.padding, settings.items) = (LARGE_PADDING, 0);
+            settings.cluster.link_bytes_per_s = SLOW_LINKS[seed as usize % SLOW_LINKS.len()];
+        }
+        if scenario == Scenario::ManyChangesOnBadDisk {
+            settings.items = MANY_ITEMS;
             settings.cluster.link_bytes_per_s = SLOW_LINKS[seed as usize % SLOW_LINKS.len()];
         }
         let outcome = play(&settings);
@@ -127,6 +134,18 @@
     violates_nothing(Scenario::ManyChanges, voters, machines, histories);
 }
 
+#[rstest]
+#[case::three_voters_of_four(3, 4, 24)]
+#[case::five_voters_of_six(5, 6, 12)]
+#[case::eight_voters_of_nine(8, 9, 8)]
+fn a_member_catches_up_on_a_slow_a_full_and_a_stalled_disk(
+    #[case] voters: usize,
+    #[case] machines: usize,
+    #[case] histories: u64,
+) {
+    violates_nothing(Scenario::ManyChangesOnBadDisk, voters, machines, histories);
+}
+
 #[rstest]
 #[case::three_voters_of_six(3, 6, 200)]
 #[case::five_voters_of_eight(5, 8, 150)]
