--- /dev/null
+++ b/crates/passrelay/tests/fleet/interruptions.rs
@@ -0,0 +1,111 @@
+//! What a client gets, and what an endpoint runs, where the process stands still or is killed between the steps of a request,
+//! or an address changes hands.
+
+use super::{configuration, in_service, lone, ok, request, status, PROGRAM};
+use passrelay_test_support::fleet::{read_all, Fleet};
+use passrelay_test_support::{full_listener, is_dialed, until, Server};
+use serde_json::json;
+use std::io::Write;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::Arc;
+use std::time::Duration;
+
+/// Longer than the deadline of the tests' requests, and than the process may be silent without losing its freshness.
+const STANDSTILL: Duration = Duration::from_secs(4);
+
+// Guards against a request sent on by a process that stood still between choosing the endpoint and sending: meanwhile the
+// client has given up, and the endpoint may have left.
+#[test]
+fn nothing_is_sent_after_a_standstill_between_choice_and_sending() {
+    let (listener, _fillers) = full_listener();
+    let address = listener.local_addr().unwrap();
+    let (_fleet, sidecar) = in_service(Fleet::new(PROGRAM, 1), &[address], &configuration(3));
+    let mut client = sidecar.client();
+    client.write_all(&request("/open/gate", "", "hello")).unwrap();
+    until("the endpoint is chosen", || is_dialed(address));
+    sidecar.pause();
+    let endpoint = Server::on(listener, |_| ok("bay 7"));
+    std::thread::sleep(STANDSTILL);
+    sidecar.resume();
+    let answer = read_all(&mut client);
+    assert!([503, 504].contains(&status(&answer)), "{answer}");
+    assert!(endpoint.seen().is_empty(), "{:?}", endpoint.seen());
+}
+
+// Guards against an answer that looks whole to the client of a killed process, against one that reaches a client of its
+// successor, and against the request run again by that.
+#[test]
+fn a_kill_between_sending_and_answer_leaves_one_run_and_no_answer() {
+    let released = Arc::new(AtomicBool::new(false));
+    let gate = released.clone();
+    let endpoint = Server::start(move |message| {
+        if message.line.contains("/open/first") {
+            until("the process is killed", || gate.load(Ordering::SeqCst));
+        }
+        ok("bay 7")
+    });
+    let (fleet, mut sidecar) = lone(&[&endpoint]);
+    let mut client = sidecar.client();
+    client.write_all(&request("/open/first", "", "hello")).unwrap();
+    until("the endpoint runs it", || endpoint.seen().len() == 1);
+    sidecar.signal("KILL");
+    assert!(!sidecar.ended_well());
+    assert_eq!(read_all(&mut client), "");
+    let successor = fleet.start(1, false);
+    released.store(true, Ordering::SeqCst);
+    successor.until_ready();
+    assert_eq!(successor.heartbeat("i-0", "bays", endpoint.address, "ready", 2), 200);
+    until("the successor serves", || status(&successor.exchange(&request("/open/second", "", ""))) == 200);
+    let first_runs = endpoint.seen().iter().filter(|message| message.line.contains("/open/first")).count();
+    assert_eq!(first_runs, 1);
+}
+
+// Guards against a request that reaches another service because the address of its endpoint was given away.
+#[test]
+fn an_address_of_another_service_gets_nothing_of_the_former_one() {
+    let endpoint = Server::start(|_| ok("bay 7"));
+    let mut document = configuration(3);
+    document["services"].as_array_mut().unwrap().push(json!({ "name": "gates", "max-connections": 100 }));
+    let (_fleet, sidecar) = in_service(Fleet::new(PROGRAM, 1), &[endpoint.address], &document);
+    assert_eq!(status(&sidecar.exchange(&request("/open/before", "", ""))), 200);
+    assert_eq!(sidecar.heartbeat("i-9", "gates", endpoint.address, "ready", 1), 200);
+    let answer = sidecar.exchange(&request("/open/after", "", ""));
+    assert_eq!(status(&answer), 503, "{answer}");
+    assert!(endpoint.seen().iter().all(|message| message.line.contains("/open/before")));
+}
+
+// Guards against a declared size that wraps around, or can't be read, and so passes the tenant's quota of 100,000 tokens.
+#[test]
+fn a_declared_size_that_is_huge_or_no_size_does_not_pass_the_quota() {
+    let endpoint = Server::start(|_| ok("bay 7"));
+    let (_fleet, sidecar) = lone(&[&endpoint]);
+    let ask = |usage: &str| {
+        sidecar.exchange(&request("/open/gate", &format!("X-Passrelay-Token-Usage: {usage}\r\n"), ""))
+    };
+    for malformed in ["many", "12", "1,2,3", "-1,5", "\u{fc}"] {
+        let answer = ask(malformed);
+        assert_eq!(status(&answer), 400, "{malformed}: {answer}");
+        assert!(answer.contains("X-Passrelay-Token-Usage"), "{answer}");
+    }
+    for huge in ["18446744073709551615,1", "99999999999999999999999,0"] {
+        let answer = ask(huge);
+        assert_eq!(status(&answer), 429, "{huge}: {answer}");
+    }
+    assert!(endpoint.seen().is_empty());
+    assert_eq!(status(&ask("20,10")), 200);
+}
+
+// Guards against a deadline in fractions that is taken for none while the process starts.
+#[test]
+fn a_deadline_in_fractions_binds_also_while_the_process_starts() {
+    let fleet = Fleet::new(PROGRAM, 1);
+    let sidecar = fleet.start(1, true);
+    let text = String::from_utf8(request("/open/gate", "", ""))
+        .unwrap()
+        .replace("Deadline-Ms: 3000", "Deadline-Ms: 100.5");
+    until("it listens", || std::net::TcpStream::connect((sidecar.control_address().ip(), 8_662)).is_ok());
+    let began = std::time::Instant::now();
+    let answer = sidecar.exchange(text.as_bytes());
+    assert_eq!(status(&answer), 503, "{answer}");
+    assert!(began.elapsed() < Duration::from_secs(3), "{:?}", began.elapsed());
+}
--- a/crates/passrelay/tests/fleet/main.rs
+++ b/crates/passrelay/tests/fleet/main.rs
@@ -2,6 +2,7 @@
 
 mod account;
 mod answers;
+mod interruptions;
 
 use passrelay_test_support::fleet::{read_all, Fleet, Sidecar};
 use passrelay_test_support::{answer, until, Message, Reply, Server};
--- a/crates/testing/test-support/src/fleet.rs
+++ b/crates/testing/test-support/src/fleet.rs
@@ -1,6 +1,6 @@
 //! Processes of the router fleet on loopback: each fleet has addresses of its own, one for each machine.
 
-use crate::{until, Message};
+use crate::{until, until_stopped, Message};
 use serde_json::{json, Value};
 use std::io::{BufRead, BufReader, Read, Write};
 use std::net::{Shutdown, SocketAddr, TcpStream};
@@ -217,6 +217,17 @@
         assert!(sent.is_ok_and(|s| s.success()));
     }
 
+    /// Stops the process; returns once it stands still.
+    pub fn pause(&self) {
+        self.signal("STOP");
+        until_stopped(self.child.id());
+    }
+
+    /// Lets a paused process go on.
+    pub fn resume(&self) {
+        self.signal("CONT");
+    }
+
     /// Waits for its end; true if it ended well.
     pub fn ended_well(&mut self) -> bool {
         self.child.wait().is_ok_and(|status| status.success())
--- a/crates/testing/test-support/src/lib.rs
+++ b/crates/testing/test-support/src/lib.rs
@@ -407,13 +407,10 @@
         assert!(kill.success());
     }
 
-    /// Stops the process; returns once it stands still, so that whatever happens next happens before its next turn.
+    /// Stops the process; returns once it stands still.
     pub fn pause(&self) {
         self.signal("STOP");
-        let status = format!("/proc/{}/status", self.child.id());
-        until("it stands still", || {
-            std::fs::read_to_string(&status).is_ok_and(|text| text.contains("\nState:\tT"))
-        });
+        until_stopped(self.child.id());
     }
 
     /// Lets a paused process go on.
@@ -471,18 +468,50 @@
     )
 }
 
-/// State of a socket in `/proc/net/tcp` that has sent its end and had it acknowledged, and not heard that of the other side.
+/// State of a socket in `/proc/net/tcp` whose connection has been asked for and not come up.
+const SYN_SENT: &str = "02";
+/// State of a socket that has sent its end and had it acknowledged, and not heard that of the other side.
 const FIN_WAIT_2: &str = "05";
 
-/// Whether the other side's system has acknowledged the end of the loopback connection from this port.
+/// A socket of this machine, as `/proc/net/tcp` lists it.
+struct ListedSocket {
+    local: String,
+    remote: String,
+    state: String,
+}
+
+fn listed_sockets() -> Vec<ListedSocket> {
+    let list = std::fs::read_to_string("/proc/net/tcp").expect("the list of sockets");
+    let socket = |line: &str| {
+        let mut columns = line.split_ascii_whitespace().skip(1).map(str::to_owned);
+        Some(ListedSocket { local: columns.next()?, remote: columns.next()?, state: columns.next()? })
+    };
+    list.lines().skip(1).filter_map(socket).collect()
+}
+
+/// A loopback address as `/proc/net/tcp` writes it.
+fn listed_address(address: SocketAddr) -> String {
+    format!("0100007F:{:04X}", address.port())
+}
+
+/// Whether the other side's system has acknowledged the end of the loopback connection from this address.
 fn is_end_acknowledged(own: SocketAddr) -> bool {
-    let sockets = std::fs::read_to_string("/proc/net/tcp").expect("the list of sockets");
-    let local = format!("0100007F:{:04X}", own.port());
-    sockets.lines().skip(1).any(|line| {
-        let mut columns = line.split_ascii_whitespace().skip(1);
-        let is_own = columns.next() == Some(local.as_str());
-        is_own && columns.nth(1) == Some(FIN_WAIT_2)
-    })
+    let own = listed_address(own);
+    listed_sockets().iter().any(|socket| socket.local == own && socket.state == FIN_WAIT_2)
+}
+
+/// Whether some process waits for a connection to this loopback address to come up.
+pub fn is_dialed(address: SocketAddr) -> bool {
+    let address = listed_address(address);
+    listed_sockets().iter().any(|socket| socket.remote == address && socket.state == SYN_SENT)
+}
+
+/// Waits until a process that was sent SIGSTOP stands still, so that whatever happens next happens before its next turn.
+pub(crate) fn until_stopped(pid: u32) {
+    let status = format!("/proc/{pid}/status");
+    until("it stands still", || {
+        std::fs::read_to_string(&status).is_ok_and(|text| text.contains("\nState:\tT"))
+    });
 }
 
 /// A caller's connection.
