--- a/crates/router/configuration/src/reader.rs
+++ b/crates/router/configuration/src/reader.rs
@@ -27,23 +27,48 @@
     }
 }
 
-/// A reader at one path of a document. The value there may be absent.
+/// The last step of a path.
+enum PathSegment<'a> {
+    Root,
+    Field(&'a str),
+    Item(usize),
+}
+
+/// A reader at one path of a document. The value there may be absent. The path is written out only for an error: a document
+/// has some ten thousand paths and mostly no error.
 pub(crate) struct PathReader<'a> {
     value: Option<&'a Value>,
-    /// Empty at the root.
-    path: String,
+    /// The reader that this one was made from; none at the root.
+    parent: Option<&'a PathReader<'a>>,
+    segment: PathSegment<'a>,
     errors: &'a ErrorCollector,
 }
 
 impl<'a> PathReader<'a> {
     /// A reader at the root of a document.
     pub(crate) fn root(value: &'a Value, errors: &'a ErrorCollector) -> Self {
-        PathReader { value: Some(value), path: String::new(), errors }
+        PathReader { value: Some(value), parent: None, segment: PathSegment::Root, errors }
+    }
+
+    /// The path; empty at the root.
+    fn path(&self) -> String {
+        let mut path = self.parent.map(PathReader::path).unwrap_or_default();
+        match self.segment {
+            PathSegment::Root => {}
+            PathSegment::Field(name) => {
+                if !path.is_empty() {
+                    path.push('.');
+                }
+                path.push_str(name);
+            }
+            PathSegment::Item(index) => path.push_str(&format!("[{index}]")),
+        }
+        path
     }
 
     /// Reports an error at this path.
     pub(crate) fn report(&self, kind: ValidationErrorKind) {
-        let path = if self.path.is_empty() { "document".to_owned() } else { self.path.clone() };
+        let path = Some(self.path()).filter(|path| !path.is_empty()).unwrap_or_else(|| "document".to_owned());
         self.errors.push(ValidationError { path, kind });
     }
 
@@ -53,19 +78,20 @@
     }
 
     /// The field of this name.
-    pub(crate) fn field(&self, name: &str) -> PathReader<'a> {
-        let path = if self.path.is_empty() { name.to_owned() } else { format!("{}.{name}", self.path) };
-        PathReader { value: self.value.and_then(|value| value.get(name)), path, errors: self.errors }
+    pub(crate) fn field<'b>(&'b self, name: &'b str) -> PathReader<'b> {
+        let value = self.value.and_then(|value| value.get(name));
+        PathReader { value, parent: Some(self), segment: PathSegment::Field(name), errors: self.errors }
     }
 
     /// The items of a list; an absent list is empty.
-    pub(crate) fn items(&self) -> Vec<PathReader<'a>> {
+    pub(crate) fn items(&self) -> Vec<PathReader<'_>> {
         match self.value {
             None | Some(Value::Null) => Vec::new(),
             Some(Value::Array(items)) => {
                 let reader = |(index, value)| PathReader {
                     value: Some(value),
-                    path: format!("{}[{index}]", self.path),
+                    parent: Some(self),
+                    segment: PathSegment::Item(index),
                     errors: self.errors,
                 };
                 items.iter().enumerate().map(reader).collect()
