--- a/crates/router/control-plane/tests/replica.rs
+++ b/crates/router/control-plane/tests/replica.rs
@@ -1,46 +1,17 @@
 //! A member answers only for what is durable, and promises a term to one candidate only.
 
+mod common;
+
+use common::{receive, record, NOW, PEER_INCARNATION};
 use passrelay_control_plane::replication::{
-    DurableState, EpochRecord, Member, MemberId, Mutations, Replica, ReplicaAction, ReplicaSettings,
-    ReplicatedState, ReplicationEnvelope, ReplicationMessage, StateVersion, WitnessState, WriteId,
+    MemberId, Replica, ReplicaAction, ReplicatedState, ReplicationMessage, StateVersion, WriteId,
 };
-use passrelay_dissemination::Incarnation;
 use rstest::rstest;
-use std::collections::BTreeSet;
-use std::net::{Ipv4Addr, SocketAddrV4};
 use std::sync::Arc;
-use std::time::Duration;
-
-const NOW: Duration = Duration::from_secs(10);
-const PEER_INCARNATION: Incarnation = Incarnation(5);
-
-fn member(id: u64) -> Member {
-    let port = 7_000 + u16::try_from(id).expect("a small id");
-    Member { id: MemberId(id), address: SocketAddrV4::new(Ipv4Addr::LOCALHOST, port) }
-}
 
-/// A member of three whose disk holds a record of term 1, with member 2 as primary.
-fn replica() -> Replica {
-    let witness = WitnessState { promised: 1, promised_to: Some(MemberId(2)), record: Some(record(1)) };
-    let settings = ReplicaSettings {
-        own: member(1),
-        tolerated_losses: 1,
-        bootstrapping: false,
-        seeds: vec![member(1).address],
-        bootstrap_seeds: vec![member(1).address],
-        election_timeout: Duration::from_millis(320),
-        accepts_deltas: true,
-        random_seed: 1,
-        mutation: Mutations::NONE,
-    };
-    Replica::new(NOW, settings, DurableState { witness, ..DurableState::default() })
-}
-
-fn receive(replica: &mut Replica, from: u64, message: ReplicationMessage) -> Vec<ReplicaAction> {
-    let mut actions = Vec::new();
-    let envelope = ReplicationEnvelope { sender: member(from), message };
-    replica.receive(NOW, PEER_INCARNATION, envelope, &mut actions);
-    actions
+/// A member whose disk holds a record of term 1, with member 2 as primary, and no state.
+fn member_without_state() -> Replica {
+    common::replica(ReplicatedState::default(), true)
 }
 
 fn written(replica: &mut Replica, write_id: WriteId, succeeded: bool) -> Vec<ReplicaAction> {
@@ -71,7 +42,7 @@
 
 #[test]
 fn a_promise_is_sent_only_when_it_is_durable() {
-    let mut replica = replica();
+    let mut replica = member_without_state();
     let write_id = only_write(&receive(&mut replica, 3, prepare(2, 3)));
     let actions = written(&mut replica, write_id, true);
     assert!(matches!(only_reply(&actions), ReplicationMessage::Promise { term: 2, record: Some(_) }));
@@ -79,7 +50,7 @@
 
 #[test]
 fn a_promise_whose_write_failed_is_not_sent_but_remembered() {
-    let mut replica = replica();
+    let mut replica = member_without_state();
     let write_id = only_write(&receive(&mut replica, 3, prepare(2, 3)));
     assert_eq!(written(&mut replica, write_id, false), Vec::new());
     let actions = receive(&mut replica, 2, prepare(2, 2));
@@ -88,7 +59,7 @@
 
 #[test]
 fn a_term_is_promised_to_one_candidate_which_may_ask_again() {
-    let mut replica = replica();
+    let mut replica = member_without_state();
     only_write(&receive(&mut replica, 3, prepare(2, 3)));
     let actions = receive(&mut replica, 2, prepare(2, 2));
     assert_eq!(only_reply(&actions), &ReplicationMessage::Rejected { promised: 2 });
@@ -97,7 +68,7 @@
 
 #[test]
 fn a_ping_of_a_lower_term_than_promised_is_rejected() {
-    let mut replica = replica();
+    let mut replica = member_without_state();
     only_write(&receive(&mut replica, 3, prepare(2, 3)));
     let ping = ReplicationMessage::Ping { term: 1, round: 4, position: Default::default() };
     let actions = receive(&mut replica, 2, ping);
@@ -106,7 +77,7 @@
 
 #[test]
 fn a_pong_reports_what_is_durable() {
-    let mut replica = replica();
+    let mut replica = member_without_state();
     let ping = ReplicationMessage::Ping { term: 1, round: 4, position: Default::default() };
     let actions = receive(&mut replica, 2, ping);
     match only_reply(&actions) {
@@ -117,26 +88,13 @@
     }
 }
 
-/// A record of this term, with member 2 as primary.
-fn record(term: u64) -> EpochRecord {
-    let members = vec![member(1), member(2), member(3)];
-    EpochRecord {
-        term,
-        sequence: 0,
-        primary: MemberId(2),
-        previous_members: members.clone(),
-        in_sync: members.iter().map(|member| member.id).collect::<BTreeSet<_>>(),
-        members,
-    }
-}
-
 // Guards against a record that stays in memory after its write failed, because a later write in flight succeeded: the
 // member would report it to candidates although no disk here holds it.
 #[rstest]
 #[case::the_later_write_succeeds(true)]
 #[case::the_later_write_fails_too(false)]
 fn a_failed_write_is_rolled_back_once_no_other_is_in_flight(#[case] later_succeeds: bool) {
-    let mut replica = replica();
+    let mut replica = member_without_state();
     let accept = ReplicationMessage::Accept { record: record(2) };
     let failing = only_write(&receive(&mut replica, 2, accept));
     let version = StateVersion { term: 2, index: 1 };
--- a/crates/router/control-plane/tests/state_delta.rs
+++ b/crates/router/control-plane/tests/state_delta.rs
@@ -1,20 +1,17 @@
 //! States that travel as differences: what results, what is rejected, and how builds without them are served.
 
+mod common;
+
+use common::{receive, replica, NOW};
 use passrelay_control_plane::replication::{
-    AppliedChange, DurableState, EpochRecord, Member, MemberId, Mutations, Replica, ReplicaAction,
-    ReplicaSettings, ReplicatedState, ReplicationEnvelope, ReplicationMessage, StateDelta, StateDeltaError,
-    StateVersion, WitnessState,
+    AppliedChange, MemberId, ReplicaAction, ReplicatedState, ReplicationMessage, StateDelta, StateDeltaError,
+    StateVersion,
 };
-use passrelay_dissemination::Incarnation;
 use rstest::rstest;
 use serde::{Deserialize, Serialize};
 use serde_json::json;
-use std::net::{Ipv4Addr, SocketAddrV4};
 use std::sync::Arc;
-use std::time::Duration;
 
-const NOW: Duration = Duration::from_secs(10);
-const PEER_INCARNATION: Incarnation = Incarnation(5);
 /// More changes than a state remembers.
 const MANY_CHANGES: u64 = 600;
 
@@ -73,51 +70,13 @@
     assert_eq!(replaced.delta_from(&first), None, "a delta of a short document is no shorter");
 }
 
-fn member(id: u64) -> Member {
-    let port = 7_000 + u16::try_from(id).expect("a small id");
-    Member { id: MemberId(id), address: SocketAddrV4::new(Ipv4Addr::LOCALHOST, port) }
-}
-
-/// A member of three, with member 2 as primary of term 1, whose disk holds this state.
-fn replica(state: ReplicatedState, accepts_deltas: bool) -> Replica {
-    let members = vec![member(1), member(2), member(3)];
-    let record = EpochRecord {
-        term: 1,
-        sequence: 0,
-        primary: MemberId(2),
-        previous_members: members.clone(),
-        in_sync: members.iter().map(|member| member.id).collect(),
-        members,
-    };
-    let witness = WitnessState { promised: 1, promised_to: Some(MemberId(2)), record: Some(record) };
-    let settings = ReplicaSettings {
-        own: member(1),
-        tolerated_losses: 1,
-        bootstrapping: false,
-        seeds: vec![member(1).address],
-        bootstrap_seeds: vec![member(1).address],
-        election_timeout: Duration::from_millis(320),
-        accepts_deltas,
-        random_seed: 1,
-        mutation: Mutations::NONE,
-    };
-    Replica::new(NOW, settings, DurableState { witness, state })
-}
-
-fn receive(replica: &mut Replica, message: ReplicationMessage) -> Vec<ReplicaAction> {
-    let mut actions = Vec::new();
-    let envelope = ReplicationEnvelope { sender: member(2), message };
-    replica.receive(NOW, PEER_INCARNATION, envelope, &mut actions);
-    actions
-}
-
 #[test]
 fn a_backup_syncs_the_state_that_deltas_lead_to_before_it_replies() {
     let base = state(2);
     let newest = next(&next(&base));
     let deltas = vec![delta(&base), delta(&next(&base))];
     let mut replica = replica(base, true);
-    let actions = receive(&mut replica, ReplicationMessage::ReplicateDeltas { term: 1, deltas });
+    let actions = receive(&mut replica, 2, ReplicationMessage::ReplicateDeltas { term: 1, deltas });
     let [ReplicaAction::Write { write_id, write }] = actions.as_slice() else { panic!("{actions:?}") };
     assert_eq!(write.state.as_deref(), Some(&newest));
     let mut replies = Vec::new();
@@ -135,7 +94,7 @@
     let deltas = vec![delta(&base), delta(&next(&base))];
     let newest = next(&next(&base));
     let mut replica = replica(next(&base), true);
-    let actions = receive(&mut replica, ReplicationMessage::ReplicateDeltas { term: 1, deltas });
+    let actions = receive(&mut replica, 2, ReplicationMessage::ReplicateDeltas { term: 1, deltas });
     let [ReplicaAction::Write { write, .. }] = actions.as_slice() else { panic!("{actions:?}") };
     assert_eq!(write.state.as_deref(), Some(&newest));
 }
@@ -146,7 +105,7 @@
     let newest = next(&base);
     let mut replica = replica(newest.clone(), true);
     let deltas = vec![delta(&base)];
-    let actions = receive(&mut replica, ReplicationMessage::ReplicateDeltas { term: 1, deltas });
+    let actions = receive(&mut replica, 2, ReplicationMessage::ReplicateDeltas { term: 1, deltas });
     let synced = ReplicationMessage::Synced { term: 1, version: newest.version };
     assert!(
         matches!(&actions[..], [ReplicaAction::Send { message, .. }] if *message == synced),
@@ -162,7 +121,7 @@
 fn a_backup_without_the_base_asks_for_the_whole_state(#[case] held: ReplicatedState) {
     let mut replica = replica(held.clone(), true);
     let deltas = vec![delta(&state(2))];
-    let actions = receive(&mut replica, ReplicationMessage::ReplicateDeltas { term: 1, deltas });
+    let actions = receive(&mut replica, 2, ReplicationMessage::ReplicateDeltas { term: 1, deltas });
     let rejected = ReplicationMessage::DeltasRejected { term: 1 };
     assert!(
         matches!(&actions[..], [ReplicaAction::Send { message, .. }] if *message == rejected),
@@ -175,9 +134,9 @@
 fn deltas_of_a_lower_term_than_promised_are_rejected() {
     let base = state(2);
     let mut replica = replica(base.clone(), true);
-    receive(&mut replica, ReplicationMessage::Prepare { term: 2, candidate: MemberId(2) });
+    receive(&mut replica, 2, ReplicationMessage::Prepare { term: 2, candidate: MemberId(2) });
     let deltas = vec![delta(&base)];
-    let actions = receive(&mut replica, ReplicationMessage::ReplicateDeltas { term: 1, deltas });
+    let actions = receive(&mut replica, 2, ReplicationMessage::ReplicateDeltas { term: 1, deltas });
     let rejected = ReplicationMessage::Rejected { promised: 2 };
     assert!(
         matches!(&actions[..], [ReplicaAction::Send { message, .. }] if *message == rejected),
@@ -197,7 +156,7 @@
 fn builds_with_and_without_deltas_read_each_others_pongs(#[case] accepts_deltas: bool) {
     let mut replica = replica(state(2), accepts_deltas);
     let ping = ReplicationMessage::Ping { term: 1, round: 4, position: Default::default() };
-    let actions = receive(&mut replica, ping);
+    let actions = receive(&mut replica, 2, ping);
     let [ReplicaAction::Send { message, .. }] = actions.as_slice() else { panic!("{actions:?}") };
     let mut bytes = Vec::new();
     ciborium::into_writer(message, &mut bytes).expect("it is written");
--- a/crates/testing/test-support/src/fleet.rs
+++ b/crates/testing/test-support/src/fleet.rs
@@ -1,6 +1,7 @@
 //! Processes of the router fleet on loopback: each fleet has addresses of its own, one for each machine.
 
-use crate::{until, until_stopped, Message};
+use crate::process_state::until_stopped;
+use crate::{until, Message};
 use serde_json::{json, Value};
 use std::io::{BufRead, BufReader, Read, Write};
 use std::net::{Shutdown, SocketAddr, TcpStream};
