--- a/crates/router/dissemination/tests/gossip.rs
+++ b/crates/router/dissemination/tests/gossip.rs
@@ -131,10 +131,10 @@
 
 // ---- Configurations as deltas ----
 
-/// A document of some length, one item of which is that of the index.
+/// A document that is far longer than some deltas together, one item of which is that of the index.
 fn long_document(index: u64) -> String {
     let item = |number: u64| format!(r#"{{"name":"r-{number}","text":"{}"}}"#, "x".repeat(60));
-    let mut items: Vec<String> = (0..20).map(item).collect();
+    let mut items: Vec<String> = (0..60).map(item).collect();
     items[(index % 20) as usize] = format!(r#"{{"name":"changed by {index}"}}"#);
     format!(r#"{{"generation":{index},"items":[{}]}}"#, items.join(","))
 }
