--- a/crates/testing/test-support/src/fleet.rs
+++ b/crates/testing/test-support/src/fleet.rs
@@ -21,9 +21,6 @@
 /// Grace time of processes where a test doesn't set another.
 const DEFAULT_GRACE_S: u32 = 4;
 
-/// A folder in memory, where the system has one.
-const MEMORY_FOLDER: &str = "/dev/shm";
-
 static FLEETS: AtomicU8 = AtomicU8::new(1);
 
 /// A fleet's addresses and files.
@@ -42,7 +39,7 @@
         let number = FLEETS.fetch_add(1, Ordering::SeqCst);
         let id = std::process::id();
         let network = format!("127.{}.{}", 1 + id % 250, number);
-        let folder = scratch_folder().join(format!("passrelay-lease-consensus-{id}-{number}"));
+        let folder = std::env::temp_dir().join(format!("passrelay-lease-consensus-{id}-{number}"));
         std::fs::create_dir_all(&folder).expect("a folder for the fleet");
         Fleet { program, folder, network, machines, grace_s: DEFAULT_GRACE_S }
     }
@@ -123,17 +120,6 @@
     }
 }
 
-/// Where fleets keep their files: in memory if possible. A member whose disk takes more than 0.6 s for a write steps down, and a
-/// busy machine's disk does so at times.
-fn scratch_folder() -> PathBuf {
-    let memory = PathBuf::from(MEMORY_FOLDER);
-    if memory.is_dir() {
-        memory
-    } else {
-        std::env::temp_dir()
-    }
-}
-
 /// One process of a fleet.
 pub struct Sidecar {
     child: Child,
