--- a/crates/testing/test-support/src/fleet.rs
+++ b/crates/testing/test-support/src/fleet.rs
@@ -29,8 +29,12 @@
     folder: PathBuf,
     network: String,
     machines: u8,
+    /// Machines with a vote and a disk, the first ones; all by default.
+    pub voters: u8,
     /// Time between SIGTERM and SIGKILL that the processes are told, in seconds.
     pub grace_s: u32,
+    /// Further lines of every settings file.
+    pub more_settings: Vec<String>,
 }
 
 impl Fleet {
@@ -41,16 +45,51 @@
         let network = format!("127.{}.{}", 1 + id % 250, number);
         let folder = std::env::temp_dir().join(format!("passrelay-lease-consensus-{id}-{number}"));
         std::fs::create_dir_all(&folder).expect("a folder for the fleet");
-        Fleet { program, folder, network, machines, grace_s: DEFAULT_GRACE_S }
+        Fleet {
+            program,
+            folder,
+            network,
+            machines,
+            voters: machines,
+            grace_s: DEFAULT_GRACE_S,
+            more_settings: Vec::new(),
+        }
     }
 
-    /// Starts one machine's process, machines counted from 1. All count and have a disk.
+    /// Starts one machine's process, machines counted from 1, with the first three as its seeds.
     pub fn start(&self, machine: u8, bootstrap: bool) -> Sidecar {
-        let ip = format!("{}.{machine}", self.network);
-        let seeds: Vec<String> =
-            (1..=self.machines.min(3)).map(|m| format!("{}.{m}:{CONTROL}", self.network)).collect();
-        let tolerated = (self.machines - 1) / 2;
-        let settings = [
+        let seeds: Vec<u8> = (1..=self.machines.min(3)).collect();
+        self.write_settings(machine, bootstrap, &seeds);
+        self.spawn(machine)
+    }
+
+    /// Voters that may be lost at one time.
+    pub fn tolerated_losses(&self) -> u8 {
+        (self.voters - 1) / 2
+    }
+
+    /// Removes the disk of a machine whose process doesn't run.
+    pub fn wipe_disk(&self, machine: u8) {
+        let _ = std::fs::remove_dir_all(self.data_dir(machine));
+    }
+
+    fn data_dir(&self, machine: u8) -> PathBuf {
+        self.folder.join(format!("data-{machine}"))
+    }
+
+    fn settings_path(&self, machine: u8) -> PathBuf {
+        self.folder.join(format!("node-{machine}.conf"))
+    }
+
+    fn ip(&self, machine: u8) -> String {
+        format!("{}.{machine}", self.network)
+    }
+
+    /// Writes one machine's settings file, with these machines as its seeds.
+    pub fn write_settings(&self, machine: u8, bootstrap: bool, seeds: &[u8]) {
+        let ip = self.ip(machine);
+        let seeds: Vec<String> = seeds.iter().map(|seed| format!("{}:{CONTROL}", self.ip(*seed))).collect();
+        let mut settings = vec![
             format!("node-name=node-{machine}"),
             format!("ip={ip}"),
             "zone=here".to_owned(),
@@ -60,19 +99,25 @@
             format!("internal-ports={INTERNAL},{}", INTERNAL + 15),
             format!("seeds={}", seeds.join(",")),
             format!("bootstrap={bootstrap}"),
-            "counts-for-quorum=true".to_owned(),
-            format!("data-dir={}", self.folder.join(format!("data-{machine}")).display()),
-            format!("fault-tolerance.machines={tolerated}"),
+            format!("fault-tolerance.machines={}", self.tolerated_losses()),
             "heartbeat-ms=1200".to_owned(),
             "bounds.strict-revocation=true".to_owned(),
             format!("bounds.grace-s={}", self.grace_s),
             "bounds.quota-slack=1000".to_owned(),
         ];
-        let path = self.folder.join(format!("node-{machine}.conf"));
-        std::fs::write(&path, settings.join("\n")).expect("the settings are written");
+        if machine <= self.voters {
+            settings.push("counts-for-quorum=true".to_owned());
+            settings.push(format!("data-dir={}", self.data_dir(machine).display()));
+        }
+        settings.extend(self.more_settings.iter().cloned());
+        std::fs::write(self.settings_path(machine), settings.join("\n")).expect("the settings are written");
+    }
+
+    /// Starts one machine's process with the settings file that is there.
+    pub fn spawn(&self, machine: u8) -> Sidecar {
         let mut child = Command::new(self.program)
             .arg("node")
-            .env("PASSRELAY_CONFIG", &path)
+            .env("PASSRELAY_CONFIG", self.settings_path(machine))
             .stderr(Stdio::piped())
             .spawn()
             .expect("the program starts");
@@ -80,7 +125,7 @@
         let lines = BufReader::new(child.stderr.take().expect("its log"));
         let kept = log.clone();
         thread::spawn(move || lines.lines().map_while(Result::ok).for_each(|l| kept.lock().unwrap().push(l)));
-        Sidecar { child, ip, log }
+        Sidecar { child, ip: self.ip(machine), log }
     }
 
     /// Writes a file beside the fleet's; returns its path.
@@ -133,6 +178,16 @@
         self.log.lock().unwrap().clone()
     }
 
+    /// Where clients connect.
+    pub fn front_address(&self) -> SocketAddr {
+        format!("{}:{FRONT}", self.ip).parse().expect("an address")
+    }
+
+    /// Whether the process has ended, by itself or by a signal.
+    pub fn has_ended(&mut self) -> bool {
+        matches!(self.child.try_wait(), Ok(Some(_)))
+    }
+
     /// Where operators call.
     pub fn control_address(&self) -> SocketAddr {
         format!("{}:{CONTROL}", self.ip).parse().expect("an address")
