Show versions and unproven denials in a process's status

Cause: nothing told which version of a service ran requests, nor whether a 401 or 404 rested on a configuration that was current. Change: the version in a heartbeat is kept in the endpoint's record (absent in records of earlier builds) and shown in the status with the requests sent to it; denials are counted by whether the configuration was proven within config-apply-ms. No decision rests on either yet.

--- a/crates/passrelay/tests/fleet/account.rs
+++ b/crates/passrelay/tests/fleet/account.rs
@@ -5,9 +5,11 @@
 use passrelay_test_support::until;
 use serde_json::Value;
 
-const KEYS: [&str; 11] = [
+const KEYS: [&str; 15] = [
     "answers_dropped",
+    "denials",
     "endpoints",
+    "endpoints_by_version",
     "frames_dropped",
     "fresh_age_ms",
     "generation",
@@ -16,7 +18,9 @@
     "members",
     "peers",
     "primary",
+    "requests_sent",
     "term",
+    "unproven_denials",
 ];
 
 #[test]
--- a/crates/router/control-plane/src/coordinator/status.rs
+++ b/crates/router/control-plane/src/coordinator/status.rs
@@ -4,6 +4,7 @@
 use crate::replication::Replica;
 use passrelay_dissemination::{EndpointRecord, EndpointState};
 use serde::Serialize;
+use std::collections::BTreeMap;
 use std::net::SocketAddrV4;
 use std::time::Duration;
 
@@ -28,6 +29,8 @@
     pub peers: usize,
     /// Number of endpoints known here that are not removed.
     pub endpoints: usize,
+    /// Of these, the number by service and version; a version that isn't known is empty.
+    pub endpoints_by_version: BTreeMap<String, BTreeMap<String, usize>>,
     /// Number of responses dropped because an earlier incarnation at this address had sent the request.
     pub answers_dropped: u64,
 }
@@ -49,7 +52,18 @@
             leads: self.replica.as_ref().is_some_and(Replica::is_established),
             peers: self.gossip.view().len(),
             endpoints: self.gossip.registry().records().filter(present).count(),
+            endpoints_by_version: self.endpoints_by_version(),
             answers_dropped: self.stale_responses_dropped,
         }
     }
+
+    fn endpoints_by_version(&self) -> BTreeMap<String, BTreeMap<String, usize>> {
+        let mut counts: BTreeMap<String, BTreeMap<String, usize>> = BTreeMap::new();
+        let records = self.gossip.registry().records();
+        for record in records.filter(|record| record.state != EndpointState::Removed) {
+            let of_service = counts.entry(record.service.clone()).or_default();
+            *of_service.entry(record.version.clone()).or_default() += 1;
+        }
+        counts
+    }
 }
--- a/crates/router/data-plane/src/balancer.rs
+++ b/crates/router/data-plane/src/balancer.rs
@@ -15,10 +15,12 @@
 mod outlier;
 mod prefill;
 mod prefix_affinity;
+mod request_counts;
 mod round_robin;
 mod weight;
 
 pub use self::load_report::LoadReport;
+pub use self::request_counts::RequestCounts;
 
 use self::endpoint::Endpoint;
 use self::prefill::{MeanPrefill, PrefillCost};
@@ -80,6 +82,8 @@
     prefixes: PrefixAffinity,
     /// Mean tokens to prefill, over all services.
     mean_prefill: MeanPrefill,
+    /// Requests sent so far.
+    request_counts: RequestCounts,
 }
 
 impl Balancer {
@@ -91,6 +95,7 @@
             services: HashMap::new(),
             prefixes: PrefixAffinity::default(),
             mean_prefill: MeanPrefill::default(),
+            request_counts: RequestCounts::new(),
         }
     }
 
@@ -109,6 +114,12 @@
             services.entry(&record.service).or_default().push(id);
         }
         self.services = services.into_iter().map(|(service, ids)| (service.to_owned(), ids)).collect();
+        request_counts::retain_known(&mut self.request_counts, self.endpoints.values());
+    }
+
+    /// Requests sent so far to each version of each service that has endpoints.
+    pub fn request_counts(&self) -> &RequestCounts {
+        &self.request_counts
     }
 
     /// Number of prompt prefixes whose endpoints are tracked.
@@ -206,6 +217,7 @@
         }
         if let Some(endpoint) = self.endpoints.get_mut(&pick.id) {
             endpoint.request_sent(now, pick.prefill_tokens);
+            request_counts::record(&mut self.request_counts, endpoint);
         }
     }
 
--- a/crates/router/data-plane/src/balancer/endpoint.rs
+++ b/crates/router/data-plane/src/balancer/endpoint.rs
@@ -16,12 +16,16 @@
 pub(super) struct Endpoint {
     /// Instance id.
     id: Arc<str>,
+    /// The service that it serves, by the first registration.
+    service: String,
     /// Key in load reports between routers: a hash of the id, the same in all routers.
     load_key: u64,
     /// Address by the latest registration.
     address: SocketAddrV4,
     /// State by the latest registration.
     state: EndpointState,
+    /// Version of its software by the latest registration; empty where it isn't known.
+    version: String,
     /// Concurrent requests by the first registration, at least 1; an instance doesn't change it.
     capacity: f64,
     /// By the first registration, like `capacity`.
@@ -41,9 +45,11 @@
     pub(super) fn new(record: &EndpointRecord, own_zone: &str) -> Self {
         Endpoint {
             id: record.id.as_str().into(),
+            service: record.service.clone(),
             load_key: load_key_of(&record.id),
             address: record.address,
             state: record.state,
+            version: record.version.clone(),
             capacity: f64::from(record.capacity.max(1)),
             is_in_own_zone: record.zone == own_zone,
             load: Load::default(),
@@ -55,9 +61,10 @@
 
     // ---- Registration ----
 
-    /// Takes state and address of a later registration.
+    /// Takes state, version and address of a later registration.
     pub(super) fn update(&mut self, record: &EndpointRecord) {
         self.state = record.state;
+        self.version.clone_from(&record.version);
         self.address = record.address;
     }
 
@@ -73,6 +80,14 @@
         self.state
     }
 
+    pub(super) fn service(&self) -> &str {
+        &self.service
+    }
+
+    pub(super) fn version(&self) -> &str {
+        &self.version
+    }
+
     pub(super) fn is_in_own_zone(&self) -> bool {
         self.is_in_own_zone
     }
--- a/crates/router/data-plane/tests/balancer.rs
+++ b/crates/router/data-plane/tests/balancer.rs
@@ -23,6 +23,7 @@
         capacity: 8,
         state,
         sequence: 1,
+        version: String::new(),
     }
 }
 
--- a/crates/router/data-plane/tests/decision_trace/balancer.rs
+++ b/crates/router/data-plane/tests/decision_trace/balancer.rs
@@ -61,6 +61,7 @@
             capacity: self.draws.below(12) as u32,
             state: EndpointState::Ready,
             sequence: 1,
+            version: String::new(),
         };
         self.records.insert(id, record);
     }
--- a/crates/router/dissemination/src/registry.rs
+++ b/crates/router/dissemination/src/registry.rs
@@ -89,8 +89,10 @@
             return Vec::new();
         }
         let known = self.entries.get(&received.id);
-        let state_changed = known.is_none_or(|entry| entry.record.state != received.state);
-        let broadcast = state_changed || self.local_heartbeats.is_refresh_due(now, &received.id);
+        let changed = known.is_none_or(|entry| {
+            entry.record.state != received.state || entry.record.version != received.version
+        });
+        let broadcast = changed || self.local_heartbeats.is_refresh_due(now, &received.id);
         self.local_heartbeats.observe(now, received, broadcast);
         if !broadcast {
             return Vec::new();
--- a/crates/router/dissemination/src/registry/record.rs
+++ b/crates/router/dissemination/src/registry/record.rs
@@ -49,6 +49,10 @@
     /// Sequence of the heartbeat that brought this state.
     #[serde(rename = "q")]
     pub sequence: u64,
+    /// Version of its software. Empty where it isn't known: in records of endpoints that don't report it, or that a sidecar of
+    /// an earlier build passed on; then not written either.
+    #[serde(rename = "v", default, skip_serializing_if = "String::is_empty")]
+    pub version: String,
 }
 
 impl EndpointRecord {
--- a/crates/router/dissemination/tests/registry.rs
+++ b/crates/router/dissemination/tests/registry.rs
@@ -18,6 +18,7 @@
         capacity: 8,
         state,
         sequence,
+        version: String::new(),
     }
 }
 
--- a/crates/router/node/src/control_api.rs
+++ b/crates/router/node/src/control_api.rs
@@ -28,6 +28,8 @@
 
 /// Maximum length of a heartbeat's body.
 const MAX_HEARTBEAT_BYTES: usize = 16 * 1024;
+/// Maximum length of an endpoint's version, in bytes: it is replicated.
+const MAX_VERSION_BYTES: usize = 256;
 /// Maximum length of a configuration change's body.
 const MAX_CONFIGURATION_CHANGE_BYTES: usize = 16 << 20;
 /// A connection takes no further call this long after it was opened.
@@ -175,7 +177,10 @@
     let body: Option<Value> = serde_json::from_slice(&body.to_bytes()).ok();
     match body.and_then(|body| parse_heartbeat(id, &body)) {
         Some(heartbeat) => acknowledgement(api.registration.heartbeat(&heartbeat).await),
-        None => error(StatusCode::BAD_REQUEST, "the heartbeat lacks backend, address, state or sequence"),
+        None => error(
+            StatusCode::BAD_REQUEST,
+            "the heartbeat lacks backend, address, state or sequence, or its generation is no text of at most 256 bytes",
+        ),
     }
 }
 
@@ -198,6 +203,17 @@
             capacity: integer("capacity").and_then(|capacity| u32::try_from(capacity).ok()).unwrap_or(1),
             state,
             sequence: integer("sequence")?,
+            version: parse_version(body.get("generation"))?,
         },
     })
 }
+
+/// The version that an endpoint reports, empty where it reports none; `None` where it is no version.
+fn parse_version(value: Option<&Value>) -> Option<String> {
+    match value {
+        None | Some(Value::Null) => Some(String::new()),
+        Some(Value::String(text)) if text.len() <= MAX_VERSION_BYTES => Some(text.clone()),
+        Some(Value::Number(number)) => Some(number.to_string()),
+        Some(_) => None,
+    }
+}
--- a/crates/router/node/src/coordinator_driver.rs
+++ b/crates/router/node/src/coordinator_driver.rs
@@ -168,6 +168,10 @@
         let status = self.coordinator.borrow().status(self.clock.now());
         let mut status = serde_json::to_value(&status).unwrap_or_default();
         status["frames_dropped"] = self.targets.transport.dropped().into();
+        let data_plane = &self.targets.data_plane;
+        status["requests_sent"] = serde_json::json!(data_plane.balancer.borrow().request_counts());
+        status["denials"] = data_plane.denials.proven.get().into();
+        status["unproven_denials"] = data_plane.denials.unproven.get().into();
         status.to_string()
     }
 
--- a/crates/router/node/src/data_plane.rs
+++ b/crates/router/node/src/data_plane.rs
@@ -4,6 +4,7 @@
 //! messages.
 
 use crate::configuration_snapshot::{ConfigurationSnapshot, CurrentConfiguration};
+use crate::denials::Denials;
 use crate::logging::{log_event, Quoted};
 use crate::quota_client::QuotaClient;
 use passrelay_configuration::{parse_document, Configuration};
@@ -27,6 +28,8 @@
     pub traffic_splits: RefCell<TrafficSplits>,
     /// Quota shares granted to this process.
     pub quota: QuotaClient,
+    /// Requests denied so far.
+    pub denials: Denials,
 }
 
 impl DataPlane {
@@ -38,6 +41,7 @@
             retry_budget: RefCell::new(RetryBudget::new(retry_budget_ratio)),
             traffic_splits: RefCell::new(TrafficSplits::new(split_seed)),
             quota: QuotaClient::new(),
+            denials: Denials::default(),
         }
     }
 
--- a/crates/router/node/src/freshness.rs
+++ b/crates/router/node/src/freshness.rs
@@ -12,6 +12,8 @@
 
 /// Margin of the freshness check under the revocation bound: a request needs time to reach its endpoint.
 const REVOCATION_MARGIN: Duration = Duration::from_millis(600);
+/// Margin of the check whether the configuration is current under the bound for changes to be in force.
+const CONFIG_APPLY_MARGIN: Duration = Duration::from_millis(200);
 /// A sidecar reports itself not ready this much before its requests would be rejected.
 const READINESS_MARGIN: Duration = Duration::from_millis(700);
 
@@ -45,12 +47,17 @@
         self.is_fresh_within(REVOCATION_MARGIN + READINESS_MARGIN)
     }
 
+    /// Whether the configuration is known to contain every change that has to be in force by now.
+    pub fn is_current(&self) -> bool {
+        self.is_proven_within(self.settings.borrow().config_apply.saturating_sub(CONFIG_APPLY_MARGIN))
+    }
+
     fn is_fresh_within(&self, margin: Duration) -> bool {
         let settings = self.settings.borrow();
-        if !settings.strict_revocation {
-            return true;
-        }
-        let max_age = settings.revoke.saturating_sub(margin);
+        !settings.strict_revocation || self.is_proven_within(settings.revoke.saturating_sub(margin))
+    }
+
+    fn is_proven_within(&self, max_age: Duration) -> bool {
         let now = self.clock.now();
         self.proven_at.get().is_some_and(|at| now.saturating_sub(at) < max_age)
     }
--- a/crates/router/node/src/lib.rs
+++ b/crates/router/node/src/lib.rs
@@ -26,6 +26,7 @@
 pub mod control_client;
 mod coordinator_driver;
 mod data_plane;
+mod denials;
 mod endpoint_announcements;
 mod endpoint_persistence;
 mod endpoint_registration;
--- a/crates/router/node/src/request/admission.rs
+++ b/crates/router/node/src/request/admission.rs
@@ -31,10 +31,7 @@
 pub fn admit(context: &RequestContext, inbound: &InboundRequest) -> Result<Admission, Failure> {
     let snapshot = context.data_plane.configuration.snapshot().ok_or(Failure::NotConfigured)?;
     let matched = snapshot.table.find(&inbound.host, inbound.uri.path(), inbound.key.as_deref());
-    let matched = matched.map_err(|denial| match denial {
-        RoutingError::NoRoute => Failure::NoRoute,
-        RoutingError::UnknownKey => Failure::UnknownKey,
-    })?;
+    let matched = matched.map_err(|denial| deny(context, denial))?;
     if matched.tenant.is_some() && !context.freshness.is_fresh() {
         return Err(Failure::NotFresh);
     }
@@ -44,6 +41,14 @@
     Ok(Admission { snapshot, route, tenant, priority })
 }
 
+fn deny(context: &RequestContext, denial: RoutingError) -> Failure {
+    context.data_plane.denials.record(context.freshness.is_current());
+    match denial {
+        RoutingError::NoRoute => Failure::NoRoute,
+        RoutingError::UnknownKey => Failure::UnknownKey,
+    }
+}
+
 impl Admission {
     /// Whether the admission still holds: the same configuration is in force and, with a key, known to be
     /// current.
--- a/crates/router/node/src/settings.rs
+++ b/crates/router/node/src/settings.rs
@@ -89,6 +89,8 @@
     pub tolerated_losses: usize,
     /// Interval between heartbeats of an endpoint.
     pub heartbeat: Duration,
+    /// Bound within which a change has to be in force at all machines in touch.
+    pub config_apply: Duration,
     /// Bound within which a revoked key has to be out of force everywhere.
     pub revoke: Duration,
     /// Whether the bound also holds on machines that are partitioned from the core.
@@ -161,6 +163,7 @@
             data_dir: self.text("data-dir").filter(|text| !text.is_empty()).map(PathBuf::from),
             tolerated_losses: self.value("fault-tolerance.machines", "a whole number")?.unwrap_or(0),
             heartbeat: self.duration("heartbeat-ms", 1.0, 1_200.0)?,
+            config_apply: self.duration("bounds.config-apply-ms", 1.0, 2_500.0)?,
             revoke: self.duration("bounds.revoke-ms", 1.0, 5_000.0)?,
             strict_revocation: self.flag("bounds.strict-revocation")?,
             grace: self.duration("bounds.grace-s", 1_000.0, 8.0)?,
--- a/crates/testing/cluster-simulation/examples/dissemination.rs
+++ b/crates/testing/cluster-simulation/examples/dissemination.rs
@@ -27,6 +27,7 @@
         capacity: 64,
         state,
         sequence,
+        version: String::new(),
     };
     Heartbeat { record }
 }
--- a/crates/testing/cluster-simulation/src/limits/endpoints.rs
+++ b/crates/testing/cluster-simulation/src/limits/endpoints.rs
@@ -83,6 +83,7 @@
             capacity: 8,
             state: endpoint.state,
             sequence: endpoint.sequence,
+            version: String::new(),
         };
         let Some(machine) = self.random_responsive_machine() else { return };
         let Some(observations) = self.cluster.heartbeat(machine, &Heartbeat { record }) else { return };
--- a/crates/testing/cluster-simulation/tests/traces.rs
+++ b/crates/testing/cluster-simulation/tests/traces.rs
@@ -290,6 +290,7 @@
             capacity: 4,
             state: if draining { EndpointState::Draining } else { EndpointState::Ready },
             sequence,
+            version: String::new(),
         };
         let mut seen = self.cluster.heartbeat(machine, &Heartbeat { record })?;
         if draining {
