Reproduce denials by a configuration of before

Cause: a process that stood still denies routes and keys that were added meanwhile, on connections that stayed open.

--- a/crates/passrelay/tests/soak/http.rs
+++ b/crates/passrelay/tests/soak/http.rs
@@ -27,7 +27,17 @@
 
     /// Sends a request and reads its answer; `None` where the connection ends or stays silent.
     pub fn exchange(&mut self, request: &str) -> Option<Message> {
-        self.stream.write_all(request.as_bytes()).ok()?;
+        self.send(request);
+        self.receive()
+    }
+
+    /// Sends a request; a connection that has ended shows at [`Connection::receive`].
+    pub fn send(&mut self, request: &str) {
+        let _ = self.stream.write_all(request.as_bytes());
+    }
+
+    /// Reads the next answer.
+    pub fn receive(&mut self) -> Option<Message> {
         Message::read(&mut self.reader)
     }
 }
--- a/crates/passrelay/tests/soak/main.rs
+++ b/crates/passrelay/tests/soak/main.rs
@@ -15,6 +15,7 @@
 mod operator;
 mod records;
 mod scenario;
+mod stale_denial;
 mod unordered_version;
 
 use scenario::Scenario;
--- a/crates/passrelay/tests/soak/operator.rs
+++ b/crates/passrelay/tests/soak/operator.rs
@@ -68,6 +68,17 @@
         Outcome::Unclear
     }
 
+    /// Sends one valid patch.
+    ///
+    /// # Panics
+    ///
+    /// Panics where it is not acknowledged.
+    pub fn patch_once(&self, base: u64, generation: u64, upsert: &Value) {
+        let change = Change::patch(base, &json!({ "generation": generation, "upsert": upsert }));
+        let outcome = self.submit(&mut ChaCha8Rng::seed_from_u64(generation), &change);
+        assert_eq!(outcome, Outcome::Acknowledged);
+    }
+
     /// Reads the configuration at any process.
     fn read_once(&self, rng: &mut ChaCha8Rng) -> Option<Value> {
         let at = *self.controls.choose(rng).expect("a process");
@@ -131,6 +142,16 @@
     (0..8).map(|n| format!("/stable-{n}/")).collect()
 }
 
+/// The items of a patch that adds a route.
+pub fn added_route(name: &str) -> Value {
+    json!({ "routes": [route(name, SERVICES[0])] })
+}
+
+/// The items of a patch that adds a key.
+pub fn added_key(key: &str) -> Value {
+    json!({ "tenants": [tenant("fleet", &[key.to_owned()])] })
+}
+
 fn route(name: &str, service: &str) -> Value {
     json!({ "name": name, "hostname": "soak.example", "path-prefix": format!("/{name}/"), "route-type": "safe",
         "timeout-ms": 3_000, "target-latency-ms": 500, "priority": 1, "backend": service, "max-attempts": 2,
