Deny requests only by a configuration that is known to be current

Cause: requests that are accepted were checked for freshness, denials were not: a process that stood still answered 404 and 401 for routes and keys that were added meanwhile, which clients don't retry.

--- a/crates/router/node/src/denials.rs
+++ b/crates/router/node/src/denials.rs
@@ -1,7 +1,6 @@
-//! How many requests were denied (401, 404), by whether the configuration was known to be current at that moment.
+//! How many requests the configuration denied, by whether it was known to be current at that moment.
 //!
-//! A denial by a configuration that is no longer in force is an error that clients don't retry; the two counters tell it from one
-//! that the operators wanted.
+//! Only then are they answered with 401 or 404, which clients don't retry; the others get 503 and come again.
 
 use std::cell::Cell;
 
--- a/crates/router/node/src/request/admission.rs
+++ b/crates/router/node/src/request/admission.rs
@@ -41,8 +41,14 @@
     Ok(Admission { snapshot, route, tenant, priority })
 }
 
+/// The failure of a request that the configuration doesn't allow. Clients don't retry a denial, so it is given only while the
+/// configuration is known to be current: a process that stood still, or is cut off, may not have what was added meanwhile.
 fn deny(context: &RequestContext, denial: RoutingError) -> Failure {
-    context.data_plane.denials.record(context.freshness.is_current());
+    let is_current = context.freshness.is_current();
+    context.data_plane.denials.record(is_current);
+    if !is_current {
+        return Failure::NotFresh;
+    }
     match denial {
         RoutingError::NoRoute => Failure::NoRoute,
         RoutingError::UnknownKey => Failure::UnknownKey,
