Keep endpoints of a version that nobody ordered out of service

Cause: the version in a heartbeat was not read, so endpoints of any version were endpoints of the service from their first heartbeat on. Change: under the contract of roll-outs the primary records the version of each service once, in the replicated state, committed like a change and spread with the configuration; a request goes only to endpoints of that version. Only the operators move it, by version of a service in the configuration. Builds before pass the field over. The digests of watched clusters are taken of the former fields of a status, and are as on record.

--- a/crates/passrelay/tests/fleet/account.rs
+++ b/crates/passrelay/tests/fleet/account.rs
@@ -5,7 +5,7 @@
 use passrelay_test_support::until;
 use serde_json::Value;
 
-const KEYS: [&str; 15] = [
+const KEYS: [&str; 16] = [
     "answers_dropped",
     "denials",
     "endpoints",
@@ -19,6 +19,7 @@
     "peers",
     "primary",
     "requests_sent",
+    "service_versions",
     "term",
     "unproven_denials",
 ];
--- a/crates/router/configuration/src/lib.rs
+++ b/crates/router/configuration/src/lib.rs
@@ -14,6 +14,7 @@
 mod model;
 mod patch;
 mod reader;
+mod service_versions;
 mod validate;
 
 pub use difference::{Difference, ItemChange, ItemDifference};
@@ -21,4 +22,5 @@
 pub use errors::{ValidationError, ValidationErrorKind, ValidationErrors};
 pub use model::{Backend, Configuration, Limits, Route, RouteType, Service, Tenant, TokenUnit};
 pub use patch::apply_patch;
+pub use service_versions::ServiceVersions;
 pub use validate::parse_document;
--- a/crates/router/configuration/src/model.rs
+++ b/crates/router/configuration/src/model.rs
@@ -65,6 +65,8 @@
 pub struct Service {
     /// Its name, unique among the services.
     pub name: String,
+    /// The only version whose endpoints get requests; `None` leaves it at the one that the core has recorded.
+    pub version: Option<String>,
     /// Connections that one endpoint accepts from all sidecars together; 0 for no bound.
     pub max_connections: u64,
     /// Batch size of a model's engine, in requests; 0 for services without an engine.
--- a/crates/router/configuration/src/reader.rs
+++ b/crates/router/configuration/src/reader.rs
@@ -130,6 +130,11 @@
         }
     }
 
+    /// A text that is not empty, or `None` if absent.
+    pub(crate) fn text_if_present(&self) -> Option<String> {
+        self.is_present().then(|| self.text())
+    }
+
     /// A required unsigned integer.
     pub(crate) fn unsigned(&self) -> u64 {
         match self.value {
--- a/crates/router/configuration/src/validate.rs
+++ b/crates/router/configuration/src/validate.rs
@@ -82,6 +82,7 @@
         let engine = item.field("engine");
         Service {
             name,
+            version: item.field("version").text_if_present(),
             max_connections: item.field("max-connections").unsigned_or(0),
             engine_capacity: engine.field("capacity").unsigned_or(0),
             kv_capacity_tokens: engine.field("kv-capacity-tokens").unsigned_or(0),
--- a/crates/router/control-plane/src/coordinator.rs
+++ b/crates/router/control-plane/src/coordinator.rs
@@ -15,6 +15,7 @@
 mod publication;
 mod quota_grantor;
 mod status;
+mod version_recorder;
 
 pub use status::Status;
 
@@ -30,6 +31,7 @@
 use quota_grantor::GrantorLifecycle;
 use std::net::SocketAddrV4;
 use std::time::Duration;
+use version_recorder::VersionRecorder;
 
 /// The driver calls [`Coordinator::tick`] at least this often. Bounds the delay of timers that the coordinator itself
 /// owns: level reports and timeouts of operator calls.
@@ -51,6 +53,9 @@
     pub tolerated_losses: usize,
     /// How far the fleet may exceed a tenant's quota.
     pub quota_bounds: QuotaBounds,
+    /// Whether a version of a service gets requests only once it was recorded or ordered. Otherwise endpoints of all versions
+    /// are alike, unless the configuration sets one.
+    pub records_versions: bool,
 }
 
 /// The control plane of one process.
@@ -65,6 +70,7 @@
     /// Load reports of all sidecars; current only on the established primary.
     load_totals: LoadTotals,
     operator_calls: OperatorCalls,
+    versions: VersionRecorder,
     /// Responses dropped because they were addressed to an earlier incarnation at this address.
     stale_responses_dropped: u64,
 }
@@ -83,6 +89,7 @@
             quota: GrantorLifecycle::new(settings.quota_bounds),
             load_totals: LoadTotals::default(),
             operator_calls: OperatorCalls::default(),
+            versions: VersionRecorder::new(settings.records_versions),
             stale_responses_dropped: 0,
         }
     }
@@ -249,6 +256,7 @@
     /// are at the committed state before an operator receives its acknowledgement.
     fn advance(&mut self, context: &mut Context<'_>) {
         self.publish(context);
+        self.record_versions(context);
         let core = Core::new(self.replica.as_mut(), &self.gossip);
         self.operator_calls.advance(core, context);
     }
--- a/crates/router/control-plane/src/coordinator/publication.rs
+++ b/crates/router/control-plane/src/coordinator/publication.rs
@@ -7,12 +7,13 @@
 use super::context::Context;
 use super::Coordinator;
 use crate::replication::{Replica, ReplicatedState};
+use passrelay_configuration::{parse_document, Configuration};
 use passrelay_dissemination::{CommittedConfiguration, Gossip};
 use std::sync::Arc;
 
 impl Coordinator {
     /// Publishes the core's location and the committed state, if this process is the primary, and starts, configures or
-    /// stops the grantor accordingly. Without a replica there is nothing to publish.
+    /// stops the grantor and the recorder of versions accordingly. Without a replica there is nothing to publish.
     pub(super) fn publish(&mut self, context: &mut Context<'_>) {
         let Some(replica) = &self.replica else { return };
         let now = context.now();
@@ -27,11 +28,20 @@
         publish_configuration(&mut self.gossip, replica, &state, context);
         let started = self.quota.start_term(now, state.version.term, replica.leads_since());
         if started || published_index != state.version.index {
-            self.quota.configure(now, &state);
+            if let Some(configuration) = read_configuration(&state) {
+                self.quota.configure(now, &configuration);
+                self.versions.configure(&configuration);
+            }
         }
     }
 }
 
+/// The configuration of a state; `None` before the first one, and for a document that this build can't read.
+fn read_configuration(state: &ReplicatedState) -> Option<Configuration> {
+    let document = parse_document(state.document.as_deref()?.as_bytes()).ok()?;
+    Configuration::read(&document).ok()
+}
+
 /// The committed state of an established primary.
 fn publishable_state(replica: &Replica) -> Option<Arc<ReplicatedState>> {
     let committed = replica.committed().filter(|_| replica.is_established())?;
@@ -49,6 +59,7 @@
         index: state.version.index,
         generation: state.generation,
         document,
+        service_versions: state.service_versions.clone(),
     });
     context.step_gossip(gossip, |gossip, actions| {
         gossip.observe_committed(now, configuration.as_ref(), replica.confirmed_at(), actions);
--- a/crates/router/control-plane/src/coordinator/quota_grantor.rs
+++ b/crates/router/control-plane/src/coordinator/quota_grantor.rs
@@ -9,8 +9,7 @@
 use super::Coordinator;
 use crate::messages::{Action, Message};
 use crate::quota::{BucketLevels, Grantor, QuotaBounds, QuotaMessage, ReportedLevels, TenantTokens};
-use crate::replication::ReplicatedState;
-use passrelay_configuration::{parse_document, Configuration};
+use passrelay_configuration::Configuration;
 use passrelay_dissemination::{CoreHint, Peer};
 use std::time::Duration;
 
@@ -54,13 +53,10 @@
         true
     }
 
-    /// Applies the tenants' quotas of a committed state. A document that cannot be read changes nothing.
-    pub(super) fn configure(&mut self, now: Duration, state: &ReplicatedState) {
-        let document =
-            state.document.as_deref().and_then(|document| parse_document(document.as_bytes()).ok());
-        let configuration = document.and_then(|document| Configuration::read(&document).ok());
-        if let (Some(grantor), Some(configuration)) = (&mut self.grantor, configuration) {
-            grantor.configure(now, &configuration);
+    /// Applies the tenants' quotas of the committed configuration.
+    pub(super) fn configure(&mut self, now: Duration, configuration: &Configuration) {
+        if let Some(grantor) = &mut self.grantor {
+            grantor.configure(now, configuration);
         }
     }
 
--- a/crates/router/control-plane/src/coordinator/status.rs
+++ b/crates/router/control-plane/src/coordinator/status.rs
@@ -2,6 +2,7 @@
 
 use super::Coordinator;
 use crate::replication::Replica;
+use passrelay_configuration::ServiceVersions;
 use passrelay_dissemination::{EndpointRecord, EndpointState};
 use serde::Serialize;
 use std::collections::BTreeMap;
@@ -31,6 +32,8 @@
     pub endpoints: usize,
     /// Of these, the number by service and version; a version that isn't known is empty.
     pub endpoints_by_version: BTreeMap<String, BTreeMap<String, usize>>,
+    /// The version of each service whose endpoints get requests, as recorded; without the services of which none is.
+    pub service_versions: ServiceVersions,
     /// Number of responses dropped because an earlier incarnation at this address had sent the request.
     pub answers_dropped: u64,
 }
@@ -53,6 +56,7 @@
             peers: self.gossip.view().len(),
             endpoints: self.gossip.registry().records().filter(present).count(),
             endpoints_by_version: self.endpoints_by_version(),
+            service_versions: configuration.map(|c| c.service_versions.clone()).unwrap_or_default(),
             answers_dropped: self.stale_responses_dropped,
         }
     }
--- a/crates/router/control-plane/src/replication/replica.rs
+++ b/crates/router/control-plane/src/replication/replica.rs
@@ -23,6 +23,7 @@
 use super::state::{AppliedChange, ReplicatedState};
 use super::ReplicaAction;
 use durable_writes::PendingWrite;
+use passrelay_configuration::ServiceVersions;
 use passrelay_dissemination::{CoreHint, Incarnation};
 use rand::SeedableRng;
 use rand_chacha::ChaCha8Rng;
@@ -178,11 +179,38 @@
         change: AppliedChange,
         actions: &mut Vec<ReplicaAction>,
     ) -> Option<u64> {
-        let term = self.leadership().filter(|leadership| leadership.is_established())?.term();
-        let state = Arc::new(self.state.after(term, generation, document, change));
+        let term = self.established_term()?;
+        let state = self.state.after(term, generation, document, change);
+        Some(self.replicate_next(now, state, actions))
+    }
+
+    /// Replicates other versions in service. Returns the index at which they will be committed; `None` unless this is an
+    /// established primary.
+    pub fn propose_service_versions(
+        &mut self,
+        now: Duration,
+        versions: ServiceVersions,
+        actions: &mut Vec<ReplicaAction>,
+    ) -> Option<u64> {
+        let term = self.established_term()?;
+        let state = self.state.with_service_versions(term, versions);
+        Some(self.replicate_next(now, state, actions))
+    }
+
+    fn established_term(&self) -> Option<u64> {
+        Some(self.leadership().filter(|leadership| leadership.is_established())?.term())
+    }
+
+    /// Replicates the state that follows the newest one; returns its index.
+    fn replicate_next(
+        &mut self,
+        now: Duration,
+        state: ReplicatedState,
+        actions: &mut Vec<ReplicaAction>,
+    ) -> u64 {
         let index = state.version.index;
-        self.replicate_state(&mut Context::new(now, actions), state);
-        Some(index)
+        self.replicate_state(&mut Context::new(now, actions), Arc::new(state));
+        index
     }
 
     /// Advances timers to `now`, and returns when to call again. A primary sends heartbeats, resends what is
--- a/crates/router/control-plane/src/replication/state.rs
+++ b/crates/router/control-plane/src/replication/state.rs
@@ -3,6 +3,7 @@
 //! The state is replicated as a whole, not as a log: it is small, and a backup that has fallen behind needs only the
 //! newest version.
 
+use passrelay_configuration::ServiceVersions;
 use serde::{Deserialize, Serialize};
 use std::collections::VecDeque;
 use std::sync::Arc;
@@ -46,6 +47,10 @@
     /// primary recognises a retry of a change that an earlier one acknowledged.
     #[serde(rename = "orders")]
     pub applied_changes: VecDeque<AppliedChange>,
+    /// The versions in service. Invariant: replicated with the document, so that whoever knows a configuration knows which
+    /// endpoints may serve it. Not written while empty, and dropped by members of earlier builds.
+    #[serde(default, skip_serializing_if = "ServiceVersions::is_empty")]
+    pub service_versions: ServiceVersions,
 }
 
 impl ReplicatedState {
@@ -69,6 +74,13 @@
             applied_changes.pop_front();
         }
         let version = StateVersion { term, index: self.version.index + 1 };
-        ReplicatedState { version, generation, document: Some(document), applied_changes }
+        let service_versions = self.service_versions.clone();
+        ReplicatedState { version, generation, document: Some(document), applied_changes, service_versions }
+    }
+
+    /// The state with other versions in service, replicated by the primary of `term`. No change of an operator.
+    pub fn with_service_versions(&self, term: u64, service_versions: ServiceVersions) -> Self {
+        let version = StateVersion { term, index: self.version.index + 1 };
+        ReplicatedState { version, service_versions, ..self.clone() }
     }
 }
--- a/crates/router/control-plane/src/replication/state_delta.rs
+++ b/crates/router/control-plane/src/replication/state_delta.rs
@@ -40,10 +40,12 @@
 }
 
 impl ReplicatedState {
-    /// The difference from the state before this one. `None` where it is no single change, or nearly as long as the whole.
+    /// The difference from the state before this one. `None` where it is no single change of the document, or nearly as long as
+    /// the whole.
     pub fn delta_from(&self, base: &ReplicatedState) -> Option<StateDelta> {
         let (base_document, document) = (base.document.as_ref()?, self.document.as_ref()?);
-        if self.version.index != base.version.index + 1 {
+        let same_versions = self.service_versions == base.service_versions;
+        if self.version.index != base.version.index + 1 || !same_versions {
             return None;
         }
         let applied_change = self.applied_changes.back()?.clone();
--- a/crates/router/control-plane/tests/state_delta.rs
+++ b/crates/router/control-plane/tests/state_delta.rs
@@ -3,6 +3,7 @@
 mod common;
 
 use common::{receive, replica, NOW};
+use passrelay_configuration::ServiceVersions;
 use passrelay_control_plane::replication::{
     AppliedChange, MemberId, ReplicaAction, ReplicatedState, ReplicationMessage, StateDelta, StateDeltaError,
     StateVersion,
@@ -173,3 +174,39 @@
     }
     assert_eq!(earlier == bytes, !accepts_deltas, "a build that takes none writes what earlier ones wrote");
 }
+
+fn versions(version: &str) -> ServiceVersions {
+    [("s".to_owned(), version.to_owned())].into_iter().collect()
+}
+
+// Guards against a member that holds the document of a state and not the versions in service.
+#[test]
+fn versions_in_service_travel_with_the_whole_state_and_stay_over_deltas() {
+    let base = state(2);
+    let recorded = base.with_service_versions(1, versions("v1"));
+    assert_eq!(recorded.version.index, base.version.index + 1);
+    assert_eq!((recorded.generation, &recorded.document), (base.generation, &base.document));
+    assert_eq!(recorded.applied_changes, base.applied_changes, "it is no operator's change");
+    assert_eq!(recorded.delta_from(&base), None);
+    let after = next(&recorded);
+    assert_eq!(after.service_versions, versions("v1"));
+    assert_eq!(recorded.apply_delta(&delta(&recorded)), Ok(after));
+}
+
+#[test]
+fn a_state_without_versions_is_written_as_before_and_read_as_without() {
+    let encode = |state: &ReplicatedState| {
+        let mut bytes = Vec::new();
+        ciborium::into_writer(state, &mut bytes).expect("it can be written");
+        bytes
+    };
+    let contains =
+        |bytes: &[u8], text: &str| bytes.windows(text.len()).any(|window| window == text.as_bytes());
+    let without = encode(&state(1));
+    assert!(!contains(&without, "service_versions"));
+    assert_eq!(ciborium::from_reader::<ReplicatedState, _>(without.as_slice()).ok(), Some(state(1)));
+    let recorded = state(1).with_service_versions(1, versions("v1"));
+    let with = encode(&recorded);
+    assert!(contains(&with, "service_versions"));
+    assert_eq!(ciborium::from_reader::<ReplicatedState, _>(with.as_slice()).ok(), Some(recorded));
+}
--- a/crates/router/data-plane/src/balancer.rs
+++ b/crates/router/data-plane/src/balancer.rs
@@ -1,6 +1,6 @@
 //! Selects the endpoint of each request of a service.
 //!
-//! Endpoints that may not get it are filtered out first: draining, expired, ejected, stalled (`in_flight`) or failing
+//! Endpoints that may not get it are filtered out first: of a version that isn't in service, draining, expired, ejected, stalled (`in_flight`) or failing
 //! too often (`outlier`). Where the request has a prompt, those stay at which it would be prefilled soonest, by queued
 //! tokens (`load`, `prefill`) and cached prefixes (`prefix_affinity`). Among the rest a smooth weighted round robin
 //! decides (`round_robin`) by free capacity (`weight`) and zone.
@@ -50,6 +50,8 @@
 pub struct PickRequest<'a> {
     /// Name of the service.
     pub service: &'a str,
+    /// The only version whose endpoints may get the request; `None` where any may.
+    pub version: Option<&'a str>,
     /// The prompt, where requests with the same prefixes go to the same endpoints; `None` selects by weight alone.
     pub prompt: Option<Prompt>,
     /// Latency target: the time within which a response has its full value.
@@ -159,12 +161,15 @@
         }
     }
 
-    /// The healthy endpoints of the service; where there is none, all that neither drain nor were tried, for the fault
-    /// may be over. `None` where the service is unknown.
+    /// The healthy endpoints of the service, of the version asked for; where there is none, all of these that neither drain
+    /// nor were tried, for the fault may be over. `None` where the service is unknown.
     fn eligible(&self, now: Duration, request: &PickRequest) -> Option<Vec<Arc<str>>> {
         let ids = self.services.get(request.service)?;
         let is_candidate = |id: &&Arc<str>| {
-            self.endpoints[*id].state() != EndpointState::Draining && !request.attempted.contains(id)
+            let endpoint = &self.endpoints[*id];
+            endpoint.state() != EndpointState::Draining
+                && endpoint.serves(request.version)
+                && !request.attempted.contains(id)
         };
         let candidates: Vec<Arc<str>> = ids.iter().filter(is_candidate).cloned().collect();
         let outliers: Vec<bool> = candidates.iter().map(|id| self.endpoints[id].is_outlier(now)).collect();
--- a/crates/router/data-plane/src/balancer/endpoint.rs
+++ b/crates/router/data-plane/src/balancer/endpoint.rs
@@ -88,6 +88,11 @@
         &self.version
     }
 
+    /// Whether it may get requests for a version; one whose version isn't known may get any.
+    pub(super) fn serves(&self, version: Option<&str>) -> bool {
+        version.is_none_or(|version| self.version.is_empty() || self.version == version)
+    }
+
     pub(super) fn is_in_own_zone(&self) -> bool {
         self.is_in_own_zone
     }
--- a/crates/router/data-plane/tests/balancer.rs
+++ b/crates/router/data-plane/tests/balancer.rs
@@ -37,7 +37,7 @@
 }
 
 fn request(prompt: Option<Prompt>) -> PickRequest<'static> {
-    PickRequest { service: "s", prompt, target: ms(500), attempted: &[] }
+    PickRequest { service: "s", version: None, prompt, target: ms(500), attempted: &[] }
 }
 
 fn pick(balancer: &mut Balancer, now: Duration, prompt: Option<Prompt>) -> Pick {
@@ -201,7 +201,8 @@
 fn endpoints_of_earlier_attempts_are_not_picked() {
     let mut balancer = balancer(2);
     let attempted: [Arc<str>; 2] = ["i-0".into(), "i-1".into()];
-    let request = |attempted| PickRequest { service: "s", prompt: None, target: ms(500), attempted };
+    let request =
+        |attempted| PickRequest { service: "s", version: None, prompt: None, target: ms(500), attempted };
     for index in 0..10 {
         let pick = balancer.pick(ms(index), &request(&attempted[..1])).unwrap();
         assert_eq!(pick.id, attempted[1]);
@@ -251,3 +252,48 @@
     let used: HashSet<Arc<str>> = picked_ids(&mut balancer, ms(210), 40).into_iter().collect();
     assert_eq!(used.len(), 4);
 }
+
+fn record_of_version(index: u16, version: &str) -> EndpointRecord {
+    EndpointRecord { version: version.to_owned(), ..record(index, OWN_ZONE, EndpointState::Ready) }
+}
+
+/// Endpoints `i-0` and `i-1` of version `v1`, `i-2` and `i-3` of `v2`, `i-4` of none that is known.
+fn balancer_of_two_versions() -> Balancer {
+    let mut balancer = Balancer::new(OWN_ZONE);
+    let versions = ["v1", "v1", "v2", "v2", ""];
+    let records: Vec<_> =
+        (0..).zip(versions).map(|(index, version)| record_of_version(index, version)).collect();
+    balancer.update(records.iter());
+    balancer
+}
+
+// Guards against requests at endpoints of a version that nobody ordered, also where all others are faulty.
+#[rstest]
+#[case::without_prompt(None)]
+#[case::with_prompt(Some(prompt(1)))]
+fn only_endpoints_of_the_version_in_service_are_selected(#[case] prompt: Option<Prompt>) {
+    let mut balancer = balancer_of_two_versions();
+    let request = PickRequest { version: Some("v1"), ..request(prompt) };
+    let mut seen = HashSet::new();
+    for index in 0..200 {
+        let pick = balancer.pick(ms(index), &request).unwrap();
+        seen.insert(pick.id.to_string());
+        balancer.request_sent(ms(index), &pick, prompt.as_ref());
+        // Each fails, so that in the end all of the version are ejected.
+        balancer.request_ended(ms(index), &pick, false, CallEnd::Failed);
+    }
+    assert_eq!(seen, HashSet::from(["i-0", "i-1", "i-4"].map(str::to_owned)));
+    assert!(balancer.request_counts()["s"]["v1"] > 0 && !balancer.request_counts()["s"].contains_key("v2"));
+}
+
+#[test]
+fn without_a_version_in_service_all_are_alike_and_without_endpoints_of_it_there_is_none() {
+    let mut balancer = balancer_of_two_versions();
+    let all: HashSet<_> = picked_ids(&mut balancer, ms(0), 50).into_iter().collect();
+    assert_eq!(all.len(), 5);
+    let records = [record_of_version(2, "v2"), record_of_version(3, "v2")];
+    balancer.update(records.iter());
+    let request = PickRequest { version: Some("v1"), ..request(None) };
+    assert_eq!(balancer.pick(ms(100), &request), None);
+    assert_eq!(balancer.request_counts().len(), 0, "versions that have gone are forgotten");
+}
--- a/crates/router/dissemination/src/gossip/configuration.rs
+++ b/crates/router/dissemination/src/gossip/configuration.rs
@@ -129,6 +129,7 @@
                 index: configuration.index,
                 generation: configuration.generation,
                 document: DocumentDelta::between(&previous.document, &configuration.document),
+                service_versions: configuration.service_versions.clone(),
             }));
         }
         let replaced = self.replace(configuration);
@@ -151,7 +152,9 @@
             }
             let document = delta.document.apply(&base.document)?.into();
             let (index, generation) = (delta.index, delta.generation);
-            result = Some(CommittedConfiguration { index, generation, document });
+            let known = Some(&delta.service_versions).filter(|versions| !versions.is_empty());
+            let service_versions = known.unwrap_or(&base.service_versions).clone();
+            result = Some(CommittedConfiguration { index, generation, document, service_versions });
         }
         Ok(result)
     }
--- a/crates/router/dissemination/src/messages.rs
+++ b/crates/router/dissemination/src/messages.rs
@@ -3,7 +3,7 @@
 
 use crate::partial_view::PeerDescriptor;
 use crate::registry::{EndpointRecord, RegistryDigest};
-use passrelay_configuration::DocumentDelta;
+use passrelay_configuration::{DocumentDelta, ServiceVersions};
 use serde::{Deserialize, Serialize};
 use std::net::SocketAddrV4;
 use std::sync::Arc;
@@ -17,6 +17,9 @@
     pub generation: u64,
     /// The document, as JSON.
     pub document: Arc<str>,
+    /// The versions in service. Not written while empty, and dropped by sidecars of earlier builds.
+    #[serde(default, rename = "versions", skip_serializing_if = "ServiceVersions::is_empty")]
+    pub service_versions: ServiceVersions,
 }
 
 /// The difference of a committed configuration from the one before it.
@@ -34,6 +37,10 @@
     /// The difference of the documents.
     #[serde(rename = "d")]
     pub document: DocumentDelta,
+    /// All versions in service of the resulting configuration. Empty, and then not written, where the sender knows none: those of
+    /// the base stay.
+    #[serde(default, rename = "v", skip_serializing_if = "ServiceVersions::is_empty")]
+    pub service_versions: ServiceVersions,
 }
 
 /// Where the core is, according to the newest epoch record that a sidecar has seen.
--- a/crates/router/dissemination/tests/gossip.rs
+++ b/crates/router/dissemination/tests/gossip.rs
@@ -1,5 +1,6 @@
 //! The decider: freshness, fetching the configuration, confirmations by the core.
 
+use passrelay_configuration::ServiceVersions;
 use passrelay_dissemination::{
     ActiveMutation, CommittedConfiguration, CoreHint, Digest, Gossip, GossipAction, GossipMessage,
     GossipSettings, Incarnation, Peer, RegistryDigest,
@@ -33,7 +34,12 @@
 }
 
 fn configuration(index: u64, document: &str) -> CommittedConfiguration {
-    CommittedConfiguration { index, generation: index, document: document.into() }
+    CommittedConfiguration {
+        index,
+        generation: index,
+        document: document.into(),
+        service_versions: ServiceVersions::default(),
+    }
 }
 
 fn response(request_id: u64, index: u64, fresh_age_ms: u32) -> GossipMessage {
@@ -219,3 +225,41 @@
     assert_eq!(receive(&mut gossip, at(21), 2, deltas), []);
     assert_eq!(gossip.configuration(), Some(&long_configuration(3)));
 }
+
+fn with_version(configuration: CommittedConfiguration, version: &str) -> CommittedConfiguration {
+    let service_versions = [("s".to_owned(), version.to_owned())].into_iter().collect();
+    CommittedConfiguration { service_versions, ..configuration }
+}
+
+// Guards against a sidecar that gets a document by deltas and doesn't learn which version is in service.
+#[test]
+fn the_versions_in_service_come_with_the_whole_document_and_with_deltas() {
+    let mut source = gossip();
+    let committed = [
+        long_configuration(1),
+        with_version(long_configuration(2), "v1"),
+        with_version(long_configuration(3), "v2"),
+    ];
+    for configuration in &committed {
+        source.observe_committed(at(0), Some(configuration), Some(at(0)), &mut Vec::new());
+    }
+    let whole = transferred(&mut source, 0, true);
+    assert_eq!(whole, GossipMessage::Configuration(committed[2].clone()));
+    let deltas = transferred(&mut source, 1, true);
+    assert!(matches!(&deltas, GossipMessage::ConfigurationDeltas(sent) if sent.len() == 2), "{deltas:?}");
+    let mut relay = gossip();
+    receive(&mut relay, at(0), 2, GossipMessage::Configuration(committed[0].clone()));
+    receive(&mut relay, at(20), 2, deltas);
+    assert_eq!(relay.configuration(), Some(&committed[2]));
+}
+
+// Guards against versions lost where a delta was passed on by a sidecar of an earlier build, which drops them.
+#[test]
+fn a_delta_without_versions_leaves_those_that_are_known() {
+    let deltas = transferred(&mut source(1..=2), 1, true);
+    let mut gossip = gossip();
+    let held = with_version(long_configuration(1), "v1");
+    receive(&mut gossip, at(0), 2, GossipMessage::Configuration(held));
+    receive(&mut gossip, at(20), 2, deltas);
+    assert_eq!(gossip.configuration(), Some(&with_version(long_configuration(2), "v1")));
+}
--- a/crates/router/node/src/configuration_snapshot.rs
+++ b/crates/router/node/src/configuration_snapshot.rs
@@ -3,6 +3,7 @@
 //! A request that holds a snapshot keeps its view; whether it is still the current one is decided by the
 //! index.
 
+use passrelay_configuration::ServiceVersions;
 use passrelay_data_plane::routing::RoutingTable;
 use std::cell::RefCell;
 use std::rc::Rc;
@@ -13,6 +14,8 @@
     pub table: RoutingTable,
     /// Position in the sequence of committed changes.
     pub index: u64,
+    /// The version of each service whose endpoints get requests.
+    pub service_versions: ServiceVersions,
 }
 
 /// The snapshot in force, none before the first configuration has arrived.
--- a/crates/router/node/src/coordinator_driver.rs
+++ b/crates/router/node/src/coordinator_driver.rs
@@ -10,6 +10,7 @@
 use crate::endpoint_announcements::PendingAnnouncements;
 use crate::endpoint_persistence::EndpointPersistence;
 use crate::freshness::Freshness;
+use crate::held_back_versions::HeldBackVersions;
 use crate::load_reporter::LoadReporter;
 use crate::operator_calls::PendingOperatorCalls;
 use crate::storage::Storage;
@@ -53,6 +54,7 @@
     endpoint_persistence: EndpointPersistence,
     /// Revision of the endpoint registry that the balancer has.
     balancer_revision: Cell<u64>,
+    held_back_versions: HeldBackVersions,
 }
 
 impl CoordinatorDriver {
@@ -67,6 +69,7 @@
             load_reporter: LoadReporter::new(),
             endpoint_persistence: EndpointPersistence::default(),
             balancer_revision: Cell::new(0),
+            held_back_versions: HeldBackVersions::default(),
         };
         driver.publish_freshness();
         driver
@@ -205,5 +208,8 @@
             self.balancer_revision.set(registry.revision());
             self.targets.data_plane.balancer.borrow_mut().update(registry.records());
         }
+        if let Some(snapshot) = self.targets.data_plane.configuration.snapshot() {
+            self.held_back_versions.update(&snapshot, registry);
+        }
     }
 }
--- a/crates/router/node/src/data_plane.rs
+++ b/crates/router/node/src/data_plane.rs
@@ -7,7 +7,7 @@
 use crate::denials::Denials;
 use crate::logging::{log_event, Quoted};
 use crate::quota_client::QuotaClient;
-use passrelay_configuration::{parse_document, Configuration};
+use passrelay_configuration::{parse_document, Configuration, ServiceVersions};
 use passrelay_control_plane::quota::TenantKey;
 use passrelay_data_plane::balancer::Balancer;
 use passrelay_data_plane::retry_budget::RetryBudget;
@@ -52,8 +52,9 @@
         match document.and_then(|document| Configuration::read(&document)) {
             Ok(configuration) => {
                 self.retain_configured(&configuration);
-                let table = RoutingTable::new(configuration);
-                self.configuration.replace(ConfigurationSnapshot { table, index: committed.index });
+                let service_versions = versions_in_force(committed, &configuration);
+                let (table, index) = (RoutingTable::new(configuration), committed.index);
+                self.configuration.replace(ConfigurationSnapshot { table, index, service_versions });
                 log_event!(info, "configured", generation = committed.generation, index = committed.index);
             }
             Err(errors) => log_event!(error, "configuration_unreadable", problem = Quoted(&errors)),
@@ -69,3 +70,14 @@
         self.traffic_splits.borrow_mut().retain(configuration);
     }
 }
+
+/// The recorded versions, but for those that the configuration sets itself: a change binds before it is recorded.
+fn versions_in_force(committed: &CommittedConfiguration, configuration: &Configuration) -> ServiceVersions {
+    let mut versions = committed.service_versions.clone();
+    for service in &configuration.services {
+        if let Some(version) = &service.version {
+            versions.set(&service.name, version);
+        }
+    }
+    versions
+}
--- a/crates/router/node/src/lib.rs
+++ b/crates/router/node/src/lib.rs
@@ -32,6 +32,7 @@
 mod endpoint_registration;
 mod freshness;
 mod graceful_shutdown;
+mod held_back_versions;
 mod listener;
 mod load_reporter;
 mod logging;
--- a/crates/router/node/src/process.rs
+++ b/crates/router/node/src/process.rs
@@ -133,6 +133,7 @@
         is_voter: settings.counts_for_quorum && settings.data_dir.is_some(),
         tolerated_losses: settings.tolerated_losses,
         quota_bounds: settings.quota_bounds,
+        records_versions: settings.orders_versions,
     }
 }
 
--- a/crates/router/node/src/request/attempts.rs
+++ b/crates/router/node/src/request/attempts.rs
@@ -182,7 +182,9 @@
     fn select_endpoint(&self, admission: &Admission, service: &str) -> Option<Pick> {
         let prompt = Some(self.inbound.prompt).filter(|_| admission.route.session_affinity);
         let target = Duration::from_millis(admission.route.target_latency_ms);
-        let request = PickRequest { service, prompt, target, attempted: &self.attempted };
+        // An endpoint registers by itself, so its version counts only if it is the one in service.
+        let version = admission.snapshot.service_versions.of(service);
+        let request = PickRequest { service, version, prompt, target, attempted: &self.attempted };
         self.context.data_plane.balancer.borrow_mut().pick(self.context.now(), &request)
     }
 
--- a/crates/router/node/src/settings.rs
+++ b/crates/router/node/src/settings.rs
@@ -16,6 +16,9 @@
 /// The environment variable that names the settings file.
 pub const PATH_VARIABLE: &str = "PASSRELAY_CONFIG";
 
+/// The contract under which versions of a service are moved by orders.
+const ROLLOUT_CONTRACT: &str = "rollout";
+
 /// Why a process can't start with its settings.
 #[derive(Debug, Error)]
 pub enum SettingsError {
@@ -87,6 +90,8 @@
     pub data_dir: Option<PathBuf>,
     /// Voters that may be lost at one time.
     pub tolerated_losses: usize,
+    /// Whether versions of a service are moved by the operators' orders (`rollout` among the contracts).
+    pub orders_versions: bool,
     /// Interval between heartbeats of an endpoint.
     pub heartbeat: Duration,
     /// Bound within which a change has to be in force at all machines in touch.
@@ -162,6 +167,7 @@
             counts_for_quorum: self.flag("counts-for-quorum")?,
             data_dir: self.text("data-dir").filter(|text| !text.is_empty()).map(PathBuf::from),
             tolerated_losses: self.value("fault-tolerance.machines", "a whole number")?.unwrap_or(0),
+            orders_versions: self.has_contract(ROLLOUT_CONTRACT),
             heartbeat: self.duration("heartbeat-ms", 1.0, 1_200.0)?,
             config_apply: self.duration("bounds.config-apply-ms", 1.0, 2_500.0)?,
             revoke: self.duration("bounds.revoke-ms", 1.0, 5_000.0)?,
@@ -181,6 +187,12 @@
         self.values.get(key).map(|value| value.trim())
     }
 
+    /// Whether a contract is in force.
+    fn has_contract(&self, name: &str) -> bool {
+        let contracts = self.text("contracts").unwrap_or_default();
+        contracts.split(',').any(|contract| contract.trim() == name)
+    }
+
     fn missing(&self, key: &str) -> SettingsError {
         SettingsError::Missing { path: self.path.to_owned(), key: key.to_owned() }
     }
--- a/crates/testing/cluster-simulation/src/cluster/machine.rs
+++ b/crates/testing/cluster-simulation/src/cluster/machine.rs
@@ -258,6 +258,7 @@
             is_voter: starting.disk.is_some(),
             tolerated_losses,
             quota_bounds: QUOTA_BOUNDS,
+            records_versions: self.settings.records_versions,
         };
         starting.process = Some(Coordinator::new(Duration::ZERO, settings));
         let incarnation = starting.incarnation;
--- a/crates/testing/cluster-simulation/src/cluster/settings.rs
+++ b/crates/testing/cluster-simulation/src/cluster/settings.rs
@@ -36,6 +36,8 @@
     pub link_bytes_per_s: u64,
     /// Which builds of the program the machines run.
     pub builds: Builds,
+    /// Whether the primary records the version of each service.
+    pub records_versions: bool,
     /// Mutation of all disks, for testing the checker.
     pub disk_mutation: Option<DiskMutation>,
     /// Mutation of the replication protocol at all voters, for testing the checker.
@@ -66,6 +68,7 @@
             loss: if seed % 3 == 0 { 0.05 } else { 0.0 },
             link_bytes_per_s: 0,
             builds: Builds::Current,
+            records_versions: false,
             disk_mutation: None,
             fault: None,
             gossip_mutation: None,
--- /dev/null
+++ b/crates/testing/cluster-simulation/tests/service_versions.rs
@@ -0,0 +1,176 @@
+//! The version in service through the losses of a cluster: endpoints of another one must not come in by a new primary, a lost disk or
+//! a start of all machines.
+
+use passrelay_cluster_simulation::cluster::{Cluster, ClusterSettings, HEARTBEAT};
+use passrelay_control_plane::configuration_change::{ChangeKind, ConfigurationChange};
+use passrelay_control_plane::OperatorRequest;
+use passrelay_dissemination::{EndpointRecord, EndpointState, Heartbeat};
+use rand::seq::SliceRandom;
+use rstest::rstest;
+use serde_json::{json, Value};
+use std::time::Duration;
+
+const SERVICE: &str = "s";
+const SEEDS: u64 = 40;
+/// A change is in force everywhere after this time, on a calm cluster.
+const APPLY: Duration = Duration::from_millis(2_500);
+/// A cluster is whole again after this time.
+const RECOVERY: Duration = Duration::from_secs(15);
+
+/// Endpoints of one version, which report to machines drawn at random.
+struct Endpoints {
+    version: &'static str,
+    count: u16,
+}
+
+/// A cluster, its endpoints and the configuration's generation.
+struct Story {
+    cluster: Cluster,
+    endpoints: Vec<Endpoints>,
+    beats: u64,
+    generation: u64,
+}
+
+impl Story {
+    /// A cluster whose service has a configuration and endpoints of `v1`.
+    fn begin(voters: usize, machines: usize, seed: u64) -> Self {
+        let settings =
+            ClusterSettings { records_versions: true, ..ClusterSettings::new(voters, machines, seed) };
+        let endpoints = vec![Endpoints { version: "v1", count: 3 }];
+        let mut story = Story { cluster: Cluster::new(settings), endpoints, beats: 0, generation: 0 };
+        story.run(Duration::from_secs(4));
+        story.change(None);
+        story.run(APPLY);
+        story
+    }
+
+    /// Runs the cluster for a time, while the endpoints report.
+    fn run(&mut self, time: Duration) {
+        let until = self.cluster.now() + time;
+        while self.cluster.now() < until {
+            self.beat();
+            let next = self.cluster.now() + HEARTBEAT / 2;
+            self.cluster.run_until(next.min(until));
+        }
+    }
+
+    fn beat(&mut self) {
+        self.beats += 1;
+        let running: Vec<usize> = (0..self.cluster.len()).filter(|m| self.cluster.responds(*m)).collect();
+        for (group, endpoints) in self.endpoints.iter().enumerate() {
+            for index in 0..endpoints.count {
+                let mut order = running.clone();
+                order.shuffle(&mut self.cluster.rng);
+                let Some(machine) = order.first() else { return };
+                let record = EndpointRecord {
+                    id: format!("{}-{index}", endpoints.version),
+                    service: SERVICE.to_owned(),
+                    address: format!("10.9.{group}.1:{}", 1_000 + index).parse().expect("an address"),
+                    zone: "z".to_owned(),
+                    capacity: 4,
+                    state: EndpointState::Ready,
+                    sequence: self.beats,
+                    version: endpoints.version.to_owned(),
+                };
+                self.cluster.heartbeat(*machine, &Heartbeat { record });
+            }
+        }
+    }
+
+    /// Changes the configuration until that is in force at the primary; `version` is set for the service, if any.
+    fn change(&mut self, version: Option<&str>) {
+        let (base, generation) = (self.generation, self.generation + 1);
+        let document: Value = json!({ "generation": generation, "routes": [],
+            "services": [{ "name": SERVICE, "version": version }] });
+        let change =
+            ConfigurationChange { kind: ChangeKind::Replace, base, body: document.to_string().into() };
+        for _ in 0..60 {
+            if let Some(primary) = self.cluster.primary() {
+                self.cluster.call(primary, OperatorRequest::Change(change.clone()));
+                self.run(Duration::from_millis(500));
+                let status = self.cluster.process(primary).map(|process| process.status(Duration::ZERO));
+                if status.is_some_and(|status| status.generation == generation) {
+                    self.generation = generation;
+                    return;
+                }
+            }
+            self.run(Duration::from_millis(300));
+        }
+        panic!("generation {generation} was never in force");
+    }
+
+    /// The version that each running machine takes for the one in service.
+    fn versions(&self) -> Vec<Option<String>> {
+        let processes = (0..self.cluster.len()).filter_map(|machine| self.cluster.process(machine));
+        let version = |process: &passrelay_control_plane::Coordinator| {
+            process.status(Duration::ZERO).service_versions.of(SERVICE).map(str::to_owned)
+        };
+        processes.map(version).collect()
+    }
+
+    fn assert_in_service(&self, version: &str, when: &str) {
+        let versions = self.versions();
+        assert!(
+            !versions.is_empty() && versions.iter().all(|known| known.as_deref() == Some(version)),
+            "{when}: {versions:?}"
+        );
+    }
+
+    fn crash_and_start(&mut self, machines: &[usize], wiped: &[usize]) {
+        for machine in machines {
+            self.cluster.crash(*machine);
+        }
+        for machine in wiped {
+            self.cluster.wipe(*machine);
+        }
+        for machine in machines {
+            self.cluster.start_after(*machine, Duration::from_millis(600));
+        }
+    }
+}
+
+// Guards against a primary that takes the endpoints of the moment for the version in service: the new one, all machines after a
+// loss of power in which tolerated disks were lost, at a moment when the endpoints of the second version are in the majority.
+#[rstest]
+#[case::three_voters(3, 6)]
+#[case::six_voters(6, 9)]
+fn a_second_version_stays_out_of_service_through_losses(#[case] voters: usize, #[case] machines: usize) {
+    for seed in 0..SEEDS {
+        let mut story = Story::begin(voters, machines, seed);
+        story.assert_in_service("v1", &format!("seed {seed}, after the start"));
+        story.endpoints.push(Endpoints { version: "v2", count: 5 });
+        story.run(Duration::from_secs(2));
+        let primary = story.cluster.primary().expect("a primary");
+        story.crash_and_start(&[primary], &[]);
+        story.run(RECOVERY);
+        story.change(None);
+        story.run(APPLY);
+        story.assert_in_service("v1", &format!("seed {seed}, after the loss of the primary"));
+        let all: Vec<usize> = (0..machines).collect();
+        let mut wiped: Vec<usize> = (0..voters).collect();
+        wiped.shuffle(&mut story.cluster.rng);
+        wiped.truncate(if voters >= 5 { 2 } else { 1 });
+        story.crash_and_start(&all, &wiped);
+        // The endpoints of the first version are late.
+        let first = story.endpoints.remove(0);
+        story.run(Duration::from_secs(3));
+        story.endpoints.push(first);
+        story.run(RECOVERY);
+        story.assert_in_service("v1", &format!("seed {seed}, after the loss of all"));
+    }
+}
+
+#[test]
+fn the_configuration_moves_a_service_to_another_version_which_stays_when_it_no_longer_names_one() {
+    for seed in 0..SEEDS {
+        let mut story = Story::begin(3, 5, seed);
+        story.endpoints.push(Endpoints { version: "v2", count: 2 });
+        story.run(Duration::from_secs(2));
+        story.change(Some("v2"));
+        story.run(APPLY);
+        story.assert_in_service("v2", &format!("seed {seed}, after the change"));
+        story.change(None);
+        story.run(APPLY);
+        story.assert_in_service("v2", &format!("seed {seed}, after the next change"));
+    }
+}
--- a/crates/testing/cluster-simulation/tests/traces.rs
+++ b/crates/testing/cluster-simulation/tests/traces.rs
@@ -12,11 +12,12 @@
 use passrelay_cluster_simulation::limits::{self, LimitSettings};
 use passrelay_control_plane::configuration_change::{ChangeKind, ConfigurationChange};
 use passrelay_control_plane::quota::{QuotaMessage, TenantKey};
-use passrelay_control_plane::OperatorRequest;
+use passrelay_control_plane::{OperatorRequest, Status};
 use passrelay_dissemination::{EndpointRecord, EndpointState, Heartbeat};
 use rand::Rng;
 use rstest::rstest;
 use serde_json::json;
+use std::net::SocketAddrV4;
 use std::time::Duration;
 
 /// Seeds of the first digest, and of the second.
@@ -213,6 +214,39 @@
     questions: u64,
 }
 
+/// The part of a status that the digests on record were made of, field by field in that order.
+#[derive(serde::Serialize)]
+struct RecordedStatus {
+    generation: u64,
+    index: u64,
+    fresh_age_ms: Option<u64>,
+    term: u64,
+    primary: Option<SocketAddrV4>,
+    members: Vec<SocketAddrV4>,
+    leads: bool,
+    peers: usize,
+    endpoints: usize,
+    answers_dropped: u64,
+}
+
+impl From<Status> for RecordedStatus {
+    fn from(status: Status) -> Self {
+        assert!(status.service_versions.is_empty(), "these clusters record no versions");
+        RecordedStatus {
+            generation: status.generation,
+            index: status.index,
+            fresh_age_ms: status.fresh_age_ms,
+            term: status.term,
+            primary: status.primary,
+            members: status.members,
+            leads: status.leads,
+            peers: status.peers,
+            endpoints: status.endpoints,
+            answers_dropped: status.answers_dropped,
+        }
+    }
+}
+
 /// How long a watched cluster is played, and the pause between happenings of its outside.
 const LENGTH: Duration = Duration::from_secs(15);
 const PAUSE: Duration = Duration::from_millis(50);
@@ -238,7 +272,7 @@
             self.digest.time(self.cluster.fresh_at(machine).unwrap_or_default());
             let now = self.cluster.local_now(machine);
             let Some(process) = self.cluster.process(machine) else { continue };
-            self.digest.encoded(&process.status(now));
+            self.digest.encoded(&RecordedStatus::from(process.status(now)));
             if let Some(replica) = process.replica() {
                 self.digest.encoded(replica.state());
             }
