--- a/crates/passrelay/tests/soak/operator.rs
+++ b/crates/passrelay/tests/soak/operator.rs
@@ -130,8 +130,7 @@
     json!({
         "generation": 1,
         "routes": stable.chain(idle).collect::<Vec<_>>(),
-        "services": SERVICES.map(|name| json!({ "name": name, "health-path": "/health", "max-connections": 800,
-            "protocol": "h1", "tls": false })),
+        "services": SERVICES.map(service),
         "limits": { "max-header-bytes": 16_384, "max-body-bytes": 65_536, "header-timeout-ms": 3_000,
             "idle-timeout-ms": 15_000 },
         "tenants": [tenant("family", &[STABLE_KEY.to_owned()]), tenant("fleet", &[])],
@@ -142,6 +141,19 @@
     (0..8).map(|n| format!("/stable-{n}/")).collect()
 }
 
+fn service(name: &str) -> Value {
+    json!({ "name": name, "health-path": "/health", "max-connections": 800, "protocol": "h1", "tls": false })
+}
+
+/// The items of a patch that sets the version of the first service; an empty one leaves it as it is.
+pub fn service_of_version(version: &str) -> Value {
+    let mut service = service(SERVICES[0]);
+    if !version.is_empty() {
+        service["version"] = json!(version);
+    }
+    json!({ "services": [service] })
+}
+
 /// The items of a patch that adds a route.
 pub fn added_route(name: &str) -> Value {
     json!({ "routes": [route(name, SERVICES[0])] })
@@ -203,7 +215,7 @@
     /// Goes on with one operation after the other until a time.
     pub fn run(&mut self, until: Time) {
         while self.records().now() < until {
-            match self.rng.random_range(0..20) {
+            match self.rng.random_range(0..22) {
                 0..=4 => self.add_route(),
                 5..=6 => self.move_route(),
                 7..=8 => self.remove_route(),
@@ -214,6 +226,8 @@
                 16 => self.send_again(),
                 17 => self.read(),
                 18 => self.storm(),
+                19 => self.replace_whole(),
+                20 => self.add_split_route(),
                 _ => self.grow(),
             }
             thread::sleep(Duration::from_millis(self.rng.random_range(50..600)));
@@ -236,6 +250,11 @@
         let generation = self.take_generation();
         let body = json!({ "generation": generation, "upsert": upsert, "remove": remove });
         let change = Change::patch(self.generation, &body);
+        self.submit_valid(what, change, generation)
+    }
+
+    /// As [`Operator::change`], for a change that is made already.
+    fn submit_valid(&mut self, what: &str, change: Change, generation: u64) -> bool {
         let outcome = self.caller.submit(&mut self.rng, &change);
         self.records().operation(format!("{what} as {generation} on {}: {outcome:?}", change.base));
         match outcome {
@@ -333,9 +352,29 @@
         self.keys = keys;
     }
 
+    /// The route's requests may be run by either service.
+    fn add_split_route(&mut self) {
+        let name = self.take_item("split");
+        let mut split = route(&name, SERVICES[0]);
+        split["traffic-split"] =
+            json!([{ "backend": SERVICES[0], "weight": 90 }, { "backend": SERVICES[1], "weight": 10 }]);
+        if self.change("add a split route", &json!({ "routes": [split] }), &json!({})) {
+            self.records().expect(&format!("/{name}/"), STABLE_KEY, Demand::Allowed);
+        }
+    }
+
+    /// The whole configuration as it is read, under another generation.
+    fn replace_whole(&mut self) {
+        let Some(mut document) = self.caller.read_once(&mut self.rng) else { return };
+        let generation = self.take_generation();
+        document["generation"] = json!(generation);
+        let change = Change { method: "PUT", base: self.generation, body: document.to_string() };
+        self.submit_valid("replace the whole", change, generation);
+    }
+
     /// Many more routes in one change.
     fn grow(&mut self) {
-        let count = self.rng.random_range(20..200);
+        let count = if self.rng.random_bool(0.2) { 1_000 } else { self.rng.random_range(20..200) };
         let first = self.next_item;
         self.next_item += count;
         let routes: Vec<Value> =
--- a/crates/passrelay/tests/soak/scenario.rs
+++ b/crates/passrelay/tests/soak/scenario.rs
@@ -1,17 +1,19 @@
 //! One soak: a fleet, its clients, endpoints, operator and faults, by a seed.
 
 use crate::bounds::{self, GRACE, RECOVERY};
-use crate::checks::violations;
+use crate::checks::{violations, Exposure};
 use crate::clients::Client;
 use crate::endpoints::{Endpoint, Endpoints, Quality};
 use crate::faults::{schedule, Platform};
+use crate::http::call;
 use crate::operator::{first_document, stable_paths, Caller, Operator, SERVICES, STABLE_KEY};
 use crate::records::{Records, Time};
 use passrelay_test_support::fleet::{Fleet, Sidecar};
 use passrelay_test_support::until;
-use rand::seq::SliceRandom;
+use rand::seq::{IndexedRandom, SliceRandom};
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
+use serde_json::json;
 use std::fmt;
 use std::net::SocketAddr;
 use std::path::PathBuf;
@@ -20,6 +22,7 @@
 use std::thread;
 use std::time::Duration;
 
+/// The program of this build; `SOAK_PROGRAM` names another.
 const PROGRAM: &str = env!("CARGO_BIN_EXE_passrelay");
 /// Machines up to this number have three voters, larger fleets six.
 const SMALL_FLEET: u8 = 16;
@@ -62,7 +65,8 @@
 impl SoakFleet {
     /// Starts a fleet and waits until every process is ready.
     pub fn start(seed: u64, machines: u8) -> Self {
-        let mut fleet = Fleet::new(PROGRAM, machines);
+        let program = std::env::var("SOAK_PROGRAM").map_or(PROGRAM, |path| &*path.leak());
+        let mut fleet = Fleet::new(program, machines);
         fleet.voters = if machines <= SMALL_FLEET { machines.min(3) } else { 6 };
         fleet.grace_s = GRACE.as_secs() as u32;
         fleet.more_settings = bounds::settings();
@@ -120,6 +124,7 @@
         let voters = fleet.voters;
         let began = records.now();
         let steps = schedule(self.seed, self.machines, voters, began + FAULTS_FROM, began + FAULTS_TO);
+        let controls: Vec<SocketAddr> = processes.iter().map(Sidecar::control_address).collect();
         let mut platform = Platform::new(fleet.clone(), records.clone(), processes);
         let stop = AtomicBool::new(false);
         thread::scope(|scope| {
@@ -134,6 +139,9 @@
             let replacing = scope.spawn(|| {
                 replace_endpoints(&endpoints, &mut in_service, &records, self.seed, began + FINAL_FAULT_AT);
             });
+            let versions = scope.spawn(|| {
+                start_second_versions(&endpoints, &records, &controls, self.seed, began + FINAL_FAULT_AT);
+            });
             platform.run(steps, began + FINAL_FAULT_AT);
             while !operating.is_finished() {
                 platform.run(Vec::new(), records.now() + Duration::from_millis(1));
@@ -150,6 +158,7 @@
             platform.run(Vec::new(), records.now() + Duration::from_secs(2));
             stop.store(true, Ordering::SeqCst);
             replacing.join().expect("the endpoints");
+            versions.join().expect("the second versions");
         });
         check_served(&records, recovery_began(&records));
         in_service.iter().for_each(Endpoint::end);
@@ -232,6 +241,45 @@
     }
 }
 
+/// Brings faulty second versions of a service up for some seconds each, with an order as operators send it: it ends at the third 4xx.
+fn start_second_versions(
+    endpoints: &Endpoints,
+    records: &Records,
+    controls: &[SocketAddr],
+    seed: u64,
+    until: Time,
+) {
+    let mut rng = ChaCha8Rng::seed_from_u64(seed ^ 0x5ec0);
+    for number in 2.. {
+        thread::sleep(Duration::from_millis(rng.random_range(1_000..5_000)));
+        let deadline = Duration::from_secs(rng.random_range(4..8));
+        let from = records.now();
+        if from + deadline > until {
+            return;
+        }
+        let version = format!("v{number}");
+        let second: Vec<_> = (0..ENDPOINTS_PER_SERVICE)
+            .map(|_| endpoints.start(SERVICES[0], &version, Quality::Bad))
+            .collect();
+        let order =
+            json!({ "backend": SERVICES[0], "target-version": version, "deadline-s": deadline.as_secs() });
+        let answers: Vec<_> = (0..3)
+            .map(|_| {
+                let at = *controls.choose(&mut rng).expect("a process");
+                call(at, "POST", "/rollouts", "", &order.to_string()).map(|(status, _)| status)
+            })
+            .collect();
+        thread::sleep(deadline);
+        second.iter().for_each(Endpoint::end);
+        let exposure = Exposure::measure(records, SERVICES[0], &version, from, records.now());
+        records.operation(format!("second version {version}, order answered {answers:?}: {exposure:?}"));
+        let is_ordered = answers.contains(&Some(200));
+        if !exposure.is_within_bound() || (!is_ordered && exposure.exposed > 0) {
+            records.violation(format!("EXPOSURE: {version}, order answered {answers:?}: {exposure:?}"));
+        }
+    }
+}
+
 /// When the machines were back after the final fault.
 fn recovery_began(records: &Records) -> Time {
     let disturbances = records.disturbances.lock().unwrap();
--- a/crates/passrelay/tests/soak/unordered_version.rs
+++ b/crates/passrelay/tests/soak/unordered_version.rs
@@ -6,42 +6,86 @@
 //! Cause: the version in a heartbeat was not read, so an endpoint of any version was one of the service.
 //! Evidence: the share of the second version at its endpoints, on a calm fleet without a single fault.
 
+use crate::bounds::CONFIG_APPLY;
 use crate::checks::Exposure;
 use crate::endpoints::{Endpoint, Quality};
-use crate::operator::SERVICES;
+use crate::operator::{service_of_version, SERVICES};
 use crate::scenario::SoakFleet;
 use std::sync::atomic::{AtomicBool, Ordering};
-use std::thread;
+use std::sync::Arc;
+use std::thread::{self, JoinHandle};
 use std::time::Duration;
 
 /// How long the second version is there.
 const DEADLINE: Duration = Duration::from_secs(5);
 
+/// A fleet under traffic, in which endpoints of a second version have just come up.
+struct TwoVersions {
+    soak: SoakFleet,
+    bad: Vec<Endpoint>,
+    stop: Arc<AtomicBool>,
+    clients: Vec<JoinHandle<()>>,
+}
+
+impl TwoVersions {
+    fn start(seed: u64) -> Self {
+        let soak = SoakFleet::start(seed, 4);
+        let stop = Arc::new(AtomicBool::new(false));
+        let clients = soak.clients(seed).into_iter().map(|client| {
+            let stop = stop.clone();
+            thread::spawn(move || client.run(&stop))
+        });
+        let clients = clients.collect();
+        thread::sleep(Duration::from_secs(2));
+        let bad = (0..4).map(|_| soak.endpoints.start(SERVICES[0], "v2", Quality::Bad)).collect();
+        TwoVersions { soak, bad, stop, clients }
+    }
+
+    /// How many of the service's requests reach the second version from now on, in some time.
+    fn exposure(&self, time: Duration) -> Exposure {
+        let records = &self.soak.records;
+        let from = records.now();
+        thread::sleep(time);
+        let exposure = Exposure::measure(records, SERVICES[0], "v2", from, records.now());
+        assert!(exposure.all > 100, "there is traffic: {exposure:?}");
+        exposure
+    }
+
+    fn end(self) {
+        self.stop.store(true, Ordering::SeqCst);
+        self.clients.into_iter().for_each(|client| client.join().expect("a client"));
+        self.bad.iter().chain(&self.soak.in_service).for_each(Endpoint::end);
+    }
+}
+
 #[test]
 fn a_version_that_nobody_ordered_gets_no_requests() {
-    let soak = SoakFleet::start(7, 4);
-    let clients = soak.clients(7);
-    let records = soak.records.clone();
-    let stop = AtomicBool::new(false);
-    let (before, during) = thread::scope(|scope| {
-        for client in &clients {
-            scope.spawn(|| client.run(&stop));
-        }
-        let began = records.now();
-        thread::sleep(Duration::from_secs(2));
-        let second_from = records.now();
-        let bad: Vec<_> = (0..4).map(|_| soak.endpoints.start(SERVICES[0], "v2", Quality::Bad)).collect();
-        thread::sleep(DEADLINE);
-        let second_to = records.now();
-        stop.store(true, Ordering::SeqCst);
-        bad.iter().for_each(Endpoint::end);
-        (
-            Exposure::measure(&records, SERVICES[0], "v2", began, second_from),
-            Exposure::measure(&records, SERVICES[0], "v2", second_from, second_to),
-        )
-    });
-    soak.in_service.iter().for_each(Endpoint::end);
-    assert!(before.all > 100 && during.all > 100, "there is traffic: {before:?}, {during:?}");
-    assert!(during.is_within_bound(), "{during:?}");
-    assert_eq!(during.exposed, 0, "{during:?}");
+    let fleet = TwoVersions::start(7);
+    let exposure = fleet.exposure(DEADLINE);
+    assert!(exposure.is_within_bound(), "{exposure:?}");
+    assert_eq!(exposure.exposed, 0, "{exposure:?}");
+    let status = fleet.soak.processes[3].status();
+    assert_eq!(status["service_versions"][SERVICES[0]], "v1", "{status}");
+    assert_eq!(status["endpoints_by_version"][SERVICES[0]]["v2"], 4, "{status}");
+    fleet.end();
+}
+
+// Guards against a version that can't be brought in at all, and against one that comes back when the configuration no longer names it.
+#[test]
+fn the_configuration_moves_a_service_to_another_version() {
+    let fleet = TwoVersions::start(9);
+    let core = fleet.soak.operator.caller.clone();
+    core.patch_once(1, 5, &service_of_version("v2"));
+    thread::sleep(CONFIG_APPLY);
+    let moved = fleet.exposure(Duration::from_secs(2));
+    assert_eq!(moved.exposed, moved.all, "{moved:?}");
+    core.patch_once(5, 6, &service_of_version(""));
+    thread::sleep(CONFIG_APPLY);
+    let kept = fleet.exposure(Duration::from_secs(2));
+    assert_eq!(kept.exposed, kept.all, "{kept:?}");
+    core.patch_once(6, 7, &service_of_version("v1"));
+    thread::sleep(CONFIG_APPLY);
+    let back = fleet.exposure(Duration::from_secs(2));
+    assert_eq!(back.exposed, 0, "{back:?}");
+    fleet.end();
 }
--- a/crates/router/node/src/control_api.rs
+++ b/crates/router/node/src/control_api.rs
@@ -37,6 +37,10 @@
 /// A call that is in flight at the end of its connection's lifetime has this long to end.
 const LAST_CALL_TIMEOUT: Duration = Duration::from_secs(15);
 
+/// Why a roll-out can't be ordered, and what to do instead.
+const NO_ROLLOUTS: &str =
+    "roll-outs can't be ordered yet: set the version of the service in the configuration";
+
 /// What the interface serves.
 pub struct ControlApi {
     /// Takes endpoints' calls.
@@ -112,6 +116,7 @@
             Some(id) if method == Method::PUT => heartbeat(api, id, request).await,
             Some(id) if method == Method::DELETE => acknowledgement(api.registration.deregister(id).await),
             Some(_) => error(StatusCode::METHOD_NOT_ALLOWED, "PUT or DELETE"),
+            None if path.starts_with("/rollouts") => error(StatusCode::NOT_FOUND, NO_ROLLOUTS),
             None => error(StatusCode::NOT_FOUND, "unknown path"),
         },
     }
