Take signals over before anything else at the start of a router process

Cause: SIGHUP was handled only once all ports were open; before that it ended the process, as the system's default is. Signals, restarts and changed settings overlap in service. Change: signals are registered first, and handled when the process runs.

--- a/crates/passrelay/tests/fleet/interruptions.rs
+++ b/crates/passrelay/tests/fleet/interruptions.rs
@@ -6,6 +6,7 @@
 use passrelay_test_support::{full_listener, is_dialed, until, Server};
 use serde_json::json;
 use std::io::Write;
+use std::process::Command;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::Arc;
 use std::time::Duration;
@@ -110,3 +111,28 @@
     assert_eq!(status(&answer), 503, "{answer}");
     assert!(began.elapsed() < Duration::from_secs(3), "{:?}", began.elapsed());
 }
+
+// Guards against a process that is ended by a reload right after its start: signals, restarts and changes of the settings overlap.
+#[test]
+fn a_reload_while_the_settings_are_read_for_the_first_time_does_not_end_the_process() {
+    let fleet = Fleet::new(PROGRAM, 1);
+    fleet.write_settings(1, true, &[1]);
+    let path = fleet.settings_path(1);
+    let settings = std::fs::read(&path).unwrap();
+    std::fs::remove_file(&path).unwrap();
+    assert!(Command::new("mkfifo").arg(&path).status().unwrap().success());
+    let mut sidecar = fleet.spawn(1);
+    // Opens once the process has opened it for reading.
+    let mut pipe = std::fs::OpenOptions::new().write(true).open(&path).unwrap();
+    sidecar.signal("HUP");
+    // What is read again because of the signal.
+    std::fs::remove_file(&path).unwrap();
+    std::fs::write(&path, &settings).unwrap();
+    let _ = pipe.write_all(&settings);
+    drop(pipe);
+    until("it leads", || sidecar.status()["leads"] == json!(true));
+    until("it has read the settings again", || {
+        sidecar.log().iter().any(|line| line.contains("event=reloaded"))
+    });
+    assert!(!sidecar.has_ended());
+}
--- a/crates/router/node/src/process.rs
+++ b/crates/router/node/src/process.rs
@@ -20,6 +20,7 @@
 use crate::storage::{StartKind, Storage, StorageEvent};
 use crate::tasks::{BackgroundTasks, Spawner};
 use crate::transport::Transport;
+use async_signal::Signals;
 use passrelay_control_plane::{Coordinator, CoordinatorSettings};
 use passrelay_dissemination::{GossipSettings, Incarnation};
 use smol::channel::Receiver;
@@ -54,10 +55,11 @@
 ///
 /// Returns why it couldn't start.
 pub fn run() -> Result<(), NodeError> {
+    let signals = signals::register().map_err(system("signals"))?;
     let settings = NodeSettings::from_environment()?;
     // Lives as long as the process: tasks refer to it.
     let executor: &'static LocalExecutor<'static> = Box::leak(Box::new(LocalExecutor::new()));
-    smol::block_on(executor.run(serve(settings, Spawner::new(executor))))
+    smol::block_on(executor.run(serve(settings, signals, Spawner::new(executor))))
 }
 
 /// The parts that are started after they have all been built.
@@ -70,7 +72,7 @@
     control: Rc<ControlApi>,
 }
 
-async fn serve(settings: NodeSettings, spawner: Spawner) -> Result<(), NodeError> {
+async fn serve(settings: NodeSettings, signals: Signals, spawner: Spawner) -> Result<(), NodeError> {
     let process = build(settings, spawner).await?;
     let tasks = BackgroundTasks::new(spawner);
     if let Some(events) = process.storage_events {
@@ -83,7 +85,7 @@
         .await
         .map_err(system("clients' port"))?;
     log_started(&process.settings);
-    signals::run_until_shutdown(&process.requests, &process.settings, &process.driver)
+    signals::run_until_shutdown(signals, &process.requests, &process.settings, &process.driver)
         .await
         .map_err(system("signals"))
 }
--- a/crates/router/node/src/signals.rs
+++ b/crates/router/node/src/signals.rs
@@ -16,17 +16,27 @@
 /// Interval of the check whether all client connections have ended.
 const SHUTDOWN_POLL_INTERVAL: Duration = Duration::from_millis(50);
 
-/// Handles signals; returns when the graceful shutdown is complete.
+/// Takes signals over. The first thing that a process does: until then SIGHUP ends it, as the system's default is. What arrives before
+/// [`run_until_shutdown`] is handled there.
 ///
 /// # Errors
 ///
 /// Returns the operating system's error where signals can't be handled.
+pub fn register() -> std::io::Result<Signals> {
+    Signals::new([Signal::Term, Signal::Int, Signal::Hup])
+}
+
+/// Handles signals; returns when the graceful shutdown is complete.
+///
+/// # Errors
+///
+/// Returns the operating system's error where signals can't be received.
 pub async fn run_until_shutdown(
+    mut signals: Signals,
     requests: &RequestContext,
     settings: &CurrentSettings,
     driver: &CoordinatorDriver,
 ) -> std::io::Result<()> {
-    let mut signals = Signals::new([Signal::Term, Signal::Int, Signal::Hup])?;
     while let Some(signal) = signals.next().await {
         if signal? == Signal::Hup {
             reload(settings, driver);
--- a/crates/testing/test-support/src/fleet.rs
+++ b/crates/testing/test-support/src/fleet.rs
@@ -77,7 +77,8 @@
         self.folder.join(format!("data-{machine}"))
     }
 
-    fn settings_path(&self, machine: u8) -> PathBuf {
+    /// Path of one machine's settings file.
+    pub fn settings_path(&self, machine: u8) -> PathBuf {
         self.folder.join(format!("node-{machine}.conf"))
     }
 
