Keep the deltas between states once, for replication and dissemination

Cause: both planes kept chains of deltas by code of their own, with the bound on their size at different places and two errors for one fault. Change: DeltaChain and the bound are the configuration crate's; a delta nearly as long as its document is kept by neither; one error, OtherBase.

--- a/crates/router/configuration/src/document_delta.rs
+++ b/crates/router/configuration/src/document_delta.rs
@@ -12,12 +12,17 @@
 
 /// Bound on the length of a document that a delta results in, in bytes; more than any order may bring.
 const MAX_DOCUMENT_BYTES: usize = 24 << 20;
+/// Deltas are sent only while they have together less than this fraction of the document's length.
+const MAX_SIZE_FRACTION: f64 = 0.5;
 /// Size of a hunk's head when it is serialised, in bytes, about.
 const HUNK_OVERHEAD_BYTES: usize = 12;
 
 /// Why a delta can't be applied. The whole document has to be transferred then.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Error)]
 pub enum DeltaError {
+    /// It applies to another state than the one held.
+    #[error("the delta applies to another state")]
+    OtherBase,
     /// A range lies beyond the base, or within one of its characters.
     #[error("a range of the delta is none of the base")]
     RangeOutsideBase,
@@ -75,6 +80,18 @@
         DocumentDelta { hunks, digest: Sha256::digest(target).into() }
     }
 
+    /// As [`Self::between`]; `None` where it is not short enough to be sent in place of the target.
+    pub fn if_short(base: &str, target: &str) -> Option<Self> {
+        let delta = Self::between(base, target);
+        Self::are_short([&delta], target.len()).then_some(delta)
+    }
+
+    /// Whether deltas are short enough to be sent in place of a document of this length, in bytes.
+    pub fn are_short<'a>(deltas: impl IntoIterator<Item = &'a Self>, document_length: usize) -> bool {
+        let size: usize = deltas.into_iter().map(Self::encoded_size).sum();
+        (size as f64) < MAX_SIZE_FRACTION * document_length as f64
+    }
+
     /// About how many bytes it has when it is serialised.
     pub fn encoded_size(&self) -> usize {
         let size = |hunk: &Hunk| match hunk {
--- a/crates/router/configuration/src/lib.rs
+++ b/crates/router/configuration/src/lib.rs
@@ -8,6 +8,7 @@
 //!
 //! Storing a document and agreeing on it is for the control plane; what a configuration means for a request, for the data plane.
 
+mod delta_chain;
 mod difference;
 mod document_delta;
 mod errors;
@@ -17,6 +18,7 @@
 mod service_versions;
 mod validate;
 
+pub use delta_chain::{Delta, DeltaChain};
 pub use difference::{Difference, ItemChange, ItemDifference};
 pub use document_delta::{DeltaError, DocumentDelta};
 pub use errors::{ValidationError, ValidationErrorKind, ValidationErrors};
--- a/crates/router/control-plane/src/replication.rs
+++ b/crates/router/control-plane/src/replication.rs
@@ -41,4 +41,4 @@
 pub use replica::Replica;
 pub use settings::ReplicaSettings;
 pub use state::{AppliedChange, ReplicatedState, StateVersion};
-pub use state_delta::{StateDelta, StateDeltaError};
+pub use state_delta::StateDelta;
--- a/crates/router/control-plane/src/replication/leadership.rs
+++ b/crates/router/control-plane/src/replication/leadership.rs
@@ -18,11 +18,13 @@
 use super::mutation::Mutations;
 use super::settings::ReplicaSettings;
 use super::state::ReplicatedState;
+use super::state_delta::StateDelta;
 use heartbeat_rounds::HeartbeatRounds;
 use membership::Joiner;
+use passrelay_configuration::DeltaChain;
 use progress::ProgressTracker;
 use proposal::Proposal;
-use state_transfer::{NewestState, RecentDeltas};
+use state_transfer::NewestState;
 use std::collections::BTreeMap;
 use std::sync::Arc;
 use std::time::Duration;
@@ -47,7 +49,7 @@
     /// Set by the first [`Leadership::replicate`]. Invariant: its version is of this term.
     newest: Option<NewestState>,
     /// How the newest state came about from those before it.
-    recent_deltas: RecentDeltas,
+    recent_deltas: DeltaChain<StateDelta>,
     /// States that are not known to be committed, by index.
     uncommitted: BTreeMap<u64, Arc<ReplicatedState>>,
     /// Invariant: its version is of this term and never decreases, and every in-sync member has synced it.
@@ -70,7 +72,7 @@
             next_heartbeat: now,
             progress: ProgressTracker::new(now),
             newest: None,
-            recent_deltas: RecentDeltas::default(),
+            recent_deltas: DeltaChain::default(),
             uncommitted: BTreeMap::new(),
             committed: None,
             joiners: BTreeMap::new(),
--- a/crates/router/control-plane/src/replication/leadership/state_transfer.rs
+++ b/crates/router/control-plane/src/replication/leadership/state_transfer.rs
@@ -5,14 +5,10 @@
 use crate::replication::identity::{Member, MemberId};
 use crate::replication::message::ReplicationMessage;
 use crate::replication::state::{ReplicatedState, StateVersion};
-use crate::replication::state_delta::StateDelta;
-use std::collections::{BTreeSet, VecDeque};
+use std::collections::BTreeSet;
 use std::sync::Arc;
 use std::time::Duration;
 
-/// A member that has missed more changes than this gets the whole state.
-const MAX_DELTAS: usize = 16;
-
 /// The newest state of a primary, committed or not.
 pub(super) struct NewestState {
     pub(super) state: Arc<ReplicatedState>,
@@ -20,35 +16,11 @@
     pub(super) replicated_at: Duration,
 }
 
-/// The differences between the last states of a primary, oldest first, each from the state that the one before it results in.
-#[derive(Debug, Default)]
-pub(super) struct RecentDeltas {
-    deltas: VecDeque<Arc<StateDelta>>,
-}
-
-impl RecentDeltas {
-    /// Adds the difference between two consecutive states; forgets all where there is none worth sending.
-    fn record(&mut self, base: &ReplicatedState, state: &ReplicatedState) {
-        match state.delta_from(base) {
-            Some(delta) => self.deltas.push_back(Arc::new(delta)),
-            None => self.deltas.clear(),
-        }
-        if self.deltas.len() > MAX_DELTAS {
-            self.deltas.pop_front();
-        }
-    }
-
-    /// The differences that lead from a version to the newest state; empty where they are not all known.
-    fn since(&self, base: StateVersion) -> Vec<Arc<StateDelta>> {
-        self.deltas.iter().skip_while(|delta| delta.base != base).cloned().collect()
-    }
-}
-
 impl Leadership {
     /// Sends a new state to all peers. It replaces the newest one, which may not be committed yet.
     pub(in crate::replication) fn replicate(&mut self, context: &mut Context, state: &Arc<ReplicatedState>) {
         if let Some(previous) = &self.newest {
-            self.recent_deltas.record(&previous.state, state);
+            self.recent_deltas.push(state.delta_from(&previous.state).map(Arc::new));
         }
         self.newest = Some(NewestState { state: state.clone(), replicated_at: context.now });
         self.uncommitted.insert(state.version.index, state.clone());
@@ -129,7 +101,7 @@
     fn send_state(&mut self, context: &mut Context, member: Member, state: &Arc<ReplicatedState>) {
         self.progress.record_sent(context.now, member.id, state.version);
         let base = self.progress.delta_base(member.id);
-        let deltas = base.map(|base| self.recent_deltas.since(base)).unwrap_or_default();
+        let deltas = base.map(|base| self.recent_deltas.since(&base)).unwrap_or_default();
         let message = if deltas.is_empty() {
             ReplicationMessage::Replicate { term: self.term, state: state.clone() }
         } else {
--- a/crates/router/control-plane/src/replication/mutation.rs
+++ b/crates/router/control-plane/src/replication/mutation.rs
@@ -9,8 +9,9 @@
 use super::epoch::EpochRecord;
 use super::identity::{Member, MemberId};
 use super::state::ReplicatedState;
-use super::state_delta::{StateDelta, StateDeltaError};
+use super::state_delta::StateDelta;
 use crate::configuration_change::ConfigurationChange;
+use passrelay_configuration::DeltaError;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -129,7 +130,7 @@
         self,
         state: &ReplicatedState,
         delta: &StateDelta,
-    ) -> Result<ReplicatedState, StateDeltaError> {
+    ) -> Result<ReplicatedState, DeltaError> {
         if self.has(ProtocolMutation::SkipsDeltas) {
             return Ok(ReplicatedState { version: delta.version, ..state.clone() });
         }
--- a/crates/router/control-plane/src/replication/replica/follower.rs
+++ b/crates/router/control-plane/src/replication/replica/follower.rs
@@ -8,7 +8,8 @@
 use crate::replication::identity::Sender;
 use crate::replication::message::ReplicationMessage;
 use crate::replication::state::ReplicatedState;
-use crate::replication::state_delta::{StateDelta, StateDeltaError};
+use crate::replication::state_delta::StateDelta;
+use passrelay_configuration::DeltaError;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -141,7 +142,7 @@
     }
 
     /// The state that results from the one held here by these differences. Those up to the state held here are passed over.
-    fn state_after(&self, deltas: &[Arc<StateDelta>]) -> Result<ReplicatedState, StateDeltaError> {
+    fn state_after(&self, deltas: &[Arc<StateDelta>]) -> Result<ReplicatedState, DeltaError> {
         let held = self.state.version;
         let mut state = (*self.state).clone();
         for delta in deltas.iter().filter(|delta| delta.version > held) {
--- a/crates/router/control-plane/src/replication/state_delta.rs
+++ b/crates/router/control-plane/src/replication/state_delta.rs
@@ -5,12 +5,8 @@
 //! gets the whole state.
 
 use super::state::{AppliedChange, ReplicatedState, StateVersion};
-use passrelay_configuration::{DeltaError, DocumentDelta};
+use passrelay_configuration::{Delta, DeltaError, DocumentDelta};
 use serde::{Deserialize, Serialize};
-use thiserror::Error;
-
-/// A delta is made only where it has less than this fraction of the document's length.
-const MAX_SIZE_FRACTION: f64 = 0.5;
 
 /// The difference of a state from the one before it.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -28,15 +24,12 @@
     pub applied_change: AppliedChange,
 }
 
-/// Why a delta can't be applied.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Error)]
-pub enum StateDeltaError {
-    /// The state is of another version than the delta's base, or has no document.
-    #[error("the delta applies to another state")]
-    OtherBase,
-    /// The document's delta can't be applied.
-    #[error("{0}")]
-    Document(#[from] DeltaError),
+impl Delta for StateDelta {
+    type Position = StateVersion;
+
+    fn base(&self) -> StateVersion {
+        self.base
+    }
 }
 
 impl ReplicatedState {
@@ -49,13 +42,11 @@
             return None;
         }
         let applied_change = self.applied_changes.back()?.clone();
-        let delta = DocumentDelta::between(base_document, document);
-        let is_short = (delta.encoded_size() as f64) < MAX_SIZE_FRACTION * document.len() as f64;
-        is_short.then_some(StateDelta {
+        Some(StateDelta {
             base: base.version,
             version: self.version,
             generation: self.generation,
-            document: delta,
+            document: DocumentDelta::if_short(base_document, document)?,
             applied_change,
         })
     }
@@ -64,10 +55,10 @@
     ///
     /// # Errors
     ///
-    /// Returns a [`StateDeltaError`] where the delta is none from this state.
-    pub fn apply_delta(&self, delta: &StateDelta) -> Result<ReplicatedState, StateDeltaError> {
+    /// Returns a [`DeltaError`] where the delta is none from this state.
+    pub fn apply_delta(&self, delta: &StateDelta) -> Result<ReplicatedState, DeltaError> {
         let base = self.document.as_ref().filter(|_| self.version == delta.base);
-        let document = delta.document.apply(base.ok_or(StateDeltaError::OtherBase)?)?;
+        let document = delta.document.apply(base.ok_or(DeltaError::OtherBase)?)?;
         let change = delta.applied_change.clone();
         let mut state = self.after(delta.version.term, delta.generation, document.into(), change);
         state.version = delta.version;
--- a/crates/router/control-plane/tests/state_delta.rs
+++ b/crates/router/control-plane/tests/state_delta.rs
@@ -3,10 +3,9 @@
 mod common;
 
 use common::{receive, replica, NOW};
-use passrelay_configuration::ServiceVersions;
+use passrelay_configuration::{DeltaError, ServiceVersions};
 use passrelay_control_plane::replication::{
-    AppliedChange, MemberId, ReplicaAction, ReplicatedState, ReplicationMessage, StateDelta, StateDeltaError,
-    StateVersion,
+    AppliedChange, MemberId, ReplicaAction, ReplicatedState, ReplicationMessage, StateDelta, StateVersion,
 };
 use rstest::rstest;
 use serde::{Deserialize, Serialize};
@@ -56,10 +55,10 @@
 fn a_delta_applies_to_its_base_only() {
     let base = state(3);
     let delta = delta(&base);
-    assert_eq!(state(2).apply_delta(&delta), Err(StateDeltaError::OtherBase));
-    assert_eq!(next(&base).apply_delta(&delta), Err(StateDeltaError::OtherBase));
+    assert_eq!(state(2).apply_delta(&delta), Err(DeltaError::OtherBase));
+    assert_eq!(next(&base).apply_delta(&delta), Err(DeltaError::OtherBase));
     let other_term = ReplicatedState { version: StateVersion { term: 2, index: 3 }, ..base };
-    assert_eq!(other_term.apply_delta(&delta), Err(StateDeltaError::OtherBase));
+    assert_eq!(other_term.apply_delta(&delta), Err(DeltaError::OtherBase));
 }
 
 #[test]
--- a/crates/router/dissemination/src/gossip/configuration.rs
+++ b/crates/router/dissemination/src/gossip/configuration.rs
@@ -11,8 +11,7 @@
 use super::actions::Context;
 use super::{Gossip, GossipAction, BROADCAST_FANOUT};
 use crate::messages::{CommittedConfiguration, ConfigurationDelta, GossipMessage};
-use passrelay_configuration::{DeltaError, DocumentDelta};
-use std::collections::VecDeque;
+use passrelay_configuration::{DeltaChain, DeltaError, DocumentDelta};
 use std::net::SocketAddrV4;
 use std::sync::Arc;
 use std::time::Duration;
@@ -21,19 +20,14 @@
 const BASE_FETCH_TIMEOUT: Duration = Duration::from_millis(120);
 /// ... extended for each KiB of the configuration in force, as an estimate of the next, for slow links.
 const FETCH_TIMEOUT_PER_KIB: Duration = Duration::from_micros(1_000);
-/// Deltas that are kept for peers; one that has missed more changes gets the whole document.
-const MAX_DELTAS: usize = 16;
-/// Deltas to a peer are sent only while they have together less than this fraction of the document's length.
-const MAX_DELTAS_FRACTION: f64 = 0.5;
 
 /// The configuration in force and the fetch in flight.
 #[derive(Debug)]
 pub(super) struct ConfigurationState {
     /// Its index never decreases.
     current: Option<CommittedConfiguration>,
-    /// How the configuration in force came about, oldest first, each from the configuration that the one before it results in;
-    /// the last one results in the configuration in force.
-    deltas: VecDeque<Arc<ConfigurationDelta>>,
+    /// How the configuration in force came about.
+    deltas: DeltaChain<ConfigurationDelta>,
     /// When the last fetch was sent; None once a configuration arrived.
     fetch_sent_at: Option<Duration>,
     /// Whether this sidecar takes deltas.
@@ -43,7 +37,12 @@
 impl ConfigurationState {
     /// No configuration yet.
     pub(super) fn new(accepts_deltas: bool) -> Self {
-        ConfigurationState { current: None, deltas: VecDeque::new(), fetch_sent_at: None, accepts_deltas }
+        ConfigurationState {
+            current: None,
+            deltas: DeltaChain::default(),
+            fetch_sent_at: None,
+            accepts_deltas,
+        }
     }
 
     pub(super) fn current(&self) -> Option<&CommittedConfiguration> {
@@ -97,11 +96,9 @@
     /// The deltas that lead from the configuration of an index to that in force; empty where they are not all known, or
     /// nearly as long as the document.
     fn deltas_since(&self, index: u64) -> Vec<Arc<ConfigurationDelta>> {
-        let deltas: Vec<_> =
-            self.deltas.iter().skip_while(|delta| delta.base_index != index).cloned().collect();
-        let size: usize = deltas.iter().map(|delta| delta.document.encoded_size()).sum();
-        let is_short = (size as f64) < MAX_DELTAS_FRACTION * self.document_length() as f64;
-        if is_short {
+        let deltas = self.deltas.since(&index);
+        let documents = deltas.iter().map(|delta| &delta.document);
+        if DocumentDelta::are_short(documents, self.document_length()) {
             deltas
         } else {
             Vec::new()
@@ -113,28 +110,27 @@
         if configuration.index <= self.index() {
             return false;
         }
+        self.deltas = DeltaChain::default();
+        self.advance(configuration);
+        true
+    }
+
+    /// Puts a newer configuration in force whose deltas are known.
+    fn advance(&mut self, configuration: &CommittedConfiguration) {
         self.fetch_sent_at = None;
-        self.deltas.clear();
         self.current = Some(configuration.clone());
-        true
     }
 
     /// As [`Self::replace`], and makes the delta from the configuration before it, for peers.
     fn replace_and_compare(&mut self, configuration: &CommittedConfiguration) -> bool {
-        let previous = self.current.take_if(|current| current.index < configuration.index);
-        let mut deltas = std::mem::take(&mut self.deltas);
-        if let Some(previous) = previous {
-            deltas.push_back(Arc::new(ConfigurationDelta {
-                base_index: previous.index,
-                index: configuration.index,
-                generation: configuration.generation,
-                document: DocumentDelta::between(&previous.document, &configuration.document),
-                service_versions: configuration.service_versions.clone(),
-            }));
+        if configuration.index <= self.index() {
+            return false;
+        }
+        if let Some(previous) = &self.current {
+            self.deltas.push(delta_between(previous, configuration).map(Arc::new));
         }
-        let replaced = self.replace(configuration);
-        self.keep_deltas(deltas);
-        replaced
+        self.advance(configuration);
+        true
     }
 
     /// The configuration that deltas lead to from the one in force; None where none of them is newer. Those up to the one in
@@ -143,12 +139,12 @@
         &self,
         deltas: &[Arc<ConfigurationDelta>],
     ) -> Result<Option<CommittedConfiguration>, DeltaError> {
-        let Some(current) = &self.current else { return Err(DeltaError::DigestMismatch) };
+        let Some(current) = &self.current else { return Err(DeltaError::OtherBase) };
         let mut result: Option<CommittedConfiguration> = None;
         for delta in deltas.iter().filter(|delta| delta.index > current.index) {
             let base = result.as_ref().unwrap_or(current);
             if delta.base_index != base.index {
-                return Err(DeltaError::DigestMismatch);
+                return Err(DeltaError::OtherBase);
             }
             let document = delta.document.apply(&base.document)?.into();
             let (index, generation) = (delta.index, delta.generation);
@@ -158,13 +154,20 @@
         }
         Ok(result)
     }
+}
 
-    fn keep_deltas(&mut self, mut deltas: VecDeque<Arc<ConfigurationDelta>>) {
-        while deltas.len() > MAX_DELTAS {
-            deltas.pop_front();
-        }
-        self.deltas = deltas;
-    }
+/// The delta from one configuration to a later one; `None` where it is too long to be sent.
+fn delta_between(
+    base: &CommittedConfiguration,
+    configuration: &CommittedConfiguration,
+) -> Option<ConfigurationDelta> {
+    Some(ConfigurationDelta {
+        base_index: base.index,
+        index: configuration.index,
+        generation: configuration.generation,
+        document: DocumentDelta::if_short(&base.document, &configuration.document)?,
+        service_versions: configuration.service_versions.clone(),
+    })
 }
 
 impl Gossip {
@@ -198,11 +201,11 @@
         }
         match self.configuration.apply_deltas(deltas) {
             Ok(Some(configuration)) => {
-                let mut known = std::mem::take(&mut self.configuration.deltas);
                 let held = self.configuration.index();
-                known.extend(deltas.iter().filter(|delta| delta.index > held).cloned());
-                self.configuration.replace(&configuration);
-                self.configuration.keep_deltas(known);
+                for delta in deltas.iter().filter(|delta| delta.index > held) {
+                    self.configuration.deltas.push(Some(delta.clone()));
+                }
+                self.configuration.advance(&configuration);
                 self.announce_configuration(context, configuration);
             }
             Ok(None) => {}
--- a/crates/router/dissemination/src/messages.rs
+++ b/crates/router/dissemination/src/messages.rs
@@ -3,7 +3,7 @@
 
 use crate::partial_view::PeerDescriptor;
 use crate::registry::{EndpointRecord, RegistryDigest};
-use passrelay_configuration::{DocumentDelta, ServiceVersions};
+use passrelay_configuration::{Delta, DocumentDelta, ServiceVersions};
 use serde::{Deserialize, Serialize};
 use std::net::SocketAddrV4;
 use std::sync::Arc;
@@ -43,6 +43,14 @@
     pub service_versions: ServiceVersions,
 }
 
+impl Delta for ConfigurationDelta {
+    type Position = u64;
+
+    fn base(&self) -> u64 {
+        self.base_index
+    }
+}
+
 /// Where the core is, according to the newest epoch record that a sidecar has seen.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct CoreHint {
