--- a/crates/passrelay/tests/soak/faults.rs
+++ b/crates/passrelay/tests/soak/faults.rs
@@ -161,6 +161,8 @@
     restart_delay: Duration,
     wipe: bool,
     kill_at: Option<Time>,
+    /// Whether it got SIGKILL and has not been started again.
+    killed: bool,
     seeds: Vec<u8>,
 }
 
@@ -187,6 +189,7 @@
             restart_delay: RESTART_DELAY,
             wipe: false,
             kill_at: None,
+            killed: false,
             seeds: seeds.clone(),
         };
         let machines = (1..).zip(processes).map(machine).collect();
@@ -220,6 +223,7 @@
                 records.begin_disturbance(machine.number, &format!("{:?}", step.action));
                 machine.restart_delay = *down;
                 machine.wipe = *wipe;
+                machine.killed = true;
                 process.signal("KILL");
             }
             Action::Terminate => {
@@ -233,7 +237,7 @@
             }
             Action::Resume => {
                 process.signal("CONT");
-                if machine.kill_at.is_none() {
+                if machine.kill_at.is_none() && !machine.killed {
                     records.end_disturbances(machine.number);
                 }
             }
@@ -272,6 +276,7 @@
             }
             if machine.restart_at.is_some_and(|at| at <= now) {
                 machine.restart_at = None;
+                machine.killed = false;
                 if std::mem::take(&mut machine.wipe) {
                     self.fleet.wipe_disk(machine.number);
                 }
--- a/crates/passrelay/tests/soak/main.rs
+++ b/crates/passrelay/tests/soak/main.rs
@@ -14,6 +14,7 @@
 mod http;
 mod operator;
 mod records;
+mod rollout_order;
 mod scenario;
 mod stale_denial;
 mod unordered_version;
@@ -21,7 +22,7 @@
 use scenario::Scenario;
 
 /// Seeds that every run of the tests plays.
-const DEFAULT_SEEDS: std::ops::Range<u64> = 0..1;
+const DEFAULT_SEEDS: std::ops::Range<u64> = 0..2;
 const DEFAULT_MACHINES: u8 = 12;
 
 fn seeds() -> std::ops::Range<u64> {
--- a/crates/testing/test-support/src/fleet.rs
+++ b/crates/testing/test-support/src/fleet.rs
@@ -2,6 +2,7 @@
 
 use crate::process_state::until_stopped;
 use crate::{until, Message};
+use rustix::process::{kill_process, Pid, Signal};
 use serde_json::{json, Value};
 use std::io::{BufRead, BufReader, Read, Write};
 use std::net::{Shutdown, SocketAddr, TcpStream};
@@ -269,9 +270,21 @@
     }
 
     /// Sends a signal by its name without SIG.
+    ///
+    /// # Panics
+    ///
+    /// Panics where the name is none of those that the tests send, or the process has ended and was waited for.
     pub fn signal(&self, name: &str) {
-        let sent = Command::new("kill").args([&format!("-{name}"), &self.child.id().to_string()]).status();
-        assert!(sent.is_ok_and(|s| s.success()));
+        let signal = match name {
+            "CONT" => Signal::CONT,
+            "HUP" => Signal::HUP,
+            "INT" => Signal::INT,
+            "KILL" => Signal::KILL,
+            "STOP" => Signal::STOP,
+            "TERM" => Signal::TERM,
+            other => panic!("no signal for tests: {other}"),
+        };
+        kill_process(Pid::from_child(&self.child), signal).expect("the signal is sent");
     }
 
     /// Stops the process; returns once it stands still.
