--- a/crates/passrelay/tests/soak/main.rs
+++ b/crates/passrelay/tests/soak/main.rs
@@ -16,6 +16,7 @@
 mod records;
 mod rollout_order;
 mod scenario;
+mod seed_islands;
 mod stale_denial;
 mod unordered_version;
 
