Keep the addresses of known processes on the voters' disks, and contact them after a restart

Cause: who is there was known in memory only, which all machines lose when all lose power; seeds alone may leave groups that know nothing of each other, and most machines without a configuration.

--- a/crates/router/control-plane/src/coordinator.rs
+++ b/crates/router/control-plane/src/coordinator.rs
@@ -114,6 +114,11 @@
         self.gossip.restore_endpoints(now, records);
     }
 
+    /// Contacts the peers that were persisted before a restart.
+    pub fn restore_peers(&mut self, now: Duration, peers: Vec<SocketAddrV4>) {
+        self.gossip.restore_peers(now, peers);
+    }
+
     /// Replaces the seed addresses.
     pub fn set_seeds(&mut self, seeds: Vec<SocketAddrV4>) {
         self.gossip.set_seeds(seeds);
--- a/crates/router/dissemination/src/gossip.rs
+++ b/crates/router/dissemination/src/gossip.rs
@@ -11,6 +11,7 @@
 mod exchange;
 mod freshness;
 mod pending_requests;
+mod restored_peers;
 mod timers;
 
 pub use actions::GossipAction;
@@ -28,6 +29,8 @@
 use pending_requests::PendingRequests;
 use rand::SeedableRng;
 use rand_chacha::ChaCha8Rng;
+use restored_peers::RestoredPeers;
+use std::collections::BTreeSet;
 use std::net::SocketAddrV4;
 use std::time::Duration;
 use timers::Timers;
@@ -60,6 +63,7 @@
     seeds: Vec<SocketAddrV4>,
     rng: ChaCha8Rng,
     view: PartialView,
+    restored_peers: RestoredPeers,
     registry: Registry,
     /// The latest known location of the core; never replaced by an earlier record.
     core: Option<CoreHint>,
@@ -76,6 +80,7 @@
         Gossip {
             own: settings.own,
             view: PartialView::new(settings.own),
+            restored_peers: RestoredPeers::default(),
             seeds: settings.seeds,
             rng: ChaCha8Rng::seed_from_u64(settings.random_seed),
             registry: Registry::new(settings.heartbeat),
@@ -118,6 +123,19 @@
         self.registry.restore(now, records);
     }
 
+    /// Contacts the peers that were persisted before a restart, for a while.
+    pub fn restore_peers(&mut self, now: Duration, peers: Vec<SocketAddrV4>) {
+        let own = self.own;
+        let others = peers.into_iter().filter(|peer| *peer != own).collect();
+        self.restored_peers = RestoredPeers::new(now, others);
+    }
+
+    /// The peers to persist for the next restart: those of the view, and restored ones that may yet respond. In the order of
+    /// addresses.
+    pub fn known_peers(&self) -> BTreeSet<SocketAddrV4> {
+        self.view.addresses().chain(self.restored_peers.addresses()).collect()
+    }
+
     /// Replaces the seeds.
     pub fn set_seeds(&mut self, seeds: Vec<SocketAddrV4>) {
         self.seeds = seeds;
@@ -193,6 +211,7 @@
         let context = &mut Context::new(now, actions);
         let from = peer.address;
         self.view.record_contact(now, from, &mut self.rng);
+        self.restored_peers.record_contact(from);
         match message {
             GossipMessage::DigestRequest(digest) => self.respond_to_digest(context, peer, &digest),
             GossipMessage::DigestResponse { digest, fresh_age_ms } => {
--- a/crates/router/dissemination/src/gossip/exchange.rs
+++ b/crates/router/dissemination/src/gossip/exchange.rs
@@ -27,6 +27,7 @@
             peers.sort_unstable();
             peers.dedup();
         }
+        peers.extend(self.restored_peers.next(context.now));
         for peer in peers {
             self.send_digest_request(context, peer);
         }
--- a/crates/router/dissemination/src/partial_view.rs
+++ b/crates/router/dissemination/src/partial_view.rs
@@ -95,6 +95,11 @@
         selected
     }
 
+    /// The addresses of all peers in the view.
+    pub fn addresses(&self) -> impl Iterator<Item = SocketAddrV4> + '_ {
+        self.last_contact.keys().copied()
+    }
+
     /// Number of peers in the view.
     pub fn len(&self) -> usize {
         self.last_contact.len()
--- a/crates/router/dissemination/tests/gossip.rs
+++ b/crates/router/dissemination/tests/gossip.rs
@@ -263,3 +263,33 @@
     receive(&mut gossip, at(20), 2, deltas);
     assert_eq!(gossip.configuration(), Some(&with_version(long_configuration(2), "v1")));
 }
+
+/// The addresses that digest requests are sent to when the timers advance.
+fn contacted(gossip: &mut Gossip, now: Duration) -> Vec<SocketAddrV4> {
+    let mut actions = Vec::new();
+    gossip.tick(now, &mut actions);
+    let contact = |action: &GossipAction| match action {
+        GossipAction::Send { to, message: GossipMessage::DigestRequest(_), .. } => Some(*to),
+        _ => None,
+    };
+    actions.iter().filter_map(contact).collect()
+}
+
+// Guards against groups that never meet after all have lost power, because the seeds of each name none of the other.
+#[test]
+fn peers_from_before_a_restart_are_contacted_in_turn_until_they_respond_or_the_time_is_over() {
+    let mut gossip = gossip();
+    gossip.restore_peers(at(0), (11..=16).map(address).chain([address(1)]).collect());
+    let kept: Vec<_> = (11..=16).map(address).collect();
+    assert_eq!(gossip.known_peers().into_iter().collect::<Vec<_>>(), kept, "they may yet respond");
+    let mut seen: Vec<SocketAddrV4> = contacted(&mut gossip, at(0));
+    receive(&mut gossip, at(10), 12, GossipMessage::Announce { index: 0 });
+    for round in 1..4 {
+        seen.extend(contacted(&mut gossip, at(400 * round)));
+    }
+    assert!(kept.iter().all(|peer| seen.contains(peer)), "{seen:?}");
+    assert!(!seen.contains(&address(1)), "nobody contacts itself");
+    let late: Vec<_> = (40..50).flat_map(|round| contacted(&mut gossip, at(400 * round))).collect();
+    assert!(late.iter().all(|peer| !kept.contains(peer) || *peer == address(12)), "{late:?}");
+    assert_eq!(gossip.known_peers().into_iter().collect::<Vec<_>>(), [address(12)]);
+}
--- a/crates/router/node/src/background_tasks.rs
+++ b/crates/router/node/src/background_tasks.rs
@@ -3,6 +3,7 @@
 use crate::coordinator_driver::CoordinatorDriver;
 use crate::endpoint_persistence::ENDPOINT_PERSISTENCE_INTERVAL;
 use crate::logging::log_event;
+use crate::peer_persistence::PEER_PERSISTENCE_INTERVAL;
 use crate::settings::CurrentSettings;
 use crate::storage::{StorageEvent, StoreContents};
 use crate::tasks::{BackgroundTasks, Spawner};
@@ -70,6 +71,12 @@
         || ENDPOINT_PERSISTENCE_INTERVAL,
         move || persisting.persist_endpoints(),
     );
+    let persisting = driver.clone();
+    tasks.spawn_periodic(
+        "peer_persistence",
+        || PEER_PERSISTENCE_INTERVAL,
+        move || persisting.persist_peers(),
+    );
     let status = driver.clone();
     tasks.spawn_periodic(
         "status_log",
@@ -112,7 +119,7 @@
 
 /// The store is open: from now on this machine takes part in replication.
 fn attach_replica(driver: &CoordinatorDriver, settings: &CurrentSettings, opened: StoreContents) {
-    let StoreContents { identity: id, bootstrapping, bootstrap_seeds, durable, endpoints } = opened;
+    let StoreContents { identity: id, bootstrapping, bootstrap_seeds, durable, endpoints, peers } = opened;
     let replica = {
         let settings = settings.borrow();
         ReplicaSettings {
@@ -135,6 +142,7 @@
     );
     driver.step(|coordinator, now, _| {
         coordinator.restore_endpoints(now, endpoints);
+        coordinator.restore_peers(now, peers);
         coordinator.attach_replica(now, replica, durable);
     });
 }
--- a/crates/router/node/src/coordinator_driver.rs
+++ b/crates/router/node/src/coordinator_driver.rs
@@ -13,6 +13,7 @@
 use crate::held_back_versions::HeldBackVersions;
 use crate::load_reporter::LoadReporter;
 use crate::operator_calls::PendingOperatorCalls;
+use crate::peer_persistence::PeerPersistence;
 use crate::storage::Storage;
 use crate::transport::{ReceivedMessage, Transport};
 use passrelay_control_plane::{Action, Coordinator, OperatorAnswer, OperatorRequest};
@@ -52,6 +53,7 @@
     announcements: PendingAnnouncements,
     load_reporter: LoadReporter,
     endpoint_persistence: EndpointPersistence,
+    peer_persistence: PeerPersistence,
     /// Revision of the endpoint registry that the balancer has.
     balancer_revision: Cell<u64>,
     held_back_versions: HeldBackVersions,
@@ -68,6 +70,7 @@
             announcements: PendingAnnouncements::default(),
             load_reporter: LoadReporter::new(),
             endpoint_persistence: EndpointPersistence::default(),
+            peer_persistence: PeerPersistence::default(),
             balancer_revision: Cell::new(0),
             held_back_versions: HeldBackVersions::default(),
         };
@@ -161,6 +164,14 @@
         }
     }
 
+    /// Persists the addresses of known processes, if they have changed since the last time and this machine has storage.
+    pub fn persist_peers(&self) {
+        if let Some(storage) = &self.targets.storage {
+            let peers = self.coordinator.borrow().gossip().known_peers();
+            self.peer_persistence.persist_if_changed(storage, peers);
+        }
+    }
+
     /// Takes other seeds.
     pub fn set_seeds(&self, seeds: Vec<SocketAddrV4>) {
         self.coordinator.borrow_mut().set_seeds(seeds);
--- a/crates/router/node/src/lib.rs
+++ b/crates/router/node/src/lib.rs
@@ -37,6 +37,7 @@
 mod load_reporter;
 mod logging;
 mod operator_calls;
+mod peer_persistence;
 mod process;
 mod quota_client;
 mod readiness;
--- a/crates/router/node/src/storage/format.rs
+++ b/crates/router/node/src/storage/format.rs
@@ -6,6 +6,7 @@
 use redb::{Database, ReadableTableMetadata, TableDefinition, TableError, TableHandle};
 use serde::de::DeserializeOwned;
 use serde::Serialize;
+use std::net::SocketAddrV4;
 
 const TABLE: TableDefinition<&str, &[u8]> = TableDefinition::new("replica");
 /// This machine's identity.
@@ -22,6 +23,8 @@
 pub const STATE: &str = "state";
 /// The endpoints that were known last.
 pub const ENDPOINTS: &str = "endpoints";
+/// The addresses of processes that were known last.
+pub const PEERS: &str = "peers";
 
 /// The format version that this program writes; it reads earlier ones.
 pub const FORMAT_VERSION: u32 = 2;
@@ -134,3 +137,12 @@
 pub fn write_endpoints(database: &Database, records: &Vec<EndpointRecord>) -> Result<(), StoreError> {
     self::write(database, &[encode(ENDPOINTS, records)?])
 }
+
+/// Writes the addresses of processes that are known.
+///
+/// # Errors
+///
+/// As [`write`].
+pub fn write_peers(database: &Database, peers: &Vec<SocketAddrV4>) -> Result<(), StoreError> {
+    self::write(database, &[encode(PEERS, peers)?])
+}
--- a/crates/router/node/src/storage/mod.rs
+++ b/crates/router/node/src/storage/mod.rs
@@ -11,6 +11,7 @@
 
 use passrelay_control_plane::replication::{DurableWrite, WriteId};
 use passrelay_dissemination::EndpointRecord;
+use std::net::SocketAddrV4;
 use std::path::PathBuf;
 use std::sync::mpsc;
 use std::thread;
@@ -53,6 +54,11 @@
     pub fn persist_endpoints(&self, records: Vec<EndpointRecord>) {
         let _ = self.requests.send(StoreRequest::Endpoints(records));
     }
+
+    /// Queues a write of the addresses of processes for the next start. Nobody waits for it.
+    pub fn persist_peers(&self, peers: Vec<SocketAddrV4>) {
+        let _ = self.requests.send(StoreRequest::Peers(peers));
+    }
 }
 
 #[cfg(test)]
--- a/crates/router/node/src/storage/open.rs
+++ b/crates/router/node/src/storage/open.rs
@@ -3,7 +3,7 @@
 use super::error::StoreError;
 use super::format::{
     check_owner, encode, read, write, BOOTSTRAPPING, BOOTSTRAP_SEEDS, ENDPOINTS, FORMAT, FORMAT_VERSION,
-    IDENTITY, STATE, UNVERSIONED_FORMAT, WITNESS,
+    IDENTITY, PEERS, STATE, UNVERSIONED_FORMAT, WITNESS,
 };
 use crate::logging::{log_event, Quoted};
 use passrelay_control_plane::replication::{DurableState, MemberId, ReplicatedState, WitnessState};
@@ -45,6 +45,8 @@
     pub durable: DurableState,
     /// The endpoints that were known last; no decision rests on them.
     pub endpoints: Vec<EndpointRecord>,
+    /// The addresses of processes that were known last; no decision rests on them.
+    pub peers: Vec<SocketAddrV4>,
 }
 
 /// An open store.
@@ -143,7 +145,8 @@
     };
     // Endpoints register again by their heartbeats: one that can't be decoded is no loss.
     let endpoints = read(&database, ENDPOINTS).ok().flatten().unwrap_or_default();
-    let contents = StoreContents { identity, bootstrapping, bootstrap_seeds, durable, endpoints };
+    let peers = read(&database, PEERS).ok().flatten().unwrap_or_default();
+    let contents = StoreContents { identity, bootstrapping, bootstrap_seeds, durable, endpoints, peers };
     Ok(OpenStore { database, contents })
 }
 
--- a/crates/router/node/src/storage/writer.rs
+++ b/crates/router/node/src/storage/writer.rs
@@ -1,13 +1,14 @@
 //! The storage thread: opens the store, then writes what is queued, one transaction a request.
 
 use super::error::StoreError;
-use super::format::{write_endpoints, write_replica};
+use super::format::{write_endpoints, write_peers, write_replica};
 use super::open::{open_with_retry, OpenStore, StartKind, StoreContents};
 use crate::logging::{log_event, Quoted};
 use passrelay_control_plane::replication::{DurableWrite, MemberId, WriteId};
 use passrelay_dissemination::EndpointRecord;
 use redb::Database;
 use smol::channel::Sender;
+use std::net::SocketAddrV4;
 use std::path::Path;
 use std::sync::mpsc::Receiver;
 
@@ -35,6 +36,8 @@
     },
     /// The endpoints that are known; not acknowledged.
     Endpoints(Vec<EndpointRecord>),
+    /// The addresses of processes that are known; not acknowledged.
+    Peers(Vec<SocketAddrV4>),
 }
 
 /// Runs until the process ends, or the store has to be given up.
@@ -69,6 +72,7 @@
     match request {
         StoreRequest::Replica { write, .. } => write_replica(database, write),
         StoreRequest::Endpoints(records) => write_endpoints(database, records),
+        StoreRequest::Peers(peers) => write_peers(database, peers),
     }
 }
 
@@ -80,7 +84,7 @@
             let event = StorageEvent::Written { write_id: *write_id, succeeded };
             events.send_blocking(event).is_ok()
         }
-        StoreRequest::Endpoints(_) => true,
+        StoreRequest::Endpoints(_) | StoreRequest::Peers(_) => true,
     }
 }
 
