--- a/crates/passrelay/tests/soak/bounds.rs
+++ b/crates/passrelay/tests/soak/bounds.rs
@@ -4,6 +4,8 @@
 
 /// A machine is in touch when nothing has disturbed it, or the core, for this long.
 pub const CONTACT: Duration = Duration::from_millis(4_000);
+/// An order has to be acknowledged within this time of calm.
+pub const ACK: Duration = Duration::from_millis(5_000);
 /// From the acknowledgement of a change until it is in force at all machines in touch.
 pub const CONFIG_APPLY: Duration = Duration::from_millis(2_500);
 /// What a core that is not stable may add to that.
@@ -27,6 +29,7 @@
     vec![
         "contracts=base,drain,config,cost,retry,recover,health,pool,rollout,engine,stream,tenants,quota"
             .into(),
+        line("ack-ms", ACK.as_millis()),
         line("contact-ms", CONTACT.as_millis()),
         line("config-apply-ms", CONFIG_APPLY.as_millis()),
         line("max-stretch-ms", MAX_STRETCH.as_millis()),
