--- a/crates/router/configuration/src/lib.rs
+++ b/crates/router/configuration/src/lib.rs
@@ -15,6 +15,7 @@
 mod model;
 mod patch;
 mod reader;
+mod rollouts;
 mod service_versions;
 mod validate;
 
@@ -24,5 +25,6 @@
 pub use errors::{ValidationError, ValidationErrorKind, ValidationErrors};
 pub use model::{Backend, Configuration, Limits, Route, RouteType, Service, Tenant, TokenUnit};
 pub use patch::apply_patch;
+pub use rollouts::{OrderError, Rollout, RolloutOrder, RolloutPhase, Rollouts, ServiceRollouts};
 pub use service_versions::ServiceVersions;
 pub use validate::parse_document;
--- a/crates/router/control-plane/src/coordinator.rs
+++ b/crates/router/control-plane/src/coordinator.rs
@@ -14,6 +14,7 @@
 mod operator_outcome;
 mod publication;
 mod quota_grantor;
+mod rollouts;
 mod status;
 mod version_recorder;
 
@@ -29,6 +30,7 @@
     Announcement, EndpointLoad, EndpointRecord, Gossip, GossipSettings, Heartbeat, Incarnation, Peer,
 };
 use quota_grantor::GrantorLifecycle;
+use rollouts::ControllerLifecycle;
 use std::net::SocketAddrV4;
 use std::time::Duration;
 use version_recorder::VersionRecorder;
@@ -56,6 +58,9 @@
     /// Whether a version of a service gets requests only once it was recorded or ordered. Otherwise endpoints of all versions
     /// are alike, unless the configuration sets one.
     pub records_versions: bool,
+    /// The largest share of a service's requests that a version gets before it is judged, 0 to 1. Operators order roll-outs where
+    /// versions are recorded.
+    pub exposure_ratio: f64,
 }
 
 /// The control plane of one process.
@@ -71,6 +76,7 @@
     load_totals: LoadTotals,
     operator_calls: OperatorCalls,
     versions: VersionRecorder,
+    rollouts: ControllerLifecycle,
     /// Responses dropped because they were addressed to an earlier incarnation at this address.
     stale_responses_dropped: u64,
 }
@@ -90,6 +96,7 @@
             load_totals: LoadTotals::default(),
             operator_calls: OperatorCalls::default(),
             versions: VersionRecorder::new(settings.records_versions),
+            rollouts: ControllerLifecycle::new(settings.records_versions.then_some(settings.exposure_ratio)),
             stale_responses_dropped: 0,
         }
     }
@@ -233,6 +240,7 @@
             }
             Message::Quota(message) => self.receive_quota(from, message, context),
             Message::Load(message) => self.receive_load(from, message, context),
+            Message::Rollout(message) => self.receive_rollout(from, message, context),
             Message::Operator(OperatorMessage::Call { call, request }) => {
                 self.submit_operator_call(Caller::Forwarded { origin: from, call }, request, context);
             }
@@ -253,7 +261,7 @@
     }
 
     fn submit_operator_call(&mut self, caller: Caller, request: OperatorRequest, context: &mut Context<'_>) {
-        let core = Core::new(self.replica.as_mut(), &self.gossip);
+        let core = Core::new(self.replica.as_mut(), &self.gossip, &self.rollouts);
         self.operator_calls.submit(core, caller, request, context);
     }
 
@@ -262,7 +270,8 @@
     fn advance(&mut self, context: &mut Context<'_>) {
         self.publish(context);
         self.record_versions(context);
-        let core = Core::new(self.replica.as_mut(), &self.gossip);
+        self.advance_rollouts(context);
+        let core = Core::new(self.replica.as_mut(), &self.gossip, &self.rollouts);
         self.operator_calls.advance(core, context);
     }
 }
--- a/crates/router/control-plane/src/coordinator/operator_calls.rs
+++ b/crates/router/control-plane/src/coordinator/operator_calls.rs
@@ -24,9 +24,12 @@
 
 use super::context::Context;
 use super::operator_outcome::{OperatorError, OperatorOutcome, OperatorReply};
+use super::rollouts::ControllerLifecycle;
 use crate::configuration_change::{ConfigurationChange, Rejection, Verdict};
 use crate::messages::{Action, CallId, Message, OperatorAnswer, OperatorMessage, OperatorRequest};
 use crate::replication::{Replica, ReplicatedState, StateVersion};
+use crate::rollout::{self, OrderRejection, OrderVerdict};
+use passrelay_configuration::RolloutOrder;
 use passrelay_dissemination::{Gossip, Peer};
 use std::net::SocketAddrV4;
 use std::time::Duration;
@@ -44,11 +47,17 @@
     replica: Option<&'a mut Replica>,
     /// Address of the primary, as far as gossip knows it.
     primary: Option<SocketAddrV4>,
+    /// The controller of roll-outs.
+    rollouts: &'a ControllerLifecycle,
 }
 
 impl<'a> Core<'a> {
-    pub(super) fn new(replica: Option<&'a mut Replica>, gossip: &Gossip) -> Self {
-        Core { replica, primary: gossip.core().map(|core| core.primary) }
+    pub(super) fn new(
+        replica: Option<&'a mut Replica>,
+        gossip: &Gossip,
+        rollouts: &'a ControllerLifecycle,
+    ) -> Self {
+        Core { replica, primary: gossip.core().map(|core| core.primary), rollouts }
     }
 
     fn established_replica(&mut self) -> Option<&mut Replica> {
@@ -127,8 +136,9 @@
     /// Takes the next transition, if it is possible now. Returns the outcome of a call that is complete.
     fn advance(&mut self, core: &mut Core<'_>, context: &mut Context<'_>) -> Option<OperatorOutcome> {
         if matches!(self.state, CallState::Open { .. }) {
+            let rollouts = core.rollouts;
             match core.established_replica() {
-                Some(replica) => self.state = adjudicate(&self.request, replica, context)?,
+                Some(replica) => self.state = adjudicate(&self.request, replica, rollouts, context)?,
                 None => {
                     self.forward(core.primary, context);
                     return None;
@@ -190,6 +200,13 @@
     Open { forwarded: Option<Forwarded> },
     /// A change that is acknowledged once the state at `position` is committed.
     AwaitCommit { position: StateVersion, generation: u64 },
+    /// An order of a roll-out, acknowledged once the state at `position` is committed and on a majority of disks.
+    AwaitMajority { position: StateVersion },
+    /// An order that is rejected once a quorum has confirmed the primary at or after `adjudicated_at`.
+    AwaitOrderRejection { position: StateVersion, adjudicated_at: Duration, rejection: OrderRejection },
+    /// A read of a roll-out, served once a quorum has confirmed the primary at or after `requested_at` and the state is on a majority
+    /// of disks.
+    AwaitRolloutRead { term: u64, requested_at: Duration, service: String },
     /// A rejection, valid once the state at `position` is committed and a quorum has confirmed the primary at or after
     /// `adjudicated_at`.
     AwaitRejectionConfirmation { position: StateVersion, adjudicated_at: Duration, rejection: Rejection },
@@ -222,6 +239,21 @@
                     replica.confirmed_at() >= Some(*requested_at) || replica.mutation().reads_unconfirmed();
                 confirmed.then(|| read(committed))
             }
+            CallState::AwaitMajority { position } => {
+                let is_durable =
+                    committed.version.index >= position.index && replica.is_on_majority(position.index);
+                is_durable.then_some(Ok(OperatorReply::RolloutAccepted))
+            }
+            CallState::AwaitOrderRejection { position, adjudicated_at, rejection } => {
+                let confirmed = replica.confirmed_at() >= Some(*adjudicated_at);
+                (committed.version.index >= position.index && confirmed)
+                    .then(|| Err(OperatorError::OrderRejected(rejection.clone())))
+            }
+            CallState::AwaitRolloutRead { requested_at, service, .. } => {
+                let confirmed = replica.confirmed_at() >= Some(*requested_at);
+                (confirmed && replica.is_on_majority(committed.version.index))
+                    .then(|| read_rollout(committed, service))
+            }
             CallState::HistoryTruncated { .. } => Some(Err(OperatorError::HistoryTruncated)),
         }
     }
@@ -231,10 +263,12 @@
         match self {
             CallState::Open { .. } => None,
             CallState::AwaitCommit { position, .. }
+            | CallState::AwaitMajority { position }
+            | CallState::AwaitOrderRejection { position, .. }
             | CallState::AwaitRejectionConfirmation { position, .. } => Some(position.term),
-            CallState::AwaitReadConfirmation { term, .. } | CallState::HistoryTruncated { term } => {
-                Some(*term)
-            }
+            CallState::AwaitReadConfirmation { term, .. }
+            | CallState::AwaitRolloutRead { term, .. }
+            | CallState::HistoryTruncated { term } => Some(*term),
         }
     }
 }
@@ -245,10 +279,18 @@
     Ok(OperatorReply::Document(document))
 }
 
+/// A confirmed read of a service's roll-out.
+fn read_rollout(committed: &ReplicatedState, service: &str) -> OperatorOutcome {
+    let rollouts = committed.rollouts.of(service);
+    let rollout = rollouts.and_then(|rollouts| rollouts.all().next()).ok_or(OperatorError::NoRollout)?;
+    Ok(OperatorReply::Rollout(rollout.clone()))
+}
+
 /// Adjudicates a request on an established primary. `None` if a change cannot be proposed right now; the call stays open.
 fn adjudicate(
     request: &OperatorRequest,
     replica: &mut Replica,
+    rollouts: &ControllerLifecycle,
     context: &mut Context<'_>,
 ) -> Option<CallState> {
     match request {
@@ -258,6 +300,43 @@
             Some(CallState::AwaitReadConfirmation { term, requested_at: context.now() })
         }
         OperatorRequest::Change(change) => adjudicate_change(change, replica, context),
+        OperatorRequest::OrderRollout(order) => adjudicate_order(order, replica, rollouts, context),
+        OperatorRequest::ReadRollout { service } => {
+            replica.request_confirmation();
+            let term = replica.state().version.term;
+            let service = service.clone();
+            Some(CallState::AwaitRolloutRead { term, requested_at: context.now(), service })
+        }
+    }
+}
+
+/// Adjudicates an order of a roll-out against the newest state, committed or not.
+fn adjudicate_order(
+    order: &RolloutOrder,
+    replica: &mut Replica,
+    rollouts: &ControllerLifecycle,
+    context: &mut Context<'_>,
+) -> Option<CallState> {
+    let now = context.now();
+    let state = replica.state().clone();
+    let position = state.version;
+    if !rollouts.is_enabled() {
+        let rejection = OrderRejection::NotInContract;
+        return Some(CallState::AwaitOrderRejection { position, adjudicated_at: now, rejection });
+    }
+    match rollout::adjudicate(order, &state, |id| rollouts.age(now, id)) {
+        OrderVerdict::AlreadyAccepted => Some(CallState::AwaitMajority { position }),
+        OrderVerdict::Reject(rejection) => {
+            replica.request_confirmation();
+            Some(CallState::AwaitOrderRejection { position, adjudicated_at: now, rejection })
+        }
+        OrderVerdict::Accept(accepted) => {
+            let versions = state.service_versions.clone();
+            let index = context.step_replica(replica, |replica, actions| {
+                replica.propose_rollouts(now, accepted, versions, actions)
+            })?;
+            Some(CallState::AwaitMajority { position: StateVersion { term: position.term, index } })
+        }
     }
 }
 
--- a/crates/router/control-plane/src/coordinator/operator_calls/tests.rs
+++ b/crates/router/control-plane/src/coordinator/operator_calls/tests.rs
@@ -2,6 +2,7 @@
 
 use super::{Caller, Core, OperatorCalls};
 use crate::coordinator::context::Context;
+use crate::coordinator::rollouts::ControllerLifecycle;
 use crate::messages::{Action, CallId, Envelope, Message, OperatorAnswer, OperatorMessage, OperatorRequest};
 use passrelay_dissemination::{Incarnation, Peer};
 use rstest::rstest;
@@ -27,7 +28,8 @@
 fn step(at_ms: u64, primary: Option<u16>, step: impl FnOnce(Core<'_>, &mut Context<'_>)) -> Vec<Action> {
     let mut actions = Vec::new();
     let mut context = Context::new(Duration::from_millis(at_ms), process(OWN), &mut actions);
-    step(Core { replica: None, primary: primary.map(address) }, &mut context);
+    let rollouts = ControllerLifecycle::new(None);
+    step(Core { replica: None, primary: primary.map(address), rollouts: &rollouts }, &mut context);
     actions
 }
 
--- a/crates/router/control-plane/src/coordinator/publication.rs
+++ b/crates/router/control-plane/src/coordinator/publication.rs
@@ -22,15 +22,18 @@
         }
         let Some(state) = publishable_state(replica) else {
             self.quota.resign(now);
+            self.rollouts.resign();
             return;
         };
         let published_index = self.gossip.configuration().map_or(0, |configuration| configuration.index);
         publish_configuration(&mut self.gossip, replica, &state, context);
         let started = self.quota.start_term(now, state.version.term, replica.leads_since());
+        self.rollouts.start_term(state.version.term);
         if started || published_index != state.version.index {
             if let Some(configuration) = read_configuration(&state) {
                 self.quota.configure(now, &configuration);
                 self.versions.configure(&configuration);
+                self.rollouts.configure(&configuration);
             }
         }
     }
@@ -60,6 +63,7 @@
         generation: state.generation,
         document,
         service_versions: state.service_versions.clone(),
+        rollouts: state.rollouts.clone(),
     });
     context.step_gossip(gossip, |gossip, actions| {
         gossip.observe_committed(now, configuration.as_ref(), replica.confirmed_at(), actions);
--- a/crates/router/control-plane/src/coordinator/status.rs
+++ b/crates/router/control-plane/src/coordinator/status.rs
@@ -2,7 +2,7 @@
 
 use super::Coordinator;
 use crate::replication::Replica;
-use passrelay_configuration::ServiceVersions;
+use passrelay_configuration::{Rollouts, ServiceVersions};
 use passrelay_dissemination::{EndpointRecord, EndpointState};
 use serde::Serialize;
 use std::collections::BTreeMap;
@@ -34,6 +34,9 @@
     pub endpoints_by_version: BTreeMap<String, BTreeMap<String, usize>>,
     /// The version of each service whose endpoints get requests, as recorded; without the services of which none is.
     pub service_versions: ServiceVersions,
+    /// The roll-outs; left out where there was none.
+    #[serde(skip_serializing_if = "Rollouts::is_empty")]
+    pub rollouts: Rollouts,
     /// Number of responses dropped because an earlier incarnation at this address had sent the request.
     pub answers_dropped: u64,
 }
@@ -57,6 +60,7 @@
             endpoints: self.gossip.registry().records().filter(present).count(),
             endpoints_by_version: self.endpoints_by_version(),
             service_versions: configuration.map(|c| c.service_versions.clone()).unwrap_or_default(),
+            rollouts: configuration.map(|c| c.rollouts.clone()).unwrap_or_default(),
             answers_dropped: self.stale_responses_dropped,
         }
     }
--- a/crates/router/control-plane/src/coordinator/version_recorder.rs
+++ b/crates/router/control-plane/src/coordinator/version_recorder.rs
@@ -81,7 +81,7 @@
 }
 
 /// Whether a replica is the established primary and its newest state is committed.
-fn has_only_committed(replica: &Replica) -> bool {
+pub(super) fn has_only_committed(replica: &Replica) -> bool {
     let committed = replica.committed().filter(|_| replica.is_established());
     committed.is_some_and(|committed| committed.version == replica.state().version)
 }
--- a/crates/router/control-plane/src/lib.rs
+++ b/crates/router/control-plane/src/lib.rs
@@ -11,6 +11,7 @@
 //! | [`replication`] | epoch record, promised term and replicated state of a voter: elections, commit, membership |
 //! | [`configuration_change`] | none: verdict on a change, given a replicated state |
 //! | [`quota`] | token buckets of the current grantor |
+//! | [`rollout`] | outcomes by version, phases of roll-outs; current on the primary only |
 //! | [`load`] | last load report of each sidecar, totals over all |
 //! | `coordinator` | composition of these with dissemination; pending operator calls, life cycle of the grantor |
 //! | `messages` | none: messages between processes, actions |
@@ -39,6 +40,7 @@
 mod messages;
 pub mod quota;
 pub mod replication;
+pub mod rollout;
 
 pub use coordinator::{Coordinator, CoordinatorSettings, Status};
 pub use messages::{Action, CallId, Envelope, Message, OperatorAnswer, OperatorMessage, OperatorRequest};
--- a/crates/router/control-plane/src/messages.rs
+++ b/crates/router/control-plane/src/messages.rs
@@ -9,6 +9,8 @@
 use crate::load::LoadMessage;
 use crate::quota::QuotaMessage;
 use crate::replication::{DurableWrite, ReplicationEnvelope, WriteId};
+use crate::rollout::RolloutMessage;
+use passrelay_configuration::RolloutOrder;
 use passrelay_dissemination::{Announcement, CommittedConfiguration, GossipMessage, Incarnation};
 use serde::{Deserialize, Serialize};
 use std::net::SocketAddrV4;
@@ -25,6 +27,13 @@
     Read,
     /// Change the configuration.
     Change(ConfigurationChange),
+    /// Move a service to another version.
+    OrderRollout(RolloutOrder),
+    /// Read the roll-out of a service.
+    ReadRollout {
+        /// The service.
+        service: String,
+    },
 }
 
 /// The answer to an operator call: an HTTP status and a JSON body, passed to the operator as they are.
@@ -68,6 +77,8 @@
     Load(LoadMessage),
     /// Forwarded operator calls.
     Operator(OperatorMessage),
+    /// Reports of roll-outs, and shares. Unknown to earlier builds, which drop it: they take no part in roll-outs.
+    Rollout(RolloutMessage),
 }
 
 impl Message {
@@ -78,6 +89,7 @@
             Message::Gossip(message) => matches!(message, GossipMessage::DigestResponse { .. }),
             Message::Quota(message) => matches!(message, QuotaMessage::Grant { .. }),
             Message::Load(message) => matches!(message, LoadMessage::Totals { .. }),
+            Message::Rollout(message) => matches!(message, RolloutMessage::Grant { .. }),
             Message::Operator(message) => matches!(message, OperatorMessage::Answer { .. }),
         }
     }
@@ -140,4 +152,6 @@
     QuotaGranted(QuotaMessage),
     /// Totals of the endpoints' load over all sidecars.
     LoadTotals(LoadMessage),
+    /// Shares of roll-outs were granted to this sidecar.
+    RolloutShares(RolloutMessage),
 }
--- a/crates/router/control-plane/src/replication/leadership/state_transfer.rs
+++ b/crates/router/control-plane/src/replication/leadership/state_transfer.rs
@@ -84,6 +84,14 @@
         }
     }
 
+    /// Whether a majority of the members of the record in force has synced the state of this index or a later one of this term.
+    pub(in crate::replication) fn is_on_majority(&self, index: u64) -> bool {
+        let Some(record) = &self.in_force else { return false };
+        let wanted = StateVersion { term: self.term, index };
+        let holders = record.members.iter().filter(|member| self.progress.synced(member.id) >= wanted);
+        2 * holders.count() > record.members.len()
+    }
+
     /// A member could not apply differences: it gets the whole state.
     pub(in crate::replication) fn handle_rejected_deltas(
         &mut self,
--- a/crates/router/control-plane/src/replication/replica.rs
+++ b/crates/router/control-plane/src/replication/replica.rs
@@ -23,7 +23,7 @@
 use super::state::{AppliedChange, ReplicatedState};
 use super::ReplicaAction;
 use durable_writes::PendingWrite;
-use passrelay_configuration::ServiceVersions;
+use passrelay_configuration::{Rollouts, ServiceVersions};
 use passrelay_dissemination::{CoreHint, Incarnation};
 use rand::SeedableRng;
 use rand_chacha::ChaCha8Rng;
@@ -197,6 +197,26 @@
         Some(self.replicate_next(now, state, actions))
     }
 
+    /// Replicates other roll-outs and the versions in service that they lead to. Returns the index at which they will be committed;
+    /// `None` unless this is an established primary.
+    pub fn propose_rollouts(
+        &mut self,
+        now: Duration,
+        rollouts: Rollouts,
+        versions: ServiceVersions,
+        actions: &mut Vec<ReplicaAction>,
+    ) -> Option<u64> {
+        let term = self.established_term()?;
+        let state = self.state.with_rollouts(term, rollouts, versions);
+        Some(self.replicate_next(now, state, actions))
+    }
+
+    /// Whether the state of this index of the primary's own term, or a later one, is on the disks of a majority of the members.
+    /// Commitment asks for all of the in-sync set, which may be smaller.
+    pub fn is_on_majority(&self, index: u64) -> bool {
+        self.leadership().is_some_and(|leadership| leadership.is_on_majority(index))
+    }
+
     fn established_term(&self) -> Option<u64> {
         Some(self.leadership().filter(|leadership| leadership.is_established())?.term())
     }
--- a/crates/router/control-plane/src/replication/state.rs
+++ b/crates/router/control-plane/src/replication/state.rs
@@ -3,7 +3,7 @@
 //! The state is replicated as a whole, not as a log: it is small, and a backup that has fallen behind needs only the
 //! newest version.
 
-use passrelay_configuration::ServiceVersions;
+use passrelay_configuration::{Rollouts, ServiceVersions};
 use serde::{Deserialize, Serialize};
 use std::collections::VecDeque;
 use std::sync::Arc;
@@ -51,6 +51,10 @@
     /// endpoints may serve it. Not written while empty, and dropped by members of earlier builds.
     #[serde(default, skip_serializing_if = "ServiceVersions::is_empty")]
     pub service_versions: ServiceVersions,
+    /// The roll-outs. Invariant: replicated with the versions in service that they lead to. Not written while empty, and dropped by
+    /// members of earlier builds.
+    #[serde(default, skip_serializing_if = "Rollouts::is_empty")]
+    pub rollouts: Rollouts,
 }
 
 impl ReplicatedState {
@@ -74,8 +78,14 @@
             applied_changes.pop_front();
         }
         let version = StateVersion { term, index: self.version.index + 1 };
-        let service_versions = self.service_versions.clone();
-        ReplicatedState { version, generation, document: Some(document), applied_changes, service_versions }
+        ReplicatedState {
+            version,
+            generation,
+            document: Some(document),
+            applied_changes,
+            service_versions: self.service_versions.clone(),
+            rollouts: self.rollouts.clone(),
+        }
     }
 
     /// The state with other versions in service, replicated by the primary of `term`. No change of an operator.
@@ -83,4 +93,9 @@
         let version = StateVersion { term, index: self.version.index + 1 };
         ReplicatedState { version, service_versions, ..self.clone() }
     }
+
+    /// The state with other roll-outs and the versions in service that they lead to, replicated by the primary of `term`.
+    pub fn with_rollouts(&self, term: u64, rollouts: Rollouts, service_versions: ServiceVersions) -> Self {
+        ReplicatedState { rollouts, ..self.with_service_versions(term, service_versions) }
+    }
 }
--- a/crates/router/control-plane/src/replication/state_delta.rs
+++ b/crates/router/control-plane/src/replication/state_delta.rs
@@ -37,7 +37,7 @@
     /// the whole.
     pub fn delta_from(&self, base: &ReplicatedState) -> Option<StateDelta> {
         let (base_document, document) = (base.document.as_ref()?, self.document.as_ref()?);
-        let same_versions = self.service_versions == base.service_versions;
+        let same_versions = self.service_versions == base.service_versions && self.rollouts == base.rollouts;
         if self.version.index != base.version.index + 1 || !same_versions {
             return None;
         }
--- /dev/null
+++ b/crates/router/control-plane/src/rollout/evidence.rs
@@ -0,0 +1,79 @@
+//! Outcomes that sidecars have reported of one roll-out, and its age.
+//!
+//! A report holds everything that its sender has counted, and replaces the one before it: a report that is lost, late or comes twice
+//! counts nothing twice. Nothing here is durable: a new controller has it again from the next reports.
+
+use passrelay_dissemination::{Peer, RequestClass, RolloutReport, Tally};
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+/// Requests of one class, at both versions.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Comparison {
+    /// At the version in service before the roll-out.
+    pub base: Tally,
+    /// At the new version.
+    pub target: Tally,
+}
+
+/// The last report of a sidecar.
+#[derive(Debug)]
+struct Received {
+    at: Duration,
+    request_id: u64,
+    report: RolloutReport,
+}
+
+/// Everything that is known of one roll-out beside its record.
+#[derive(Debug)]
+pub struct Evidence {
+    /// Age when `aged_at` was now; a lower bound.
+    age: Duration,
+    aged_at: Duration,
+    /// By the process that reported: after a restart it counts from zero, and what it had counted before stays.
+    reports: BTreeMap<(std::net::SocketAddrV4, u64), Received>,
+}
+
+impl Evidence {
+    /// No report yet, of a roll-out of this age.
+    pub fn new(now: Duration, age: Duration) -> Self {
+        Evidence { age, aged_at: now, reports: BTreeMap::new() }
+    }
+
+    /// How old the roll-out is at least.
+    pub fn age(&self, now: Duration) -> Duration {
+        self.age + now.saturating_sub(self.aged_at)
+    }
+
+    /// Takes a sidecar's report unless a later one has come already.
+    pub fn observe(&mut self, now: Duration, from: Peer, request_id: u64, report: RolloutReport) {
+        let key = (from.address, from.incarnation.0);
+        if self.reports.get(&key).is_some_and(|known| known.request_id > request_id) {
+            return;
+        }
+        let known_for = Duration::from_millis(report.known_for_ms);
+        if known_for > self.age(now) {
+            (self.age, self.aged_at) = (known_for, now);
+        }
+        self.reports.insert(key, Received { at: now, request_id, report });
+    }
+
+    /// Outcomes of all sidecars, by class.
+    pub fn comparisons(&self) -> BTreeMap<RequestClass, Comparison> {
+        let mut comparisons: BTreeMap<RequestClass, Comparison> = BTreeMap::new();
+        for outcomes in self.reports.values().flat_map(|received| &received.report.outcomes) {
+            let comparison = comparisons.entry(outcomes.class.clone()).or_default();
+            comparison.base.add(&outcomes.base);
+            comparison.target.add(&outcomes.target);
+        }
+        comparisons
+    }
+
+    /// Whether all sidecars with a report since `since` send to the new version alone and have nothing left at others. False
+    /// without any report.
+    pub fn has_left_base(&self, since: Duration) -> bool {
+        let mut recent = self.reports.values().filter(|received| received.at >= since).peekable();
+        recent.peek().is_some()
+            && recent.all(|received| received.report.switched && received.report.base_in_flight == 0)
+    }
+}
--- /dev/null
+++ b/crates/router/control-plane/src/rollout/schedule.rs
@@ -0,0 +1,81 @@
+//! The times and shares of a roll-out.
+//!
+//! ```text
+//! order                                   promote_at                               end_by  deadline
+//!   |  canary: a bounded share, judged         | promoting | switched, old requests end |      |
+//! ```
+//!
+//! The canary lasts as long as the deadline allows, since a version may turn bad late; what follows needs some seconds.
+
+use passrelay_configuration::Rollout;
+use std::time::Duration;
+
+/// The end has to be known this long before the deadline: the operator's own clock began with the first attempt to order.
+const MAX_END_MARGIN: Duration = Duration::from_millis(1_500);
+/// The same, as a fraction of the deadline where that is short.
+const END_MARGIN_FRACTION: u32 = 8;
+/// Time for the move, from the judgement to the end.
+const MAX_MOVE_TIME: Duration = Duration::from_millis(5_000);
+/// The same, as percent of the time from the order to the end where that is short.
+const MOVE_TIME_PERCENT: u32 = 45;
+/// A version that isn't judged good by then is not promoted any more.
+const MIN_MOVE_TIME_PERCENT: u32 = 20;
+/// Of the share that the bound allows, what a canary gets: sidecars count their own requests and round.
+const CANARY_SHARE_OF_BOUND: f64 = 0.75;
+/// Until so many requests have ended, a canary gets half of that.
+const FIRST_REQUESTS: u32 = 20;
+/// Endpoints of a canary get somewhat more each than they would in service, so that a fault under load shows.
+const CANARY_SPREAD: f64 = 0.75;
+/// Shares while a version is promoted, each for [`PROMOTION_STEP`]: caches fill, and nobody reads everything at one moment.
+const PROMOTION_SHARES: [f64; 2] = [0.3, 0.65];
+const PROMOTION_STEP: Duration = Duration::from_millis(700);
+/// A version in service is known everywhere after this, on a calm fleet; the earliest end.
+const MIN_SWITCH_TIME: Duration = Duration::from_millis(1_000);
+
+/// When a roll-out moves on, as ages.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) struct Schedule {
+    /// A version that was judged good is promoted from here on ...
+    pub promote_at: Duration,
+    /// ... and until here.
+    pub promote_by: Duration,
+    /// It ends by here.
+    pub end_by: Duration,
+}
+
+impl Schedule {
+    pub(super) fn of(rollout: &Rollout) -> Self {
+        let deadline = Duration::from_millis(rollout.order.deadline_ms);
+        let end_by = deadline - MAX_END_MARGIN.min(deadline / END_MARGIN_FRACTION);
+        let percent = |percent: u32| end_by * percent / 100;
+        let move_time = MAX_MOVE_TIME.min(percent(MOVE_TIME_PERCENT));
+        let min_move_time = move_time.min(percent(MIN_MOVE_TIME_PERCENT));
+        Schedule { promote_at: end_by - move_time, promote_by: end_by - min_move_time, end_by }
+    }
+}
+
+/// A share of requests, and of the endpoints that get them; 0 to 1.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub(super) struct Share {
+    pub requests: f64,
+    pub endpoints: f64,
+}
+
+/// The share of a canary, at most `bound` of all requests.
+pub(super) fn canary_share(bound: f64, requests_so_far: u32) -> Share {
+    let full = bound * CANARY_SHARE_OF_BOUND;
+    let requests = if requests_so_far < FIRST_REQUESTS { full / 2.0 } else { full };
+    Share { requests, endpoints: requests * CANARY_SPREAD }
+}
+
+/// The share of a version that has been promoted for some time; `None` once it is to be switched.
+pub(super) fn promotion_share(promoted_for: Duration) -> Option<Share> {
+    let step = promoted_for.as_millis() / PROMOTION_STEP.as_millis();
+    let requests = *PROMOTION_SHARES.get(usize::try_from(step).ok()?)?;
+    Some(Share { requests, endpoints: 1.0 })
+}
+
+/// Whether a version that has been in service for some time may end now, as far as time tells.
+pub(super) fn has_spread(switched_for: Duration) -> bool {
+    switched_for >= MIN_SWITCH_TIME
+}
--- a/crates/router/data-plane/src/balancer.rs
+++ b/crates/router/data-plane/src/balancer.rs
@@ -52,6 +52,8 @@
     pub service: &'a str,
     /// The only version whose endpoints may get the request; `None` where any may.
     pub version: Option<&'a str>,
+    /// Share of the endpoints that may get the request, 0 to 1, the same ones in all routers; `None` for all.
+    pub endpoint_share: Option<f64>,
     /// The prompt, where requests with the same prefixes go to the same endpoints; `None` selects by weight alone.
     pub prompt: Option<Prompt>,
     /// Latency target: the time within which a response has its full value.
@@ -171,7 +173,10 @@
                 && endpoint.serves(request.version)
                 && !request.attempted.contains(id)
         };
-        let candidates: Vec<Arc<str>> = ids.iter().filter(is_candidate).cloned().collect();
+        let mut candidates: Vec<Arc<str>> = ids.iter().filter(is_candidate).cloned().collect();
+        if let Some(share) = request.endpoint_share {
+            self.keep_share(&mut candidates, share);
+        }
         let outliers: Vec<bool> = candidates.iter().map(|id| self.endpoints[id].is_outlier(now)).collect();
         let outlier_count = outliers.iter().filter(|is_outlier| **is_outlier).count();
         let ejects_outliers = outlier::may_eject(outlier_count, candidates.len());
@@ -186,6 +191,13 @@
         Some(if healthy.is_empty() { candidates } else { healthy })
     }
 
+    /// Keeps the first of the candidates by their keys, one at least. Keys are hashes, so that zones mix.
+    fn keep_share(&self, candidates: &mut Vec<Arc<str>>, share: f64) {
+        candidates.sort_by_key(|id| self.endpoints[id].load_key());
+        let kept = (candidates.len() as f64 * share).ceil() as usize;
+        candidates.truncate(kept.max(1));
+    }
+
     /// Selects by weight among the endpoints of least prefill cost.
     fn pick_by_prefill(
         &mut self,
@@ -265,6 +277,13 @@
         }
     }
 
+    /// Requests in flight from this router at endpoints of a service that have another version.
+    pub fn in_flight_at_other_versions(&self, service: &str, version: &str) -> u32 {
+        let ids = self.services.get(service).into_iter().flatten();
+        let others = ids.map(|id| &self.endpoints[id]).filter(|endpoint| endpoint.version() != version);
+        others.map(Endpoint::requests_in_flight).sum()
+    }
+
     // ---- Load of the fleet ----
 
     /// This router's load report: requests in flight by endpoint, and their outcomes since the last report. In no
--- a/crates/router/data-plane/src/balancer/endpoint.rs
+++ b/crates/router/data-plane/src/balancer/endpoint.rs
@@ -175,6 +175,11 @@
         self.outlier.observe_failure(now);
     }
 
+    /// Own requests in flight.
+    pub(super) fn requests_in_flight(&self) -> u32 {
+        self.load.in_flight.requests
+    }
+
     // ---- Load of the fleet ----
 
     /// Whether there is anything for a load report: requests in flight or outcomes that no report has held.
--- a/crates/router/data-plane/tests/balancer.rs
+++ b/crates/router/data-plane/tests/balancer.rs
@@ -37,7 +37,7 @@
 }
 
 fn request(prompt: Option<Prompt>) -> PickRequest<'static> {
-    PickRequest { service: "s", version: None, prompt, target: ms(500), attempted: &[] }
+    PickRequest { service: "s", version: None, endpoint_share: None, prompt, target: ms(500), attempted: &[] }
 }
 
 fn pick(balancer: &mut Balancer, now: Duration, prompt: Option<Prompt>) -> Pick {
@@ -201,8 +201,14 @@
 fn endpoints_of_earlier_attempts_are_not_picked() {
     let mut balancer = balancer(2);
     let attempted: [Arc<str>; 2] = ["i-0".into(), "i-1".into()];
-    let request =
-        |attempted| PickRequest { service: "s", version: None, prompt: None, target: ms(500), attempted };
+    let request = |attempted| PickRequest {
+        service: "s",
+        version: None,
+        endpoint_share: None,
+        prompt: None,
+        target: ms(500),
+        attempted,
+    };
     for index in 0..10 {
         let pick = balancer.pick(ms(index), &request(&attempted[..1])).unwrap();
         assert_eq!(pick.id, attempted[1]);
--- a/crates/router/data-plane/tests/decision_trace/balancer.rs
+++ b/crates/router/data-plane/tests/decision_trace/balancer.rs
@@ -108,7 +108,14 @@
         let target = Duration::from_millis(200 + self.draws.below(5_000));
         let attempted: Vec<Arc<str>> =
             (0..self.draws.below(4)).map(|_| format!("i-{}", self.draws.below(14)).into()).collect();
-        let request = PickRequest { service, version: None, prompt, target, attempted: &attempted };
+        let request = PickRequest {
+            service,
+            version: None,
+            endpoint_share: None,
+            prompt,
+            target,
+            attempted: &attempted,
+        };
         let Some(pick) = self.balancer.pick(self.now, &request) else {
             return self.digest.number(u64::MAX);
         };
--- a/crates/router/dissemination/src/gossip/configuration.rs
+++ b/crates/router/dissemination/src/gossip/configuration.rs
@@ -150,7 +150,9 @@
             let (index, generation) = (delta.index, delta.generation);
             let known = Some(&delta.service_versions).filter(|versions| !versions.is_empty());
             let service_versions = known.unwrap_or(&base.service_versions).clone();
-            result = Some(CommittedConfiguration { index, generation, document, service_versions });
+            let rollouts = Some(&delta.rollouts).filter(|rollouts| !rollouts.is_empty());
+            let rollouts = rollouts.unwrap_or(&base.rollouts).clone();
+            result = Some(CommittedConfiguration { index, generation, document, service_versions, rollouts });
         }
         Ok(result)
     }
@@ -167,6 +169,7 @@
         generation: configuration.generation,
         document: DocumentDelta::if_short(&base.document, &configuration.document)?,
         service_versions: configuration.service_versions.clone(),
+        rollouts: configuration.rollouts.clone(),
     })
 }
 
--- a/crates/router/dissemination/src/lib.rs
+++ b/crates/router/dissemination/src/lib.rs
@@ -35,6 +35,7 @@
 mod partial_view;
 mod peer;
 mod registry;
+mod rollout;
 
 pub use gossip::{Announcement, Gossip, GossipAction, GossipSettings};
 pub use load::{EndpointLoad, OutcomeCounts, Outcomes};
@@ -45,3 +46,4 @@
 pub use partial_view::{PartialView, PeerDescriptor};
 pub use peer::{Incarnation, Peer};
 pub use registry::{EndpointRecord, EndpointState, Heartbeat, Registry, RegistryDigest};
+pub use rollout::{ClassOutcomes, Measure, RequestClass, RolloutReport, ShareGrant, Tally};
--- a/crates/router/dissemination/src/messages.rs
+++ b/crates/router/dissemination/src/messages.rs
@@ -3,7 +3,7 @@
 
 use crate::partial_view::PeerDescriptor;
 use crate::registry::{EndpointRecord, RegistryDigest};
-use passrelay_configuration::{Delta, DocumentDelta, ServiceVersions};
+use passrelay_configuration::{Delta, DocumentDelta, Rollouts, ServiceVersions};
 use serde::{Deserialize, Serialize};
 use std::net::SocketAddrV4;
 use std::sync::Arc;
@@ -20,6 +20,9 @@
     /// The versions in service. Not written while empty, and dropped by sidecars of earlier builds.
     #[serde(default, rename = "versions", skip_serializing_if = "ServiceVersions::is_empty")]
     pub service_versions: ServiceVersions,
+    /// The roll-outs. Not written while empty, and dropped by sidecars of earlier builds.
+    #[serde(default, skip_serializing_if = "Rollouts::is_empty")]
+    pub rollouts: Rollouts,
 }
 
 /// The difference of a committed configuration from the one before it.
@@ -41,6 +44,9 @@
     /// the base stay.
     #[serde(default, rename = "v", skip_serializing_if = "ServiceVersions::is_empty")]
     pub service_versions: ServiceVersions,
+    /// All roll-outs of the resulting configuration; empty, and then not written, where there was none.
+    #[serde(default, rename = "o", skip_serializing_if = "Rollouts::is_empty")]
+    pub rollouts: Rollouts,
 }
 
 impl Delta for ConfigurationDelta {
--- /dev/null
+++ b/crates/router/dissemination/src/rollout.rs
@@ -0,0 +1,120 @@
+//! What sidecars and the controller of a roll-out exchange: outcomes of requests by version, and shares of traffic.
+
+use serde::{Deserialize, Serialize};
+use std::time::Duration;
+
+/// Latencies are counted in buckets, each wider than the one before it by the square root of 2; the first ends at 1 ms.
+const LATENCY_BUCKETS: usize = 28;
+
+/// Outcomes of requests to the endpoints of one version. Counts only grow, so that a report may be lost or come twice.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Tally {
+    /// Requests that ended, whatever they ended with.
+    #[serde(rename = "n")]
+    pub ended: u32,
+    /// Of these, those that failed: an error of the endpoint, or no complete answer.
+    #[serde(rename = "f")]
+    pub failed: u32,
+    /// Requests by latency; without trailing zeros.
+    #[serde(rename = "l")]
+    pub latencies: Vec<u32>,
+}
+
+impl Tally {
+    /// A request has ended.
+    pub fn add_end(&mut self, failed: bool) {
+        self.ended = self.ended.saturating_add(1);
+        self.failed = self.failed.saturating_add(u32::from(failed));
+    }
+
+    /// A request had a latency.
+    pub fn add_latency(&mut self, latency: Duration) {
+        let bucket = bucket_of(latency);
+        if self.latencies.len() <= bucket {
+            self.latencies.resize(bucket + 1, 0);
+        }
+        self.latencies[bucket] = self.latencies[bucket].saturating_add(1);
+    }
+
+    /// Adds what another sidecar counted.
+    pub fn add(&mut self, other: &Tally) {
+        self.ended = self.ended.saturating_add(other.ended);
+        self.failed = self.failed.saturating_add(other.failed);
+        if self.latencies.len() < other.latencies.len() {
+            self.latencies.resize(other.latencies.len().min(LATENCY_BUCKETS), 0);
+        }
+        for (count, more) in self.latencies.iter_mut().zip(&other.latencies) {
+            *count = count.saturating_add(*more);
+        }
+    }
+}
+
+fn bucket_of(latency: Duration) -> usize {
+    let half_octaves = 2.0 * (latency.as_secs_f64() * 1_000.0).max(1.0).log2();
+    (half_octaves as usize).min(LATENCY_BUCKETS - 1)
+}
+
+/// What a latency measures; requests are compared with those of the same kind only.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+pub enum Measure {
+    /// Until the first part of the answer's body.
+    #[serde(rename = "F")]
+    FirstByte,
+    /// Until the end of the answer.
+    #[serde(rename = "C")]
+    Complete,
+}
+
+/// Requests that are alike: on one route, with about as much of the prompt to be read.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+pub struct RequestClass {
+    /// Name of the route.
+    #[serde(rename = "r")]
+    pub route: String,
+    /// Class of the prompt tokens that have to be read, 0 for the fewest.
+    #[serde(rename = "s")]
+    pub size: u8,
+    /// What the latencies measure.
+    #[serde(rename = "m")]
+    pub measure: Measure,
+}
+
+/// Outcomes of requests that are alike, at both versions.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ClassOutcomes {
+    /// The requests.
+    #[serde(rename = "c")]
+    pub class: RequestClass,
+    /// At the version in service before the roll-out.
+    #[serde(rename = "b")]
+    pub base: Tally,
+    /// At the new version.
+    #[serde(rename = "t")]
+    pub target: Tally,
+}
+
+/// What a sidecar reports of one roll-out.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct RolloutReport {
+    /// The roll-out.
+    pub id: u64,
+    /// For how long this process has known of it, in ms: a lower bound of its age.
+    pub known_for_ms: u64,
+    /// Whether the new version is in service here.
+    pub switched: bool,
+    /// Requests in flight from here at other versions of the service.
+    pub base_in_flight: u32,
+    /// All outcomes since this process knows of the roll-out.
+    pub outcomes: Vec<ClassOutcomes>,
+}
+
+/// A share of a service's requests for the new version, as a lease.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ShareGrant {
+    /// The roll-out.
+    pub id: u64,
+    /// Share of the requests, in thousandths.
+    pub share_per_mille: u16,
+    /// Share of the new version's endpoints that get them, in thousandths; one at least.
+    pub spread_per_mille: u16,
+}
--- a/crates/router/dissemination/tests/gossip.rs
+++ b/crates/router/dissemination/tests/gossip.rs
@@ -1,6 +1,6 @@
 //! The decider: freshness, fetching the configuration, confirmations by the core.
 
-use passrelay_configuration::ServiceVersions;
+use passrelay_configuration::{Rollouts, ServiceVersions};
 use passrelay_dissemination::{
     ActiveMutation, CommittedConfiguration, CoreHint, Digest, Gossip, GossipAction, GossipMessage,
     GossipSettings, Incarnation, Peer, RegistryDigest,
@@ -39,6 +39,7 @@
         generation: index,
         document: document.into(),
         service_versions: ServiceVersions::default(),
+        rollouts: Rollouts::default(),
     }
 }
 
--- a/crates/router/node/src/background_tasks.rs
+++ b/crates/router/node/src/background_tasks.rs
@@ -21,6 +21,8 @@
 const MIN_TICK_INTERVAL: Duration = Duration::from_millis(5);
 /// Interval of quota requests ahead of demand.
 const QUOTA_REQUEST_INTERVAL: Duration = Duration::from_millis(100);
+/// Interval of reports to the controller of roll-outs; shares live about three times as long.
+const ROLLOUT_REPORT_INTERVAL: Duration = Duration::from_millis(300);
 /// Interval of the log lines with the status.
 const STATUS_LOG_INTERVAL: Duration = Duration::from_secs(10);
 
@@ -58,6 +60,8 @@
     });
     let quota = driver.clone();
     tasks.spawn_periodic("quota_requests", || QUOTA_REQUEST_INTERVAL, move || quota.request_quota());
+    let rollouts = driver.clone();
+    tasks.spawn_periodic("rollout_reports", || ROLLOUT_REPORT_INTERVAL, move || rollouts.report_rollouts());
     let interval = driver.clone();
     let reporting = driver.clone();
     tasks.spawn_periodic(
--- a/crates/router/node/src/configuration_snapshot.rs
+++ b/crates/router/node/src/configuration_snapshot.rs
@@ -3,7 +3,7 @@
 //! A request that holds a snapshot keeps its view; whether it is still the current one is decided by the
 //! index.
 
-use passrelay_configuration::ServiceVersions;
+use passrelay_configuration::{Rollouts, ServiceVersions};
 use passrelay_data_plane::routing::RoutingTable;
 use std::cell::RefCell;
 use std::rc::Rc;
@@ -16,6 +16,8 @@
     pub index: u64,
     /// The version of each service whose endpoints get requests.
     pub service_versions: ServiceVersions,
+    /// The roll-outs.
+    pub rollouts: Rollouts,
 }
 
 /// The snapshot in force, none before the first configuration has arrived.
--- a/crates/router/node/src/control_api.rs
+++ b/crates/router/node/src/control_api.rs
@@ -12,6 +12,7 @@
 use hyper::body::Incoming;
 use hyper::service::service_fn;
 use hyper::{Method, Request, Response, StatusCode};
+use passrelay_configuration::RolloutOrder;
 use passrelay_control_plane::configuration_change::{ChangeKind, ConfigurationChange};
 use passrelay_control_plane::OperatorRequest;
 use passrelay_dissemination::{EndpointRecord, EndpointState, Heartbeat};
@@ -37,9 +38,8 @@
 /// A call that is in flight at the end of its connection's lifetime has this long to end.
 const LAST_CALL_TIMEOUT: Duration = Duration::from_secs(15);
 
-/// Why a roll-out can't be ordered, and what to do instead.
-const NO_ROLLOUTS: &str =
-    "roll-outs can't be ordered yet: set the version of the service in the configuration";
+/// Maximum length of an order's body.
+const MAX_ORDER_BYTES: usize = 64 * 1024;
 
 /// What the interface serves.
 pub struct ControlApi {
@@ -116,7 +116,25 @@
             Some(id) if method == Method::PUT => heartbeat(api, id, request).await,
             Some(id) if method == Method::DELETE => acknowledgement(api.registration.deregister(id).await),
             Some(_) => error(StatusCode::METHOD_NOT_ALLOWED, "PUT or DELETE"),
-            None if path.starts_with("/rollouts") => error(StatusCode::NOT_FOUND, NO_ROLLOUTS),
+            None => rollouts(api, method, path, request).await,
+        },
+    }
+}
+
+async fn rollouts(
+    api: &ControlApi,
+    method: Method,
+    path: &str,
+    request: Request<Incoming>,
+) -> Response<Body> {
+    match (method, path) {
+        (Method::POST, "/rollouts") => order_rollout(api, request).await,
+        (_, "/rollouts") => error(StatusCode::METHOD_NOT_ALLOWED, "POST"),
+        (method, path) => match path.strip_prefix("/rollouts/") {
+            Some(service) if method == Method::GET => {
+                run_operator_call(api, OperatorRequest::ReadRollout { service: service.to_owned() }).await
+            }
+            Some(_) => error(StatusCode::METHOD_NOT_ALLOWED, "GET"),
             None => error(StatusCode::NOT_FOUND, "unknown path"),
         },
     }
@@ -126,6 +144,16 @@
     json(status, serde_json::json!({ "error": problem }).to_string())
 }
 
+async fn order_rollout(api: &ControlApi, request: Request<Incoming>) -> Response<Body> {
+    let Ok(body) = Limited::new(request.into_body(), MAX_ORDER_BYTES).collect().await else {
+        return error(StatusCode::PAYLOAD_TOO_LARGE, "the order is too long, or was cut off");
+    };
+    match RolloutOrder::read(&body.to_bytes()) {
+        Ok(order) => run_operator_call(api, OperatorRequest::OrderRollout(order)).await,
+        Err(problem) => error(StatusCode::BAD_REQUEST, &problem.to_string()),
+    }
+}
+
 /// The response to an endpoint.
 fn acknowledgement(acknowledged: bool) -> Response<Body> {
     if acknowledged {
--- a/crates/router/node/src/coordinator_driver.rs
+++ b/crates/router/node/src/coordinator_driver.rs
@@ -16,6 +16,7 @@
 use crate::peer_persistence::PeerPersistence;
 use crate::storage::Storage;
 use crate::transport::{ReceivedMessage, Transport};
+use passrelay_control_plane::rollout::RolloutMessage;
 use passrelay_control_plane::{Action, Coordinator, OperatorAnswer, OperatorRequest};
 use passrelay_dissemination::Announcement;
 use smol::channel::Receiver;
@@ -150,6 +151,24 @@
         });
     }
 
+    /// Reports the outcomes of the roll-outs that run to their controller, and asks for shares.
+    pub fn report_rollouts(&self) {
+        let data_plane = &self.targets.data_plane;
+        if !data_plane.rollout_shares.borrow().is_active() {
+            return;
+        }
+        let now = self.clock.now();
+        let (request_id, reports) = {
+            let balancer = data_plane.balancer.borrow();
+            let in_flight =
+                |service: &str, version: &str| balancer.in_flight_at_other_versions(service, version);
+            data_plane.rollout_shares.borrow_mut().next_report(now, in_flight)
+        };
+        self.step(|coordinator, now, actions| {
+            coordinator.report_rollouts(now, request_id, reports, actions);
+        });
+    }
+
     /// Time until the next load report is due.
     pub fn load_report_interval(&self) -> Duration {
         self.load_reporter.interval()
@@ -198,10 +217,17 @@
                     storage.write(write_id, write);
                 }
             }
-            Action::Configured(configuration) => data_plane.apply_configuration(&configuration),
+            Action::Configured(configuration) => {
+                data_plane.apply_configuration(self.clock.now(), &configuration);
+            }
             Action::Answer { call, answer } => self.operator_calls.complete(call, answer),
             Action::AnnouncementConfirmed(announcement) => self.announcements.confirm(&announcement),
             Action::QuotaGranted(grant) => data_plane.quota.apply_grant(self.clock.now(), grant),
+            Action::RolloutShares(grant) => {
+                if let RolloutMessage::Grant { request_id, shares } = grant {
+                    data_plane.rollout_shares.borrow_mut().apply_shares(request_id, &shares);
+                }
+            }
             Action::LoadTotals(totals) => {
                 self.load_reporter.apply_totals(self.clock.now(), &data_plane.balancer, totals);
             }
--- a/crates/router/node/src/data_plane.rs
+++ b/crates/router/node/src/data_plane.rs
@@ -11,10 +11,12 @@
 use passrelay_control_plane::quota::TenantKey;
 use passrelay_data_plane::balancer::Balancer;
 use passrelay_data_plane::retry_budget::RetryBudget;
+use passrelay_data_plane::rollout_shares::RolloutShares;
 use passrelay_data_plane::routing::RoutingTable;
 use passrelay_data_plane::traffic_split::TrafficSplits;
 use passrelay_dissemination::CommittedConfiguration;
 use std::cell::RefCell;
+use std::time::Duration;
 
 /// State shared by the coordinator driver and the request path.
 pub struct DataPlane {
@@ -26,6 +28,8 @@
     pub retry_budget: RefCell<RetryBudget>,
     /// Weighted round-robin state of each route with a traffic split.
     pub traffic_splits: RefCell<TrafficSplits>,
+    /// Shares of requests for versions that are rolled out.
+    pub rollout_shares: RefCell<RolloutShares>,
     /// Quota shares granted to this process.
     pub quota: QuotaClient,
     /// Requests denied so far.
@@ -40,6 +44,7 @@
             balancer: RefCell::new(Balancer::new(zone)),
             retry_budget: RefCell::new(RetryBudget::new(retry_budget_ratio)),
             traffic_splits: RefCell::new(TrafficSplits::new(split_seed)),
+            rollout_shares: RefCell::new(RolloutShares::new(rand::random())),
             quota: QuotaClient::new(),
             denials: Denials::default(),
         }
@@ -47,20 +52,49 @@
 
     /// Puts a committed configuration in force and drops the state of tenants, services and routes that it no
     /// longer has. One that this version can't read is logged and ignored: the one before stays in force.
-    pub fn apply_configuration(&self, committed: &CommittedConfiguration) {
+    pub fn apply_configuration(&self, now: Duration, committed: &CommittedConfiguration) {
         let document = parse_document(committed.document.as_bytes());
         match document.and_then(|document| Configuration::read(&document)) {
             Ok(configuration) => {
                 self.retain_configured(&configuration);
+                self.log_rollouts(committed);
+                self.rollout_shares.borrow_mut().configure(now, &committed.rollouts);
                 let service_versions = versions_in_force(committed, &configuration);
                 let (table, index) = (RoutingTable::new(configuration), committed.index);
-                self.configuration.replace(ConfigurationSnapshot { table, index, service_versions });
+                let rollouts = committed.rollouts.clone();
+                self.configuration.replace(ConfigurationSnapshot {
+                    table,
+                    index,
+                    service_versions,
+                    rollouts,
+                });
                 log_event!(info, "configured", generation = committed.generation, index = committed.index);
             }
             Err(errors) => log_event!(error, "configuration_unreadable", problem = Quoted(&errors)),
         }
     }
 
+    /// Logs the roll-outs whose phase is another than in the configuration before.
+    fn log_rollouts(&self, committed: &CommittedConfiguration) {
+        let before = self.configuration.snapshot();
+        for (service, of_service) in committed.rollouts.services() {
+            for rollout in of_service.all() {
+                let known = before.as_ref().and_then(|snapshot| snapshot.rollouts.find(rollout.id));
+                if known.map(|known| known.phase) != Some(rollout.phase) {
+                    log_event!(
+                        info,
+                        "rollout",
+                        service = service,
+                        version = rollout.order.target_version,
+                        phase = format_args!("{:?}", rollout.phase),
+                        age_ms = rollout.age_ms,
+                        reason = Quoted(&rollout.reason),
+                    );
+                }
+            }
+        }
+    }
+
     fn retain_configured(&self, configuration: &Configuration) {
         let tenants: Vec<u64> =
             configuration.tenants.iter().map(|tenant| TenantKey::of(&tenant.name).0).collect();
--- a/crates/router/node/src/request/attempts.rs
+++ b/crates/router/node/src/request/attempts.rs
@@ -17,6 +17,7 @@
 use hyper::body::Incoming;
 use hyper::{Response, StatusCode};
 use passrelay_data_plane::balancer::{CallEnd, LoadReport, Pick, PickRequest};
+use passrelay_data_plane::rollout_shares::CanaryChoice;
 use smol::Timer;
 use std::rc::Rc;
 use std::sync::Arc;
@@ -47,6 +48,15 @@
     TimedOut,
 }
 
+/// An endpoint that was selected, and why.
+struct Selected {
+    pick: Pick,
+    /// The version that was asked for; empty where any was.
+    version: String,
+    /// Whether it was selected under a share of a version that is rolled out.
+    is_canary: bool,
+}
+
 /// The attempts of one request.
 pub struct Attempts {
     context: Rc<RequestContext>,
@@ -142,7 +152,8 @@
         last_event_id: Option<&str>,
     ) -> Result<Outcome, Failure> {
         let context = self.context.clone();
-        let pick = self.select_endpoint(admission, service).ok_or(self.history.exhausted_failure())?;
+        let Selected { pick, version, is_canary } =
+            self.select_endpoint(admission, service).ok_or(self.history.exhausted_failure())?;
         self.history.attempts += 1;
         let Some(mut connection) = connect(&context, &pick).await else {
             context.data_plane.balancer.borrow_mut().connect_failed(context.now(), &pick.id);
@@ -150,8 +161,9 @@
             return Ok(Outcome::NotExecuted);
         };
         // All that the forwarding rests on has to hold now, after the wait for the connection.
-        let may_send =
-            admission.is_valid(&context) && context.data_plane.balancer.borrow().may_send(&pick.id);
+        let may_send = admission.is_valid(&context)
+            && context.data_plane.balancer.borrow().may_send(&pick.id)
+            && (!is_canary || context.data_plane.rollout_shares.borrow().may_send(context.now(), service));
         if !may_send {
             context.upstream.put(context.now(), connection);
             return Ok(Outcome::NotExecuted);
@@ -169,7 +181,13 @@
         };
         let request = outbound::compose(&self.inbound, admission, &fields);
         let prompt = Some(self.inbound.prompt).filter(|_| admission.route.session_affinity);
-        let call = EndpointCall::begin(&context, pick.clone(), prompt.as_ref());
+        let observed = context.data_plane.rollout_shares.borrow().observe(
+            service,
+            &version,
+            &admission.route.name,
+            pick.prefill_tokens,
+        );
+        let call = EndpointCall::begin(&context, pick.clone(), prompt.as_ref(), observed);
         let timeout = async {
             context.shutdown.response_due(self.deadline).await;
             None
@@ -179,12 +197,35 @@
         Ok(self.judge_result(result, connection, call))
     }
 
-    fn select_endpoint(&self, admission: &Admission, service: &str) -> Option<Pick> {
-        let prompt = Some(self.inbound.prompt).filter(|_| admission.route.session_affinity);
-        let target = Duration::from_millis(admission.route.target_latency_ms);
+    /// Selects an endpoint: of a version that is rolled out where the share says so, else of that in service. Further attempts go to
+    /// the version in service: one that is rolled out may be what failed.
+    fn select_endpoint(&self, admission: &Admission, service: &str) -> Option<Selected> {
+        if self.history.attempts == 0 {
+            let now = self.context.now();
+            let choice = self.context.data_plane.rollout_shares.borrow_mut().choose(now, service);
+            if let Some(CanaryChoice { version, endpoints }) = choice {
+                if let Some(pick) = self.pick(admission, service, Some(&version), Some(endpoints)) {
+                    return Some(Selected { pick, version, is_canary: true });
+                }
+            }
+        }
         // An endpoint registers by itself, so its version counts only if it is the one in service.
         let version = admission.snapshot.service_versions.of(service);
-        let request = PickRequest { service, version, prompt, target, attempted: &self.attempted };
+        let pick = self.pick(admission, service, version, None)?;
+        Some(Selected { pick, version: version.unwrap_or_default().to_owned(), is_canary: false })
+    }
+
+    fn pick(
+        &self,
+        admission: &Admission,
+        service: &str,
+        version: Option<&str>,
+        endpoint_share: Option<f64>,
+    ) -> Option<Pick> {
+        let prompt = Some(self.inbound.prompt).filter(|_| admission.route.session_affinity);
+        let target = Duration::from_millis(admission.route.target_latency_ms);
+        let attempted = &self.attempted;
+        let request = PickRequest { service, version, endpoint_share, prompt, target, attempted };
         self.context.data_plane.balancer.borrow_mut().pick(self.context.now(), &request)
     }
 
--- a/crates/testing/cluster-simulation/src/cluster.rs
+++ b/crates/testing/cluster-simulation/src/cluster.rs
@@ -242,7 +242,7 @@
             Action::AnnouncementConfirmed(announcement) => {
                 Some(Observation::Confirmed { machine, incarnation, announcement })
             }
-            Action::LoadTotals(_) => None,
+            Action::LoadTotals(_) | Action::RolloutShares(_) => None,
         }
     }
 }
--- a/crates/testing/cluster-simulation/src/cluster/machine.rs
+++ b/crates/testing/cluster-simulation/src/cluster/machine.rs
@@ -23,6 +23,8 @@
 /// Probability that a crash is a loss of power, which also loses what the machine's network still delays.
 const POWER_LOSS_PROBABILITY: f64 = 0.5;
 /// Bounds of quota grants, as in the small deployments.
+/// The largest share of a version that is not judged yet, as in the deployments.
+const EXPOSURE_RATIO: f64 = 0.1;
 const QUOTA_BOUNDS: QuotaBounds = QuotaBounds { window_s: 8.0, overshoot: 0.1, slack: 140_000.0 };
 
 /// A machine and its process.
@@ -259,6 +261,7 @@
             tolerated_losses,
             quota_bounds: QUOTA_BOUNDS,
             records_versions: self.settings.records_versions,
+            exposure_ratio: EXPOSURE_RATIO,
         };
         starting.process = Some(Coordinator::new(Duration::ZERO, settings));
         let incarnation = starting.incarnation;
