--- a/crates/testing/cluster-simulation/src/cluster.rs
+++ b/crates/testing/cluster-simulation/src/cluster.rs
@@ -22,7 +22,7 @@
 use passrelay_control_plane::quota::QuotaMessage;
 use passrelay_control_plane::replication::WriteId;
 use passrelay_control_plane::{Action, CallId, Coordinator, OperatorRequest};
-use passrelay_dissemination::{Announcement, Heartbeat};
+use passrelay_dissemination::{Announcement, Heartbeat, RolloutReport};
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 use std::time::Duration;
@@ -142,6 +142,18 @@
         self.with_process(machine, |process, now, actions| process.request_tokens(now, request, actions))
     }
 
+    /// A sidecar reports to the controller of roll-outs.
+    pub fn report_rollouts(
+        &mut self,
+        machine: usize,
+        request_id: u64,
+        reports: Vec<RolloutReport>,
+    ) -> Option<Vec<Observation>> {
+        self.with_process(machine, |process, now, actions| {
+            process.report_rollouts(now, request_id, reports, actions);
+        })
+    }
+
     /// Processes the earliest event. Returns what was visible outside; `None` if no event is due by `until`, which is then
     /// the time.
     pub fn step(&mut self, until: Duration) -> Option<Vec<Observation>> {
@@ -242,7 +254,8 @@
             Action::AnnouncementConfirmed(announcement) => {
                 Some(Observation::Confirmed { machine, incarnation, announcement })
             }
-            Action::LoadTotals(_) | Action::RolloutShares(_) => None,
+            Action::RolloutShares(grant) => Some(Observation::SharesGranted { machine, incarnation, grant }),
+            Action::LoadTotals(_) => None,
         }
     }
 }
--- a/crates/testing/cluster-simulation/src/cluster/observation.rs
+++ b/crates/testing/cluster-simulation/src/cluster/observation.rs
@@ -1,6 +1,7 @@
 //! What clients, operators and sidecars see of a cluster: the only input of the checkers.
 
 use passrelay_control_plane::quota::QuotaMessage;
+use passrelay_control_plane::rollout::RolloutMessage;
 use passrelay_control_plane::{CallId, OperatorAnswer};
 use passrelay_dissemination::{Announcement, CommittedConfiguration};
 
@@ -52,4 +53,13 @@
         /// The grant.
         grant: QuotaMessage,
     },
+    /// A sidecar's reports of roll-outs were answered.
+    SharesGranted {
+        /// The machine.
+        machine: usize,
+        /// The incarnation of its process.
+        incarnation: u64,
+        /// The shares.
+        grant: RolloutMessage,
+    },
 }
--- a/crates/testing/cluster-simulation/src/history.rs
+++ b/crates/testing/cluster-simulation/src/history.rs
@@ -179,7 +179,9 @@
                     self.checker.configured(machine, incarnation, &configuration, change);
                 }
                 Observation::Answered { call, answer } => self.handle_answer(call, &answer),
-                Observation::Granted { .. } | Observation::Confirmed { .. } => {}
+                Observation::Granted { .. }
+                | Observation::Confirmed { .. }
+                | Observation::SharesGranted { .. } => {}
             }
         }
     }
--- a/crates/testing/cluster-simulation/src/limits.rs
+++ b/crates/testing/cluster-simulation/src/limits.rs
@@ -201,6 +201,7 @@
                 Observation::Granted { machine, incarnation, grant } => {
                     self.handle_grant(machine, incarnation, grant);
                 }
+                Observation::SharesGranted { .. } => {}
             }
         }
     }
