--- a/crates/router/control-plane/src/rollout/controller.rs
+++ b/crates/router/control-plane/src/rollout/controller.rs
@@ -4,16 +4,14 @@
 //! sidecars' next reports. Each decision is a new record; it takes effect once that is committed, so that a controller that is
 //! lost in between leaves either the record before or the one after. Shares are granted by the committed record only.
 
-use super::evidence::{Comparison, Evidence};
+use super::evidence::{Comparisons, Evidence};
 use super::judge::{judge, Judgement};
 use super::schedule::{canary_share, has_spread, promotion_share, Schedule, Share};
 use crate::replication::ReplicatedState;
 use passrelay_configuration::{
     Configuration, Rollout, RolloutPhase, Rollouts, ServiceRollouts, ServiceVersions,
 };
-use passrelay_dissemination::{
-    EndpointState, Peer, Registry, RequestClass, RolloutReport, ShareGrant, Tally,
-};
+use passrelay_dissemination::{EndpointState, Peer, Registry, RolloutReport, ShareGrant, Tally};
 use std::collections::BTreeMap;
 use std::time::Duration;
 
@@ -24,7 +22,7 @@
 /// A version is put in service with so many endpoints, as a fraction of those of the version before.
 const MIN_ENDPOINT_RATIO: f64 = 0.7;
 /// Interval of decisions.
-const DECISION_INTERVAL: Duration = Duration::from_millis(50);
+const DECISION_INTERVAL: Duration = Duration::from_millis(100);
 
 /// What the controller knows of one roll-out beside its record.
 #[derive(Debug)]
@@ -33,6 +31,8 @@
     /// The committed phase, and since when this controller knows of it.
     phase: RolloutPhase,
     phase_since: Duration,
+    /// Requests that had ended at the new version when it was judged last.
+    requests_at_target: u32,
 }
 
 /// The controller of one term.
@@ -69,6 +69,7 @@
                 evidence: Evidence::new(now, Duration::from_millis(rollout.age_ms)),
                 phase: rollout.phase,
                 phase_since: now,
+                requests_at_target: 0,
             });
             if tracked.phase != rollout.phase {
                 tracked.phase = rollout.phase;
@@ -104,7 +105,7 @@
             let tracked = self.tracked.get(&rollout.id)?;
             let share = match rollout.phase {
                 RolloutPhase::Canary if tracked.evidence.age(now) < Schedule::of(rollout).end_by => {
-                    canary_share(exposure_bound, requests_at_target(&tracked.evidence.comparisons()))
+                    canary_share(exposure_bound, tracked.requests_at_target)
                 }
                 RolloutPhase::Promoting => promotion_share(now.saturating_sub(tracked.phase_since))?,
                 _ => return None,
@@ -126,6 +127,9 @@
         }
         self.next_decision = now + DECISION_INTERVAL;
         self.observe_committed(now, &state.rollouts);
+        for tracked in self.tracked.values_mut().filter(|tracked| !tracked.phase.is_final()) {
+            tracked.requests_at_target = requests_at_target(&tracked.evidence.comparisons());
+        }
         let mut decision =
             Decision { rollouts: state.rollouts.clone(), service_versions: state.service_versions.clone() };
         for (service, of_service) in state.rollouts.services() {
@@ -203,7 +207,7 @@
             return Some((RolloutPhase::RolledBack, reason));
         }
         let phase_for = now.saturating_sub(tracked.phase_since);
-        let requests = requests_at_target(&comparisons);
+        let requests = tracked.requests_at_target;
         match rollout.phase {
             RolloutPhase::Canary if age >= schedule.promote_by => {
                 let reason = format!("not known well enough in time, by {requests} requests");
@@ -248,7 +252,7 @@
     target > 0 && target as f64 >= base as f64 * MIN_ENDPOINT_RATIO
 }
 
-fn requests_at_target(comparisons: &BTreeMap<RequestClass, Comparison>) -> u32 {
+fn requests_at_target(comparisons: &Comparisons) -> u32 {
     let targets = comparisons.values().map(|comparison| &comparison.target);
     targets.map(|target: &Tally| target.ended).sum()
 }
--- a/crates/router/control-plane/src/rollout/evidence.rs
+++ b/crates/router/control-plane/src/rollout/evidence.rs
@@ -5,6 +5,7 @@
 
 use passrelay_dissemination::{Peer, RequestClass, RolloutReport, Tally};
 use std::collections::BTreeMap;
+use std::net::SocketAddrV4;
 use std::time::Duration;
 
 /// Requests of one class, at both versions.
@@ -16,6 +17,9 @@
     pub target: Tally,
 }
 
+/// Requests at both versions, by class.
+pub type Comparisons<'a> = BTreeMap<&'a RequestClass, Comparison>;
+
 /// The last report of a sidecar.
 #[derive(Debug)]
 struct Received {
@@ -31,7 +35,7 @@
     age: Duration,
     aged_at: Duration,
     /// By the process that reported: after a restart it counts from zero, and what it had counted before stays.
-    reports: BTreeMap<(std::net::SocketAddrV4, u64), Received>,
+    reports: BTreeMap<(SocketAddrV4, u64), Received>,
 }
 
 impl Evidence {
@@ -59,10 +63,10 @@
     }
 
     /// Outcomes of all sidecars, by class.
-    pub fn comparisons(&self) -> BTreeMap<RequestClass, Comparison> {
-        let mut comparisons: BTreeMap<RequestClass, Comparison> = BTreeMap::new();
+    pub fn comparisons(&self) -> Comparisons<'_> {
+        let mut comparisons = Comparisons::new();
         for outcomes in self.reports.values().flat_map(|received| &received.report.outcomes) {
-            let comparison = comparisons.entry(outcomes.class.clone()).or_default();
+            let comparison = comparisons.entry(&outcomes.class).or_default();
             comparison.base.add(&outcomes.base);
             comparison.target.add(&outcomes.target);
         }
--- a/crates/router/control-plane/src/rollout/judge.rs
+++ b/crates/router/control-plane/src/rollout/judge.rs
@@ -5,10 +5,10 @@
 //! under a rate of at most `tolerated`, the ratio of the likelihood under a uniformly drawn rate to that under `tolerated` exceeds
 //! `1 / FALSE_ALARM` at any time with a probability below `FALSE_ALARM` (Ville's inequality). So it may be looked at after every report.
 
-use super::evidence::Comparison;
+use super::evidence::{Comparison, Comparisons};
 use passrelay_dissemination::{Measure, RequestClass, Tally};
 use statrs::function::beta::ln_beta;
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::BTreeSet;
 
 /// Probability of condemning a version whose rates are tolerated, for each rate that is looked at.
 const FALSE_ALARM: f64 = 1e-4;
@@ -43,10 +43,11 @@
 }
 
 /// Judges by the outcomes of all sidecars.
-pub fn judge(comparisons: &BTreeMap<RequestClass, Comparison>) -> Judgement {
+pub fn judge(comparisons: &Comparisons) -> Judgement {
     let routes: BTreeSet<&str> = comparisons.keys().map(|class| class.route.as_str()).collect();
     for route in &routes {
-        let of_route: Classes = comparisons.iter().filter(|(class, _)| class.route == *route).collect();
+        let of_route = comparisons.iter().filter(|(class, _)| class.route == *route);
+        let of_route: Classes = of_route.map(|(class, comparison)| (*class, comparison)).collect();
         if let Some(reason) = failing(&of_route).or_else(|| slow(&of_route, Measure::FirstByte)) {
             return Judgement::Bad(format!("route {route}: {reason}"));
         }
@@ -140,7 +141,7 @@
     (f64::from(slow), f64::from(all))
 }
 
-fn is_compared_enough(routes: &BTreeSet<&str>, comparisons: &BTreeMap<RequestClass, Comparison>) -> bool {
+fn is_compared_enough(routes: &BTreeSet<&str>, comparisons: &Comparisons) -> bool {
     let count = |route: Option<&str>, of: fn(&Comparison) -> &Tally| -> u32 {
         let fitting = comparisons.iter().filter(|(class, _)| route.is_none_or(|route| class.route == route));
         fitting.map(|(_, comparison)| of(comparison).ended).sum()
--- a/crates/router/data-plane/src/rollout_shares.rs
+++ b/crates/router/data-plane/src/rollout_shares.rs
@@ -11,7 +11,7 @@
 use std::time::Duration;
 
 /// A share ends this long after the report that it responds to was sent. Reports are sent about three times as often.
-pub const SHARE_LIFETIME: Duration = Duration::from_millis(1_000);
+pub const SHARE_LIFETIME: Duration = Duration::from_millis(1_200);
 /// Classes of requests of one roll-out that a router tells apart; those beyond are not compared.
 const MAX_CLASSES: usize = 48;
 /// Upper ends of the size classes of prompts but the last, in tokens to be read.
--- /dev/null
+++ b/crates/router/data-plane/tests/rollout_shares.rs
@@ -0,0 +1,104 @@
+//! Shares of requests for a version that is rolled out.
+
+use passrelay_configuration::{Rollout, RolloutOrder, RolloutPhase, Rollouts};
+use passrelay_data_plane::rollout_shares::{RolloutShares, SHARE_LIFETIME};
+use passrelay_dissemination::{Measure, ShareGrant};
+use std::time::Duration;
+
+const ID: u64 = 7;
+
+fn ms(ms: u64) -> Duration {
+    Duration::from_millis(ms)
+}
+
+fn rollouts(phase: RolloutPhase) -> Rollouts {
+    let order =
+        RolloutOrder { service: "s".to_owned(), target_version: "v2".to_owned(), deadline_ms: 12_000 };
+    let mut rollouts = Rollouts::default();
+    rollouts.of_mut("s").current = Some(Rollout {
+        id: ID,
+        order,
+        base_version: Some("v1".to_owned()),
+        phase,
+        age_ms: 0,
+        reason: String::new(),
+    });
+    rollouts
+}
+
+/// Shares of a router that has sent its first report at 100 ms and got this share of requests.
+fn with_share(share_per_mille: u16) -> RolloutShares {
+    let mut shares = RolloutShares::new(0.0);
+    shares.configure(ms(0), &rollouts(RolloutPhase::Canary));
+    let (request_id, reports) = shares.next_report(ms(100), |_, _| 3);
+    assert_eq!((reports[0].id, reports[0].known_for_ms, reports[0].base_in_flight), (ID, 100, 3));
+    shares.apply_shares(request_id, &[ShareGrant { id: ID, share_per_mille, spread_per_mille: 60 }]);
+    shares
+}
+
+fn chosen(shares: &mut RolloutShares, now: Duration, requests: usize) -> usize {
+    (0..requests).filter(|_| shares.choose(now, "s").is_some()).count()
+}
+
+#[test]
+fn a_share_of_the_requests_goes_to_the_new_version() {
+    let mut shares = with_share(250);
+    assert_eq!(chosen(&mut shares, ms(200), 1_000), 250);
+    assert_eq!(chosen(&mut shares, ms(200), 0), 0);
+    assert!(shares.choose(ms(200), "other").is_none());
+}
+
+#[test]
+fn without_a_share_none_goes_there() {
+    let mut shares = RolloutShares::new(0.99);
+    shares.configure(ms(0), &rollouts(RolloutPhase::Canary));
+    assert_eq!(chosen(&mut shares, ms(1), 100), 0);
+    assert!(!shares.may_send(ms(1), "s"));
+}
+
+// Guards against a router that was cut off or stood still: the lease counts from the sending of its report, whenever the answer came.
+#[test]
+fn a_share_ends_a_fixed_time_after_it_was_asked_for() {
+    let mut shares = with_share(1_000);
+    let end = ms(100) + SHARE_LIFETIME;
+    assert!(shares.choose(end - ms(1), "s").is_some() && shares.may_send(end - ms(1), "s"));
+    assert!(shares.choose(end, "s").is_none() && !shares.may_send(end, "s"));
+}
+
+#[test]
+fn a_share_that_answers_an_earlier_report_is_ignored() {
+    let mut shares = with_share(0);
+    let (earlier, _) = shares.next_report(ms(200), |_, _| 0);
+    shares.next_report(ms(600), |_, _| 0);
+    shares.apply_shares(earlier, &[ShareGrant { id: ID, share_per_mille: 1_000, spread_per_mille: 60 }]);
+    assert!(shares.choose(ms(700), "s").is_none());
+}
+
+#[test]
+fn a_share_ends_with_its_phase_and_with_the_roll_out() {
+    let mut shares = with_share(1_000);
+    shares.configure(ms(200), &rollouts(RolloutPhase::Canary));
+    assert!(shares.choose(ms(200), "s").is_some(), "another change of the configuration");
+    shares.configure(ms(200), &rollouts(RolloutPhase::Promoting));
+    assert!(shares.choose(ms(200), "s").is_none());
+    assert!(shares.is_active());
+    shares.configure(ms(300), &rollouts(RolloutPhase::RolledBack));
+    assert!(!shares.is_active() && shares.observe("s", "v2", "r", 0).is_none());
+}
+
+#[test]
+fn outcomes_are_counted_by_version_route_and_size() {
+    let mut shares = with_share(100);
+    let base = shares.observe("s", "v1", "r", 100).unwrap();
+    let target = shares.observe("s", "v2", "r", 100).unwrap();
+    let larger = shares.observe("s", "v2", "r", 5_000).unwrap();
+    shares.record_latency(&base, Measure::FirstByte, ms(40));
+    for (request, failed) in [(&base, false), (&target, true), (&larger, false)] {
+        shares.record_end(request, failed);
+    }
+    let outcomes = shares.next_report(ms(500), |_, _| 0).1.remove(0).outcomes;
+    assert_eq!(outcomes.len(), 2);
+    assert_eq!((outcomes[0].base.ended, outcomes[0].base.failed), (1, 0));
+    assert_eq!((outcomes[0].target.ended, outcomes[0].target.failed), (1, 1));
+    assert_eq!((outcomes[1].class.size, outcomes[1].target.ended), (2, 1));
+}
--- a/crates/router/node/src/background_tasks.rs
+++ b/crates/router/node/src/background_tasks.rs
@@ -22,7 +22,7 @@
 /// Interval of quota requests ahead of demand.
 const QUOTA_REQUEST_INTERVAL: Duration = Duration::from_millis(100);
 /// Interval of reports to the controller of roll-outs; shares live about three times as long.
-const ROLLOUT_REPORT_INTERVAL: Duration = Duration::from_millis(300);
+const ROLLOUT_REPORT_INTERVAL: Duration = Duration::from_millis(400);
 /// Interval of the log lines with the status.
 const STATUS_LOG_INTERVAL: Duration = Duration::from_secs(10);
 
