Send outcomes of roll-outs in datagrams, and judge five times a second

The controller added up the outcomes of all sidecars for every report. It does so once in 200 ms now, and a report holds at most 12 classes, packed. Processes log when they become the primary and when they are it no longer.

--- a/crates/router/control-plane/src/rollout/controller.rs
+++ b/crates/router/control-plane/src/rollout/controller.rs
@@ -22,7 +22,7 @@
 /// A version is put in service with so many endpoints, as a fraction of those of the version before.
 const MIN_ENDPOINT_RATIO: f64 = 0.7;
 /// Interval of decisions.
-const DECISION_INTERVAL: Duration = Duration::from_millis(100);
+const DECISION_INTERVAL: Duration = Duration::from_millis(200);
 
 /// What the controller knows of one roll-out beside its record.
 #[derive(Debug)]
--- a/crates/router/data-plane/src/rollout_shares.rs
+++ b/crates/router/data-plane/src/rollout_shares.rs
@@ -14,6 +14,8 @@
 pub const SHARE_LIFETIME: Duration = Duration::from_millis(1_200);
 /// Classes of requests of one roll-out that a router tells apart; those beyond are not compared.
 const MAX_CLASSES: usize = 48;
+/// Of these, the ones that a report holds: a report has to fit into a datagram.
+const MAX_REPORTED_CLASSES: usize = 12;
 /// Upper ends of the size classes of prompts but the last, in tokens to be read.
 const SIZE_CLASSES: [u64; 3] = [512, 2_048, 8_192];
 
@@ -237,12 +239,19 @@
         }
     }
 
+    /// The outcomes that tell most: those of classes with requests at the new version, and with many.
     fn class_outcomes(&self) -> Vec<ClassOutcomes> {
-        let outcomes = self.outcomes.iter().map(|(class, comparison)| ClassOutcomes {
-            class: class.clone(),
-            base: comparison.base.clone(),
-            target: comparison.target.clone(),
+        let mut classes: Vec<(&RequestClass, &Comparison)> = self.outcomes.iter().collect();
+        classes.sort_by_key(|(_, comparison)| {
+            let at_target = comparison.target.requests();
+            std::cmp::Reverse((at_target > 0, at_target + comparison.base.requests()))
         });
+        let outcomes =
+            classes.into_iter().take(MAX_REPORTED_CLASSES).map(|(class, comparison)| ClassOutcomes {
+                class: class.clone(),
+                base: comparison.base.clone(),
+                target: comparison.target.clone(),
+            });
         outcomes.collect()
     }
 }
--- a/crates/router/dissemination/src/rollout.rs
+++ b/crates/router/dissemination/src/rollout.rs
@@ -8,19 +8,43 @@
 
 /// Outcomes of requests to the endpoints of one version. Counts only grow, so that a report may be lost or come twice.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(from = "PackedTally", into = "PackedTally")]
 pub struct Tally {
     /// Requests that ended, whatever they ended with.
-    #[serde(rename = "n")]
     pub ended: u32,
     /// Of these, those that failed: an error of the endpoint, or no complete answer.
-    #[serde(rename = "f")]
     pub failed: u32,
     /// Requests by latency; without trailing zeros.
-    #[serde(rename = "l")]
     pub latencies: Vec<u32>,
 }
 
+/// A tally as it is sent: ended, failed, the first bucket that isn't empty, and the counts from there on. Reports have to fit into a
+/// datagram.
+#[derive(Serialize, Deserialize)]
+struct PackedTally(u32, u32, u8, Vec<u32>);
+
+impl From<Tally> for PackedTally {
+    fn from(tally: Tally) -> Self {
+        let first = tally.latencies.iter().take_while(|count| **count == 0).count();
+        PackedTally(tally.ended, tally.failed, first as u8, tally.latencies[first..].to_vec())
+    }
+}
+
+impl From<PackedTally> for Tally {
+    fn from(packed: PackedTally) -> Self {
+        let PackedTally(ended, failed, first, counts) = packed;
+        let zeros = std::iter::repeat_n(0, usize::from(first).min(LATENCY_BUCKETS));
+        let latencies = zeros.chain(counts).take(LATENCY_BUCKETS).collect();
+        Tally { ended, failed, latencies }
+    }
+}
+
 impl Tally {
+    /// Requests that were counted, ended or not.
+    pub fn requests(&self) -> u32 {
+        self.ended.max(self.latencies.iter().sum())
+    }
+
     /// A request has ended.
     pub fn add_end(&mut self, failed: bool) {
         self.ended = self.ended.saturating_add(1);
@@ -41,7 +65,7 @@
         self.ended = self.ended.saturating_add(other.ended);
         self.failed = self.failed.saturating_add(other.failed);
         if self.latencies.len() < other.latencies.len() {
-            self.latencies.resize(other.latencies.len().min(LATENCY_BUCKETS), 0);
+            self.latencies.resize(other.latencies.len(), 0);
         }
         for (count, more) in self.latencies.iter_mut().zip(&other.latencies) {
             *count = count.saturating_add(*more);
@@ -67,18 +91,28 @@
 
 /// Requests that are alike: on one route, with about as much of the prompt to be read.
 #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+#[serde(from = "(String, u8, Measure)", into = "(String, u8, Measure)")]
 pub struct RequestClass {
     /// Name of the route.
-    #[serde(rename = "r")]
     pub route: String,
     /// Class of the prompt tokens that have to be read, 0 for the fewest.
-    #[serde(rename = "s")]
     pub size: u8,
     /// What the latencies measure.
-    #[serde(rename = "m")]
     pub measure: Measure,
 }
 
+impl From<(String, u8, Measure)> for RequestClass {
+    fn from((route, size, measure): (String, u8, Measure)) -> Self {
+        RequestClass { route, size, measure }
+    }
+}
+
+impl From<RequestClass> for (String, u8, Measure) {
+    fn from(class: RequestClass) -> Self {
+        (class.route, class.size, class.measure)
+    }
+}
+
 /// Outcomes of requests that are alike, at both versions.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct ClassOutcomes {
--- a/crates/router/node/src/coordinator_driver.rs
+++ b/crates/router/node/src/coordinator_driver.rs
@@ -58,6 +58,8 @@
     /// Revision of the endpoint registry that the balancer has.
     balancer_revision: Cell<u64>,
     held_back_versions: HeldBackVersions,
+    /// Whether this process was the established primary after the last step.
+    leads: Cell<bool>,
 }
 
 impl CoordinatorDriver {
@@ -74,6 +76,7 @@
             peer_persistence: PeerPersistence::default(),
             balancer_revision: Cell::new(0),
             held_back_versions: HeldBackVersions::default(),
+            leads: Cell::new(false),
         };
         driver.publish_freshness();
         driver
@@ -90,6 +93,7 @@
             result
         };
         self.publish_freshness();
+        self.log_leadership();
         for action in actions {
             self.apply_action(action);
         }
@@ -234,6 +238,16 @@
         }
     }
 
+    /// Logs when this process becomes the established primary, or is it no longer.
+    fn log_leadership(&self) {
+        let coordinator = self.coordinator.borrow();
+        let Some(replica) = coordinator.replica() else { return };
+        let leads = replica.is_established();
+        if self.leads.replace(leads) != leads {
+            log_event!(info, "leadership", leads = leads, term = replica.state().version.term);
+        }
+    }
+
     fn publish_freshness(&self) {
         self.targets.freshness.set_proven_at(self.coordinator.borrow().gossip().fresh_at());
     }
