--- a/crates/router/node/src/coordinator_driver.rs
+++ b/crates/router/node/src/coordinator_driver.rs
@@ -12,6 +12,7 @@
 use crate::freshness::Freshness;
 use crate::held_back_versions::HeldBackVersions;
 use crate::load_reporter::LoadReporter;
+use crate::logging::log_event;
 use crate::operator_calls::PendingOperatorCalls;
 use crate::peer_persistence::PeerPersistence;
 use crate::storage::Storage;
