--- a/crates/passrelay/src/cli.rs
+++ b/crates/passrelay/src/cli.rs
@@ -1,6 +1,6 @@
 //! The command line: a word for what to do, `run` if there is none.
 
-use crate::{config, fleet, lease};
+use crate::{config, fleet, lease, rollout};
 use clap::{Parser, Subcommand};
 use passrelay_lease_runtime::plan::Plan;
 use passrelay_lease_runtime::resident::Resident;
@@ -31,6 +31,9 @@
     /// The configuration of a router fleet.
     #[command(subcommand)]
     Config(config::Command),
+    /// Versions of a router fleet's services.
+    #[command(subcommand)]
+    Rollout(rollout::Command),
     /// Prints what a sidecar knows of its router fleet, as JSON.
     Status {
         /// Control address of the sidecar.
@@ -76,6 +79,7 @@
         Command::Run => run().map(|()| ExitCode::SUCCESS),
         Command::Node => node().map(|()| ExitCode::SUCCESS),
         Command::Config(command) => config::run(command),
+        Command::Rollout(command) => rollout::run(command),
         Command::Status { at } => config::status(at),
         Command::Version => {
             println!("passrelay {}", env!("CARGO_PKG_VERSION"));
--- a/crates/passrelay/src/config.rs
+++ b/crates/passrelay/src/config.rs
@@ -119,7 +119,8 @@
         Ok(later) => later,
         Err(faults) => return Ok(print_faults(file, &faults)),
     };
-    let get = ControlCall { method: Method::GET, path: "/config", if_match: None, body: String::new() };
+    let get =
+        ControlCall { method: Method::GET, path: "/config".to_owned(), if_match: None, body: String::new() };
     let ControlResponse { status, body: text } = call(at, get)?;
     let current = match status {
         200..=299 => parse_document(text.as_bytes())?,
@@ -138,14 +139,16 @@
     Ok(ExitCode::from(if difference.items.is_empty() { 0 } else { DIFFERS }))
 }
 
-fn ask(
+/// Makes a call, prints its answer and tells by the exit code how it ended.
+pub fn ask(
     at: SocketAddr,
     method: Method,
-    path: &'static str,
+    path: &str,
     if_match: Option<u64>,
     body: String,
 ) -> Result<ExitCode, Box<dyn Error>> {
-    let ControlResponse { status, body: text } = call(at, ControlCall { method, path, if_match, body })?;
+    let ControlResponse { status, body: text } =
+        call(at, ControlCall { method, path: path.to_owned(), if_match, body })?;
     println!("{text}");
     Ok(match status {
         200..=299 => ExitCode::SUCCESS,
--- a/crates/passrelay/src/main.rs
+++ b/crates/passrelay/src/main.rs
@@ -6,6 +6,7 @@
 mod lease;
 mod output;
 mod question;
+mod rollout;
 mod signals;
 
 use std::process::ExitCode;
--- a/crates/passrelay/tests/soak/main.rs
+++ b/crates/passrelay/tests/soak/main.rs
@@ -9,6 +9,7 @@
 mod bounds;
 mod checks;
 mod clients;
+mod control_calls;
 mod endpoints;
 mod faults;
 mod http;
--- a/crates/router/node/src/control_client.rs
+++ b/crates/router/node/src/control_client.rs
@@ -41,7 +41,7 @@
     /// Its method.
     pub method: Method,
     /// Its path.
-    pub path: &'static str,
+    pub path: String,
     /// The generation that a change is based on.
     pub if_match: Option<u64>,
     /// The body, JSON.
