Test a version under load before it is promoted

A canary of some percent never brings an endpoint to much load. Before the promotion every router now sends a few of its next requests to one endpoint of each version, and both are compared as a class of their own. The requests come out of the bound's slack.

--- a/crates/router/control-plane/src/coordinator.rs
+++ b/crates/router/control-plane/src/coordinator.rs
@@ -24,6 +24,7 @@
 use crate::messages::{Action, CallId, Envelope, Message, OperatorMessage, OperatorRequest};
 use crate::quota::{QuotaBounds, QuotaMessage};
 use crate::replication::{DurableState, NonVotingSeed, Replica, ReplicaSettings, WriteId};
+use crate::rollout::ExposureBound;
 use context::Context;
 use operator_calls::{Caller, Core, OperatorCalls};
 use passrelay_dissemination::{
@@ -58,9 +59,8 @@
     /// Whether a version of a service gets requests only once it was recorded or ordered. Otherwise endpoints of all versions
     /// are alike, unless the configuration sets one.
     pub records_versions: bool,
-    /// The largest share of a service's requests that a version gets before it is judged, 0 to 1. Operators order roll-outs where
-    /// versions are recorded.
-    pub exposure_ratio: f64,
+    /// What a version may get before it is judged. Operators order roll-outs where versions are recorded.
+    pub exposure_bound: ExposureBound,
 }
 
 /// The control plane of one process.
@@ -96,7 +96,7 @@
             load_totals: LoadTotals::default(),
             operator_calls: OperatorCalls::default(),
             versions: VersionRecorder::new(settings.records_versions),
-            rollouts: ControllerLifecycle::new(settings.records_versions.then_some(settings.exposure_ratio)),
+            rollouts: ControllerLifecycle::new(settings.records_versions.then_some(settings.exposure_bound)),
             stale_responses_dropped: 0,
         }
     }
--- a/crates/router/control-plane/src/coordinator/rollouts.rs
+++ b/crates/router/control-plane/src/coordinator/rollouts.rs
@@ -7,7 +7,7 @@
 use super::version_recorder::has_only_committed;
 use super::Coordinator;
 use crate::messages::{Action, Message};
-use crate::rollout::{Controller, RolloutMessage};
+use crate::rollout::{Controller, ExposureBound, RolloutMessage};
 use passrelay_configuration::Configuration;
 use passrelay_dissemination::{Peer, RolloutReport};
 use std::time::Duration;
@@ -17,15 +17,14 @@
 
 /// The controller of this process, while it is the established primary.
 pub(super) struct ControllerLifecycle {
-    /// The largest share of a service's requests that a version gets before it is judged; `None` where roll-outs are no part of the
-    /// contract with the operators.
-    exposure_bound: Option<f64>,
+    /// What a version may get before it is judged; `None` where roll-outs are no part of the contract with the operators.
+    exposure_bound: Option<ExposureBound>,
     /// With the term that it belongs to.
     controller: Option<(u64, Controller)>,
 }
 
 impl ControllerLifecycle {
-    pub(super) fn new(exposure_bound: Option<f64>) -> Self {
+    pub(super) fn new(exposure_bound: Option<ExposureBound>) -> Self {
         ControllerLifecycle { exposure_bound, controller: None }
     }
 
@@ -64,15 +63,13 @@
     pub(super) fn advance_rollouts(&mut self, context: &mut Context<'_>) {
         let Some(replica) = &mut self.replica else { return };
         let Some((_, controller)) = &mut self.rollouts.controller else { return };
-        if self.rollouts.exposure_bound.is_none()
-            || replica.state().rollouts.is_empty()
-            || !has_only_committed(replica)
-        {
+        let Some(bound) = self.rollouts.exposure_bound else { return };
+        if replica.state().rollouts.is_empty() || !has_only_committed(replica) {
             return;
         }
         let now = context.now();
         let state = replica.state().clone();
-        if let Some(decision) = controller.decide(now, &state, self.gossip.registry()) {
+        if let Some(decision) = controller.decide(now, &state, self.gossip.registry(), bound) {
             context.step_replica(replica, |replica, actions| {
                 replica.propose_rollouts(now, decision.rollouts, decision.service_versions, actions);
             });
--- a/crates/router/control-plane/src/rollout.rs
+++ b/crates/router/control-plane/src/rollout.rs
@@ -26,3 +26,4 @@
 pub use judge::{judge, Judgement};
 pub use messages::RolloutMessage;
 pub use order::{adjudicate, OrderRejection, OrderVerdict};
+pub use schedule::ExposureBound;
--- a/crates/router/control-plane/src/rollout/controller.rs
+++ b/crates/router/control-plane/src/rollout/controller.rs
@@ -6,7 +6,10 @@
 
 use super::evidence::{Comparisons, Evidence};
 use super::judge::{judge, Judgement};
-use super::schedule::{canary_share, has_spread, promotion_share, Schedule, Share};
+use super::schedule::{
+    canary_share, has_spread, is_load_test_granted, is_load_tested, load_test_requests, promotion_share,
+    ExposureBound, Schedule, Share, FIRST_REQUESTS,
+};
 use crate::replication::ReplicatedState;
 use passrelay_configuration::{
     Configuration, Rollout, RolloutPhase, Rollouts, ServiceRollouts, ServiceVersions,
@@ -33,6 +36,10 @@
     phase_since: Duration,
     /// Requests that had ended at the new version when it was judged last.
     requests_at_target: u32,
+    /// Since when the version is tested under load.
+    load_test_since: Option<Duration>,
+    /// Requests of the test at each router.
+    load_test_requests: u16,
 }
 
 /// The controller of one term.
@@ -70,6 +77,8 @@
                 phase: rollout.phase,
                 phase_since: now,
                 requests_at_target: 0,
+                load_test_since: None,
+                load_test_requests: 0,
             });
             if tracked.phase != rollout.phase {
                 tracked.phase = rollout.phase;
@@ -98,19 +107,23 @@
         }
     }
 
-    /// The shares that committed records allow now; `exposure_bound` is the largest share of a version that isn't judged.
-    pub fn shares(&self, now: Duration, rollouts: &Rollouts, exposure_bound: f64) -> Vec<ShareGrant> {
+    /// The shares that committed records allow now; `exposure` bounds what a version gets that isn't judged.
+    pub fn shares(&self, now: Duration, rollouts: &Rollouts, exposure: ExposureBound) -> Vec<ShareGrant> {
         let current = rollouts.services().filter_map(|(_, of_service)| of_service.current.as_ref());
         let grant = |rollout: &Rollout| {
             let tracked = self.tracked.get(&rollout.id)?;
             let share = match rollout.phase {
                 RolloutPhase::Canary if tracked.evidence.age(now) < Schedule::of(rollout).end_by => {
-                    canary_share(exposure_bound, tracked.requests_at_target)
+                    canary_share(exposure.ratio, tracked.requests_at_target)
                 }
                 RolloutPhase::Promoting => promotion_share(now.saturating_sub(tracked.phase_since))?,
                 _ => return None,
             };
-            Some(grant_of(rollout.id, share))
+            let load_test = tracked.load_test_since.filter(|since| {
+                rollout.phase == RolloutPhase::Canary && is_load_test_granted(now.saturating_sub(*since))
+            });
+            let load_test = load_test.map(|_| tracked.load_test_requests);
+            Some(grant_of(rollout.id, share, load_test))
         };
         current.filter_map(grant).collect()
     }
@@ -121,6 +134,7 @@
         now: Duration,
         state: &ReplicatedState,
         registry: &Registry,
+        exposure: ExposureBound,
     ) -> Option<Decision> {
         if now < self.next_decision {
             return None;
@@ -130,6 +144,7 @@
         for tracked in self.tracked.values_mut().filter(|tracked| !tracked.phase.is_final()) {
             tracked.requests_at_target = requests_at_target(&tracked.evidence.comparisons());
         }
+        self.begin_load_tests(now, &state.rollouts, registry, exposure);
         let mut decision =
             Decision { rollouts: state.rollouts.clone(), service_versions: state.service_versions.clone() };
         for (service, of_service) in state.rollouts.services() {
@@ -145,6 +160,37 @@
         None
     }
 
+    /// Begins the load test of each canary that is due and wasn't found bad.
+    fn begin_load_tests(
+        &mut self,
+        now: Duration,
+        rollouts: &Rollouts,
+        registry: &Registry,
+        exposure: ExposureBound,
+    ) {
+        let current = rollouts.services().filter_map(|(_, of_service)| of_service.current.as_ref());
+        for rollout in current.filter(|rollout| rollout.phase == RolloutPhase::Canary) {
+            let Some(tracked) = self.tracked.get_mut(&rollout.id) else { continue };
+            let is_due = tracked.evidence.age(now) >= Schedule::of(rollout).load_test_at;
+            if tracked.load_test_since.is_some() || !is_due || !has_endpoints(rollout, registry) {
+                continue;
+            }
+            let comparisons = tracked.evidence.comparisons();
+            let is_bad = matches!(judge(&comparisons), Judgement::Bad(_));
+            if is_bad || requests_at_target(&comparisons) < FIRST_REQUESTS {
+                continue;
+            }
+            let requests = load_test_requests(
+                exposure,
+                capacity_of_target(rollout, registry),
+                comparisons.values().map(|both| both.base.ended + both.target.ended).sum(),
+            );
+            let routers = tracked.evidence.reporter_count(now.saturating_sub(REPORT_LIFETIME)).max(1);
+            tracked.load_test_requests = (requests / routers as f64).round().max(1.0) as u16;
+            tracked.load_test_since = Some(now);
+        }
+    }
+
     fn next_of_service(
         &self,
         now: Duration,
@@ -214,7 +260,9 @@
                 Some((RolloutPhase::RolledBack, reason))
             }
             RolloutPhase::Canary => {
-                let is_due = age >= schedule.promote_at && judgement == Judgement::Good;
+                let is_tested =
+                    tracked.load_test_since.is_some_and(|since| is_load_tested(now.saturating_sub(since)));
+                let is_due = age >= schedule.promote_at && judgement == Judgement::Good && is_tested;
                 (is_due && has_endpoints(rollout, registry))
                     .then(|| (RolloutPhase::Promoting, format!("judged good by {requests} requests")))
             }
@@ -252,17 +300,26 @@
     target > 0 && target as f64 >= base as f64 * MIN_ENDPOINT_RATIO
 }
 
+/// Requests that an endpoint of the new version processes concurrently; the least of all.
+fn capacity_of_target(rollout: &Rollout, registry: &Registry) -> u32 {
+    let records = registry.records().filter(|record| record.state == EndpointState::Ready);
+    let of_service = records.filter(|record| record.service == rollout.order.service);
+    let target = of_service.filter(|record| record.version == rollout.order.target_version);
+    target.map(|record| record.capacity).min().unwrap_or(0)
+}
+
 fn requests_at_target(comparisons: &Comparisons) -> u32 {
     let targets = comparisons.values().map(|comparison| &comparison.target);
     targets.map(|target: &Tally| target.ended).sum()
 }
 
-fn grant_of(id: u64, share: Share) -> ShareGrant {
+fn grant_of(id: u64, share: Share, load_test: Option<u16>) -> ShareGrant {
     let per_mille = |share: f64| (share * 1_000.0) as u16;
     ShareGrant {
         id,
         share_per_mille: per_mille(share.requests),
         spread_per_mille: per_mille(share.endpoints),
+        load_test,
     }
 }
 
--- a/crates/router/control-plane/src/rollout/evidence.rs
+++ b/crates/router/control-plane/src/rollout/evidence.rs
@@ -73,6 +73,11 @@
         comparisons
     }
 
+    /// Number of sidecars with a report since `since`.
+    pub fn reporter_count(&self, since: Duration) -> usize {
+        self.reports.values().filter(|received| received.at >= since).count()
+    }
+
     /// Whether all sidecars with a report since `since` send to the new version alone and have nothing left at others. False
     /// without any report.
     pub fn has_left_base(&self, since: Duration) -> bool {
--- a/crates/router/control-plane/src/rollout/judge.rs
+++ b/crates/router/control-plane/src/rollout/judge.rs
@@ -6,7 +6,7 @@
 //! `1 / FALSE_ALARM` at any time with a probability below `FALSE_ALARM` (Ville's inequality). So it may be looked at after every report.
 
 use super::evidence::{Comparison, Comparisons};
-use passrelay_dissemination::{Measure, RequestClass, Tally};
+use passrelay_dissemination::{Measure, RequestClass, Tally, LOAD_TEST_CLASS};
 use statrs::function::beta::ln_beta;
 use std::collections::BTreeSet;
 
@@ -46,13 +46,15 @@
 pub fn judge(comparisons: &Comparisons) -> Judgement {
     let routes: BTreeSet<&str> = comparisons.keys().map(|class| class.route.as_str()).collect();
     for route in &routes {
-        let of_route = comparisons.iter().filter(|(class, _)| class.route == *route);
-        let of_route: Classes = of_route.map(|(class, comparison)| (*class, comparison)).collect();
-        if let Some(reason) = failing(&of_route).or_else(|| slow(&of_route, Measure::FirstByte)) {
-            return Judgement::Bad(format!("route {route}: {reason}"));
-        }
-        if let Some(reason) = slow(&of_route, Measure::Complete) {
-            return Judgement::Bad(format!("route {route}, whole answers: {reason}"));
+        for is_load_test in [false, true] {
+            let is_alike =
+                |class: &RequestClass| class.route == *route && is_of_load_test(class) == is_load_test;
+            let alike = comparisons.iter().filter(|(class, _)| is_alike(class));
+            let alike: Classes = alike.map(|(class, comparison)| (*class, comparison)).collect();
+            if let Some(reason) = worse(&alike) {
+                let load = if is_load_test { " under load" } else { "" };
+                return Judgement::Bad(format!("route {route}{load}: {reason}"));
+            }
         }
     }
     if is_compared_enough(&routes, comparisons) {
@@ -62,6 +64,16 @@
     }
 }
 
+fn is_of_load_test(class: &RequestClass) -> bool {
+    class.size == LOAD_TEST_CLASS
+}
+
+/// Why the new version is worse on these requests; `None` where nothing says so.
+fn worse(classes: &Classes) -> Option<String> {
+    let slow_whole = || slow(classes, Measure::Complete).map(|reason| format!("{reason} (whole answers)"));
+    failing(classes).or_else(|| slow(classes, Measure::FirstByte)).or_else(slow_whole)
+}
+
 type Classes<'a> = Vec<(&'a RequestClass, &'a Comparison)>;
 
 /// Events among requests at the new version, and the rate that is tolerated.
--- a/crates/router/control-plane/src/rollout/schedule.rs
+++ b/crates/router/control-plane/src/rollout/schedule.rs
@@ -2,7 +2,7 @@
 //!
 //! ```text
 //! order                                   promote_at                               end_by  deadline
-//!   |  canary: a bounded share, judged         | promoting | switched, old requests end |      |
+//!   |  canary: a bounded share, judged, tested | promoting | switched, old requests end |      |
 //! ```
 //!
 //! The canary lasts as long as the deadline allows, since a version may turn bad late; what follows needs some seconds.
@@ -21,21 +21,33 @@
 /// A version that isn't judged good by then is not promoted any more.
 const MIN_MOVE_TIME_PERCENT: u32 = 20;
 /// Of the share that the bound allows, what a canary gets: sidecars count their own requests and round.
-const CANARY_SHARE_OF_BOUND: f64 = 0.75;
-/// Until so many requests have ended, a canary gets half of that.
-const FIRST_REQUESTS: u32 = 20;
+const CANARY_SHARE_OF_BOUND: f64 = 0.6;
+/// Until so many requests have ended, a canary gets half of that, and isn't tested under load.
+pub(super) const FIRST_REQUESTS: u32 = 8;
 /// Endpoints of a canary get somewhat more each than they would in service, so that a fault under load shows.
 const CANARY_SPREAD: f64 = 0.75;
+/// A load test begins so long before the promotion at the earliest, and has to have begun so long before it.
+const LOAD_TEST_TIME: Duration = Duration::from_millis(1_900);
+/// Shares of a load test are granted for so long; each router serves it once.
+const LOAD_TEST_GRANT_TIME: Duration = Duration::from_millis(900);
+/// A load test brings one endpoint to this fraction of its capacity, as far as the bound on exposure allows.
+const LOAD_TEST_FILL: f64 = 0.7;
+/// Of the slack in the bound on exposure, what a load test may use ...
+const LOAD_TEST_SLACK_FRACTION: f64 = 0.8;
+/// ... and of the share that the bound allows of the requests so far.
+const LOAD_TEST_SHARE_OF_BOUND: f64 = 0.25;
 /// Shares while a version is promoted, each for [`PROMOTION_STEP`]: caches fill, and nobody reads everything at one moment.
 const PROMOTION_SHARES: [f64; 2] = [0.3, 0.65];
 const PROMOTION_STEP: Duration = Duration::from_millis(700);
 /// A version in service is known everywhere after this, on a calm fleet; the earliest end.
 const MIN_SWITCH_TIME: Duration = Duration::from_millis(1_000);
 
-/// When a roll-out moves on, as ages.
+/// When a roll-out moves on, as ages. A fault that shows only under load is looked for by a load test of one endpoint.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(super) struct Schedule {
-    /// A version that was judged good is promoted from here on ...
+    /// A version that wasn't found bad is tested under load from here on.
+    pub load_test_at: Duration,
+    /// It is promoted from here on ...
     pub promote_at: Duration,
     /// ... and until here.
     pub promote_by: Duration,
@@ -50,7 +62,9 @@
         let percent = |percent: u32| end_by * percent / 100;
         let move_time = MAX_MOVE_TIME.min(percent(MOVE_TIME_PERCENT));
         let min_move_time = move_time.min(percent(MIN_MOVE_TIME_PERCENT));
-        Schedule { promote_at: end_by - move_time, promote_by: end_by - min_move_time, end_by }
+        let promote_at = end_by - move_time;
+        let load_test_at = promote_at.saturating_sub(LOAD_TEST_TIME);
+        Schedule { load_test_at, promote_at, promote_by: end_by - min_move_time, end_by }
     }
 }
 
@@ -68,6 +82,32 @@
     Share { requests, endpoints: requests * CANARY_SPREAD }
 }
 
+/// How many requests a version that isn't judged may get, beside those of the canary.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct ExposureBound {
+    /// Share of a service's requests, 0 to 1.
+    pub ratio: f64,
+    /// Requests in addition.
+    pub slack: f64,
+}
+
+/// Requests of a load test, of all routers together.
+pub(super) fn load_test_requests(bound: ExposureBound, capacity: u32, requests_so_far: u32) -> f64 {
+    let of_requests = bound.ratio * LOAD_TEST_SHARE_OF_BOUND * f64::from(requests_so_far);
+    let permitted = bound.slack * LOAD_TEST_SLACK_FRACTION + of_requests;
+    (f64::from(capacity) * LOAD_TEST_FILL).min(permitted)
+}
+
+/// Whether a load test that began some time ago still begins at routers.
+pub(super) fn is_load_test_granted(begun_for: Duration) -> bool {
+    begun_for < LOAD_TEST_GRANT_TIME
+}
+
+/// Whether the outcomes of a load test that began some time ago are known.
+pub(super) fn is_load_tested(begun_for: Duration) -> bool {
+    begun_for >= LOAD_TEST_TIME
+}
+
 /// The share of a version that has been promoted for some time; `None` once it is to be switched.
 pub(super) fn promotion_share(promoted_for: Duration) -> Option<Share> {
     let step = promoted_for.as_millis() / PROMOTION_STEP.as_millis();
--- a/crates/router/data-plane/src/rollout_shares.rs
+++ b/crates/router/data-plane/src/rollout_shares.rs
@@ -6,7 +6,9 @@
 //! whoever grants.
 
 use passrelay_configuration::{Rollout, RolloutPhase, Rollouts};
-use passrelay_dissemination::{ClassOutcomes, Measure, RequestClass, RolloutReport, ShareGrant, Tally};
+use passrelay_dissemination::{
+    ClassOutcomes, Measure, RequestClass, RolloutReport, ShareGrant, Tally, LOAD_TEST_CLASS,
+};
 use std::collections::{BTreeMap, HashMap};
 use std::time::Duration;
 
@@ -36,9 +38,19 @@
     lease: Option<Lease>,
     /// Share of a request that is saved up for the new version; below 1 after each request.
     credit: f64,
+    base_version: Option<String>,
+    /// The load test; `None` before it.
+    load_test: Option<LoadTest>,
     outcomes: BTreeMap<RequestClass, Comparison>,
 }
 
+/// Requests of a load test that are still to be sent, to one endpoint of each version: only so can their latencies be compared.
+#[derive(Clone, Copy, Debug)]
+struct LoadTest {
+    to_target: u16,
+    to_base: u16,
+}
+
 /// Requests of one class at both versions.
 #[derive(Debug, Default)]
 struct Comparison {
@@ -51,8 +63,20 @@
 pub struct CanaryChoice {
     /// The new version.
     pub version: String,
-    /// Share of its endpoints that get requests, 0 to 1.
+    /// Share of its endpoints that get requests, 0 to 1; one at least.
     pub endpoints: f64,
+    /// Whether it is part of a load test: its endpoint is busier than usual.
+    pub is_load_test: bool,
+}
+
+impl RequestFeatures<'_> {
+    /// The class of its size; requests of a load test are one class of their own.
+    fn size_class(&self) -> u8 {
+        if self.is_load_test {
+            return LOAD_TEST_CLASS;
+        }
+        SIZE_CLASSES.iter().filter(|end| self.prefill_tokens >= **end).count() as u8
+    }
 }
 
 /// A request whose outcome counts in a roll-out.
@@ -65,6 +89,17 @@
     is_target: bool,
 }
 
+/// What decides on the class of an observed request.
+#[derive(Clone, Copy, Debug)]
+pub struct RequestFeatures<'a> {
+    /// Name of its route.
+    pub route: &'a str,
+    /// Prompt tokens that its endpoint has to read.
+    pub prefill_tokens: u64,
+    /// Whether it is part of a load test.
+    pub is_load_test: bool,
+}
+
 /// All roll-outs that this router knows to run.
 #[derive(Debug)]
 pub struct RolloutShares {
@@ -119,12 +154,16 @@
     pub fn choose(&mut self, now: Duration, service: &str) -> Option<CanaryChoice> {
         let running = self.running.get_mut(service)?;
         let lease = running.lease.filter(|lease| now < lease.until)?;
+        if let Some(version) = running.next_of_load_test() {
+            return Some(CanaryChoice { version, endpoints: 0.0, is_load_test: true });
+        }
         running.credit += lease.requests;
         if running.credit < 1.0 {
             return None;
         }
         running.credit -= 1.0;
-        Some(CanaryChoice { version: running.target_version.clone(), endpoints: lease.endpoints })
+        let version = running.target_version.clone();
+        Some(CanaryChoice { version, endpoints: lease.endpoints, is_load_test: false })
     }
 
     /// Whether a request that was chosen for a new version may still be sent there.
@@ -140,15 +179,14 @@
         &self,
         service: &str,
         version: &str,
-        route: &str,
-        prefill_tokens: u64,
+        features: RequestFeatures<'_>,
     ) -> Option<ObservedRequest> {
         let running = self.running.get(service)?;
         Some(ObservedRequest {
             rollout: running.id,
             service: service.to_owned(),
-            route: route.to_owned(),
-            size: SIZE_CLASSES.iter().filter(|end| prefill_tokens >= **end).count() as u8,
+            route: features.route.to_owned(),
+            size: features.size_class(),
             is_target: version == running.target_version,
         })
     }
@@ -218,6 +256,9 @@
         let until = self.report_sent_at + SHARE_LIFETIME;
         for running in self.running.values_mut() {
             let share = shares.iter().find(|share| share.id == running.id);
+            let requests = share.and_then(|share| share.load_test);
+            let load_test = requests.map(|requests| LoadTest { to_target: requests, to_base: requests });
+            running.load_test = running.load_test.or(load_test);
             running.lease = share.map(|share| Lease {
                 requests: (f64::from(share.share_per_mille) / 1_000.0).min(1.0),
                 endpoints: f64::from(share.spread_per_mille) / 1_000.0,
@@ -235,10 +276,23 @@
             phase: rollout.phase,
             lease: None,
             credit,
+            base_version: rollout.base_version.clone(),
+            load_test: None,
             outcomes: BTreeMap::new(),
         }
     }
 
+    /// The version of the next request of the load test, if any is left; counts it as sent.
+    fn next_of_load_test(&mut self) -> Option<String> {
+        let load_test = self.load_test.as_mut()?;
+        if load_test.to_target > 0 && load_test.to_target >= load_test.to_base {
+            load_test.to_target -= 1;
+            return Some(self.target_version.clone());
+        }
+        load_test.to_base = load_test.to_base.checked_sub(1)?;
+        self.base_version.clone()
+    }
+
     /// The outcomes that tell most: those of classes with requests at the new version, and with many.
     fn class_outcomes(&self) -> Vec<ClassOutcomes> {
         let mut classes: Vec<(&RequestClass, &Comparison)> = self.outcomes.iter().collect();
--- a/crates/router/data-plane/tests/rollout_shares.rs
+++ b/crates/router/data-plane/tests/rollout_shares.rs
@@ -1,8 +1,8 @@
 //! Shares of requests for a version that is rolled out.
 
 use passrelay_configuration::{Rollout, RolloutOrder, RolloutPhase, Rollouts};
-use passrelay_data_plane::rollout_shares::{RolloutShares, SHARE_LIFETIME};
-use passrelay_dissemination::{Measure, ShareGrant};
+use passrelay_data_plane::rollout_shares::{RequestFeatures, RolloutShares, SHARE_LIFETIME};
+use passrelay_dissemination::{Measure, ShareGrant, LOAD_TEST_CLASS};
 use std::time::Duration;
 
 const ID: u64 = 7;
@@ -32,10 +32,17 @@
     shares.configure(ms(0), &rollouts(RolloutPhase::Canary));
     let (request_id, reports) = shares.next_report(ms(100), |_, _| 3);
     assert_eq!((reports[0].id, reports[0].known_for_ms, reports[0].base_in_flight), (ID, 100, 3));
-    shares.apply_shares(request_id, &[ShareGrant { id: ID, share_per_mille, spread_per_mille: 60 }]);
+    shares.apply_shares(
+        request_id,
+        &[ShareGrant { id: ID, share_per_mille, spread_per_mille: 60, load_test: None }],
+    );
     shares
 }
 
+fn features(prefill_tokens: u64) -> RequestFeatures<'static> {
+    RequestFeatures { route: "r", prefill_tokens, is_load_test: false }
+}
+
 fn chosen(shares: &mut RolloutShares, now: Duration, requests: usize) -> usize {
     (0..requests).filter(|_| shares.choose(now, "s").is_some()).count()
 }
@@ -70,7 +77,10 @@
     let mut shares = with_share(0);
     let (earlier, _) = shares.next_report(ms(200), |_, _| 0);
     shares.next_report(ms(600), |_, _| 0);
-    shares.apply_shares(earlier, &[ShareGrant { id: ID, share_per_mille: 1_000, spread_per_mille: 60 }]);
+    shares.apply_shares(
+        earlier,
+        &[ShareGrant { id: ID, share_per_mille: 1_000, spread_per_mille: 60, load_test: None }],
+    );
     assert!(shares.choose(ms(700), "s").is_none());
 }
 
@@ -83,15 +93,15 @@
     assert!(shares.choose(ms(200), "s").is_none());
     assert!(shares.is_active());
     shares.configure(ms(300), &rollouts(RolloutPhase::RolledBack));
-    assert!(!shares.is_active() && shares.observe("s", "v2", "r", 0).is_none());
+    assert!(!shares.is_active() && shares.observe("s", "v2", features(0)).is_none());
 }
 
 #[test]
 fn outcomes_are_counted_by_version_route_and_size() {
     let mut shares = with_share(100);
-    let base = shares.observe("s", "v1", "r", 100).unwrap();
-    let target = shares.observe("s", "v2", "r", 100).unwrap();
-    let larger = shares.observe("s", "v2", "r", 5_000).unwrap();
+    let base = shares.observe("s", "v1", features(100)).unwrap();
+    let target = shares.observe("s", "v2", features(100)).unwrap();
+    let larger = shares.observe("s", "v2", features(5_000)).unwrap();
     shares.record_latency(&base, Measure::FirstByte, ms(40));
     for (request, failed) in [(&base, false), (&target, true), (&larger, false)] {
         shares.record_end(request, failed);
@@ -102,3 +112,22 @@
     assert_eq!((outcomes[0].target.ended, outcomes[0].target.failed), (1, 1));
     assert_eq!((outcomes[1].class.size, outcomes[1].target.ended), (2, 1));
 }
+
+#[test]
+fn a_load_test_takes_the_next_requests_once_by_turns_for_both_versions() {
+    let mut shares = with_share(0);
+    for at in [200, 600] {
+        let (request_id, _) = shares.next_report(ms(at), |_, _| 0);
+        let grant = ShareGrant { id: ID, share_per_mille: 0, spread_per_mille: 60, load_test: Some(2) };
+        shares.apply_shares(request_id, &[grant]);
+        let chosen = (0..10).filter_map(|_| shares.choose(ms(at + 1), "s"));
+        let versions: Vec<String> =
+            chosen.filter(|choice| choice.is_load_test).map(|choice| choice.version).collect();
+        assert_eq!(versions, if at == 200 { vec!["v2", "v1", "v2", "v1"] } else { Vec::new() });
+    }
+    let tested = RequestFeatures { is_load_test: true, ..features(5_000) };
+    let request = shares.observe("s", "v2", tested).unwrap();
+    shares.record_end(&request, true);
+    let outcomes = shares.next_report(ms(900), |_, _| 0).1.remove(0).outcomes;
+    assert_eq!((outcomes[0].target.failed, outcomes[0].class.size), (1, LOAD_TEST_CLASS));
+}
--- a/crates/router/dissemination/src/lib.rs
+++ b/crates/router/dissemination/src/lib.rs
@@ -46,4 +46,4 @@
 pub use partial_view::{PartialView, PeerDescriptor};
 pub use peer::{Incarnation, Peer};
 pub use registry::{EndpointRecord, EndpointState, Heartbeat, Registry, RegistryDigest};
-pub use rollout::{ClassOutcomes, Measure, RequestClass, RolloutReport, ShareGrant, Tally};
+pub use rollout::{ClassOutcomes, Measure, RequestClass, RolloutReport, ShareGrant, Tally, LOAD_TEST_CLASS};
--- a/crates/router/dissemination/src/rollout.rs
+++ b/crates/router/dissemination/src/rollout.rs
@@ -78,6 +78,9 @@
     (half_octaves as usize).min(LATENCY_BUCKETS - 1)
 }
 
+/// Size class of the requests of a load test, whatever their size.
+pub const LOAD_TEST_CLASS: u8 = 0x80;
+
 /// What a latency measures; requests are compared with those of the same kind only.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 pub enum Measure {
@@ -151,4 +154,8 @@
     pub share_per_mille: u16,
     /// Share of the new version's endpoints that get them, in thousandths; one at least.
     pub spread_per_mille: u16,
+    /// Requests of a load test: so many of the router's next ones go to one endpoint of each version, together with those of all other
+    /// routers. A router takes part once.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub load_test: Option<u16>,
 }
--- a/crates/router/node/src/process.rs
+++ b/crates/router/node/src/process.rs
@@ -136,7 +136,7 @@
         tolerated_losses: settings.tolerated_losses,
         quota_bounds: settings.quota_bounds,
         records_versions: settings.orders_versions,
-        exposure_ratio: settings.exposure_ratio,
+        exposure_bound: settings.exposure_bound,
     }
 }
 
--- a/crates/router/node/src/request/attempts.rs
+++ b/crates/router/node/src/request/attempts.rs
@@ -17,7 +17,7 @@
 use hyper::body::Incoming;
 use hyper::{Response, StatusCode};
 use passrelay_data_plane::balancer::{CallEnd, LoadReport, Pick, PickRequest};
-use passrelay_data_plane::rollout_shares::CanaryChoice;
+use passrelay_data_plane::rollout_shares::{CanaryChoice, RequestFeatures};
 use smol::Timer;
 use std::rc::Rc;
 use std::sync::Arc;
@@ -53,8 +53,18 @@
     pick: Pick,
     /// The version that was asked for; empty where any was.
     version: String,
-    /// Whether it was selected under a share of a version that is rolled out.
-    is_canary: bool,
+    choice: VersionChoice,
+}
+
+/// Why a request goes to a version.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum VersionChoice {
+    /// It is the one in service.
+    InService,
+    /// It is rolled out, and this router has a share.
+    Canary,
+    /// It is rolled out, and one of its endpoints is tested under load.
+    LoadTest,
 }
 
 /// The attempts of one request.
@@ -152,7 +162,7 @@
         last_event_id: Option<&str>,
     ) -> Result<Outcome, Failure> {
         let context = self.context.clone();
-        let Selected { pick, version, is_canary } =
+        let Selected { pick, version, choice } =
             self.select_endpoint(admission, service).ok_or(self.history.exhausted_failure())?;
         self.history.attempts += 1;
         let Some(mut connection) = connect(&context, &pick).await else {
@@ -163,7 +173,8 @@
         // All that the forwarding rests on has to hold now, after the wait for the connection.
         let may_send = admission.is_valid(&context)
             && context.data_plane.balancer.borrow().may_send(&pick.id)
-            && (!is_canary || context.data_plane.rollout_shares.borrow().may_send(context.now(), service));
+            && (choice == VersionChoice::InService
+                || context.data_plane.rollout_shares.borrow().may_send(context.now(), service));
         if !may_send {
             context.upstream.put(context.now(), connection);
             return Ok(Outcome::NotExecuted);
@@ -184,8 +195,11 @@
         let observed = context.data_plane.rollout_shares.borrow().observe(
             service,
             &version,
-            &admission.route.name,
-            pick.prefill_tokens,
+            RequestFeatures {
+                route: &admission.route.name,
+                prefill_tokens: pick.prefill_tokens,
+                is_load_test: choice == VersionChoice::LoadTest,
+            },
         );
         let call = EndpointCall::begin(&context, pick.clone(), prompt.as_ref(), observed);
         let timeout = async {
@@ -203,16 +217,18 @@
         if self.history.attempts == 0 {
             let now = self.context.now();
             let choice = self.context.data_plane.rollout_shares.borrow_mut().choose(now, service);
-            if let Some(CanaryChoice { version, endpoints }) = choice {
+            if let Some(CanaryChoice { version, endpoints, is_load_test }) = choice {
+                let choice = if is_load_test { VersionChoice::LoadTest } else { VersionChoice::Canary };
                 if let Some(pick) = self.pick(admission, service, Some(&version), Some(endpoints)) {
-                    return Some(Selected { pick, version, is_canary: true });
+                    return Some(Selected { pick, version, choice });
                 }
             }
         }
         // An endpoint registers by itself, so its version counts only if it is the one in service.
         let version = admission.snapshot.service_versions.of(service);
         let pick = self.pick(admission, service, version, None)?;
-        Some(Selected { pick, version: version.unwrap_or_default().to_owned(), is_canary: false })
+        let version = version.unwrap_or_default().to_owned();
+        Some(Selected { pick, version, choice: VersionChoice::InService })
     }
 
     fn pick(
--- a/crates/router/node/src/settings.rs
+++ b/crates/router/node/src/settings.rs
@@ -3,6 +3,7 @@
 //! Only this module knows the keys, their units and their defaults.
 
 use passrelay_control_plane::quota::QuotaBounds;
+use passrelay_control_plane::rollout::ExposureBound;
 use std::cell::{Ref, RefCell};
 use std::collections::HashMap;
 use std::fs::File;
@@ -92,8 +93,8 @@
     pub tolerated_losses: usize,
     /// Whether versions of a service are moved by the operators' orders (`rollout` among the contracts).
     pub orders_versions: bool,
-    /// Largest share of a service's requests that a version gets before it is judged.
-    pub exposure_ratio: f64,
+    /// What a version may get before it is judged.
+    pub exposure_bound: ExposureBound,
     /// Interval between heartbeats of an endpoint.
     pub heartbeat: Duration,
     /// Bound within which a change has to be in force at all machines in touch.
@@ -170,7 +171,10 @@
             data_dir: self.text("data-dir").filter(|text| !text.is_empty()).map(PathBuf::from),
             tolerated_losses: self.value("fault-tolerance.machines", "a whole number")?.unwrap_or(0),
             orders_versions: self.has_contract(ROLLOUT_CONTRACT),
-            exposure_ratio: self.number("bounds.exposure-ratio", 0.1)?,
+            exposure_bound: ExposureBound {
+                ratio: self.number("bounds.exposure-ratio", 0.1)?,
+                slack: self.number("bounds.exposure-slack", 0.0)?,
+            },
             heartbeat: self.duration("heartbeat-ms", 1.0, 1_200.0)?,
             config_apply: self.duration("bounds.config-apply-ms", 1.0, 2_500.0)?,
             revoke: self.duration("bounds.revoke-ms", 1.0, 5_000.0)?,
--- a/crates/testing/cluster-simulation/src/cluster/machine.rs
+++ b/crates/testing/cluster-simulation/src/cluster/machine.rs
@@ -5,6 +5,7 @@
 use crate::disk::Disk;
 use passrelay_control_plane::quota::QuotaBounds;
 use passrelay_control_plane::replication::{Member, ProtocolMutation, ReplicaSettings};
+use passrelay_control_plane::rollout::ExposureBound;
 use passrelay_control_plane::{Coordinator, CoordinatorSettings};
 use passrelay_dissemination::{GossipSettings, Incarnation};
 use rand::seq::SliceRandom;
@@ -24,7 +25,7 @@
 const POWER_LOSS_PROBABILITY: f64 = 0.5;
 /// Bounds of quota grants, as in the small deployments.
 /// The largest share of a version that is not judged yet, as in the deployments.
-const EXPOSURE_RATIO: f64 = 0.1;
+const EXPOSURE_BOUND: ExposureBound = ExposureBound { ratio: 0.1, slack: 50.0 };
 const QUOTA_BOUNDS: QuotaBounds = QuotaBounds { window_s: 8.0, overshoot: 0.1, slack: 140_000.0 };
 
 /// A machine and its process.
@@ -261,7 +262,7 @@
             tolerated_losses,
             quota_bounds: QUOTA_BOUNDS,
             records_versions: self.settings.records_versions,
-            exposure_ratio: EXPOSURE_RATIO,
+            exposure_bound: EXPOSURE_BOUND,
         };
         starting.process = Some(Coordinator::new(Duration::ZERO, settings));
         let incarnation = starting.incarnation;
--- a/crates/testing/cluster-simulation/tests/rollouts.rs
+++ b/crates/testing/cluster-simulation/tests/rollouts.rs
@@ -6,7 +6,7 @@
 use passrelay_control_plane::configuration_change::{ChangeKind, ConfigurationChange};
 use passrelay_control_plane::rollout::RolloutMessage;
 use passrelay_control_plane::OperatorRequest;
-use passrelay_data_plane::rollout_shares::RolloutShares;
+use passrelay_data_plane::rollout_shares::{RequestFeatures, RolloutShares};
 use passrelay_dissemination::{EndpointRecord, EndpointState, Heartbeat, Measure};
 use rand::seq::SliceRandom;
 use rand::Rng;
@@ -35,6 +35,8 @@
     Failing,
     /// Half of them takes eight times as long.
     Slow,
+    /// Half of them fails at an endpoint that is busy.
+    FailingUnderLoad,
     /// A third fails from some time after the order on.
     FailingLate,
 }
@@ -122,7 +124,7 @@
                     service: SERVICE.to_owned(),
                     address: format!("10.9.{group}.1:{}", 1_000 + index).parse().expect("an address"),
                     zone: "z".to_owned(),
-                    capacity: 4,
+                    capacity: 64,
                     state: EndpointState::Ready,
                     sequence: self.beats,
                     version: version.to_owned(),
@@ -163,7 +165,10 @@
             if sidecar.incarnation != incarnation {
                 continue;
             }
-            let is_canary = sidecar.shares.choose(now, SERVICE).is_some() && self.has_target_endpoints;
+            let choice = sidecar.shares.choose(now, SERVICE).filter(|_| self.has_target_endpoints);
+            let is_load_test = choice.as_ref().is_some_and(|choice| choice.is_load_test);
+            let features = RequestFeatures { route: "r", prefill_tokens: 100, is_load_test };
+            let is_canary = choice.is_some_and(|choice| choice.version == "v2");
             let is_target = is_canary || sidecar.target_in_service;
             sidecar.seen_target |= is_target;
             if since_order.is_some_and(|time| time < DEADLINE) {
@@ -175,13 +180,14 @@
             let fails = match self.quality {
                 Quality::Failing => chance < 0.33,
                 Quality::FailingLate => late && chance < 0.33,
+                Quality::FailingUnderLoad => is_load_test && chance < 0.5,
                 Quality::Good | Quality::Slow => false,
             };
             let slow = if self.quality == Quality::Slow && chance < 0.5 { 8.0 } else { 1.0 };
             let usual = 0.05 * (1.0 + self.cluster.rng.random::<f64>());
             let version = if is_target { "v2" } else { "v1" };
             let latency = Duration::from_secs_f64(if is_target { usual * slow } else { usual });
-            if let Some(request) = sidecar.shares.observe(SERVICE, version, "r", 100) {
+            if let Some(request) = sidecar.shares.observe(SERVICE, version, features) {
                 sidecar.shares.record_latency(&request, Measure::FirstByte, latency);
                 sidecar.shares.record_end(&request, is_target && fails);
             }
@@ -273,7 +279,8 @@
         for machine in (0..self.cluster.len()).filter(|machine| self.cluster.runs(*machine)) {
             let status = self.cluster.process(machine).expect("a process").status(Duration::ZERO);
             let current = status.rollouts.of(SERVICE).and_then(|rollouts| rollouts.current.clone());
-            assert_eq!(current.map(|one| one.phase), Some(phase), "{what}, machine {machine}");
+            let found = current.as_ref().map(|one| one.phase);
+            assert_eq!(found, Some(phase), "{what}, machine {machine}: {current:?}");
             assert_eq!(status.service_versions.of(SERVICE), Some(version), "{what}, machine {machine}");
         }
     }
@@ -316,6 +323,7 @@
 #[case::failing(Quality::Failing)]
 #[case::failing_late(Quality::FailingLate)]
 #[case::slow(Quality::Slow)]
+#[case::failing_under_load(Quality::FailingUnderLoad)]
 fn a_bad_version_is_rolled_back_and_gets_little_until_then(#[case] quality: Quality) {
     for seed in 0..SEEDS {
         let mut story = Story::begin(3, 12, seed, quality);
