--- a/crates/passrelay/tests/soak/checks.rs
+++ b/crates/passrelay/tests/soak/checks.rs
@@ -2,6 +2,7 @@
 
 use crate::bounds::{CONFIG_APPLY, CONTACT, EXPOSURE_RATIO, EXPOSURE_SLACK, MAX_STRETCH, REVOKE};
 use crate::clients::is_added_route;
+use crate::orders::unacknowledged;
 use crate::records::{Demand, Disturbance, Exchange, Expectation, Records, Time};
 
 /// Fewer requests than this say nothing of how often routes are served.
@@ -61,6 +62,8 @@
             }
         }
     }
+    let orders = records.orders.lock().unwrap();
+    found.extend(unacknowledged(&orders, |at| contact.is_core_stable(at)));
     found.extend(unserved_added_routes(&contact, &expectations, &exchanges));
     found
 }
--- a/crates/passrelay/tests/soak/endpoints.rs
+++ b/crates/passrelay/tests/soak/endpoints.rs
@@ -1,7 +1,7 @@
 //! Endpoints of two services: they register at the fleet by heartbeats and answer requests on loopback.
 
 use crate::http::call;
-use crate::records::{Records, Run};
+use crate::records::{Records, Run, Time};
 use passrelay_test_support::{serve_by, Message};
 use rand::seq::IndexedRandom;
 use rand::SeedableRng;
@@ -71,6 +71,7 @@
                 "generation": version, "capacity": 64, "cold-remaining-ms": 0 }),
             state: state.clone(),
             controls: self.controls.clone(),
+            records: self.records.clone(),
             rng: ChaCha8Rng::seed_from_u64(self.seed ^ number as u64),
         };
         thread::spawn(move || registration.run());
@@ -146,6 +147,7 @@
     body: serde_json::Value,
     state: Arc<AtomicU8>,
     controls: Vec<SocketAddr>,
+    records: Arc<Records>,
     rng: ChaCha8Rng,
 }
 
@@ -153,8 +155,12 @@
     fn run(mut self) {
         let mut at = *self.controls.choose(&mut self.rng).expect("a process");
         let path = format!("/instances/{}", self.id);
+        let mut drains_since = None;
         for sequence in 1.. {
             let state = self.state.load(Ordering::SeqCst);
+            if state == DRAINING && drains_since.is_none() {
+                drains_since = Some(self.records.now());
+            }
             if state == ENDED {
                 self.deregister(at, &path);
                 return;
@@ -163,6 +169,10 @@
             self.body["state"] = json!(if state == READY { "ready" } else { "draining" });
             let acknowledged = call(at, "PUT", &path, "", &self.body.to_string());
             if acknowledged.is_some_and(|(status, _)| status == 200) {
+                if let Some(since) = drains_since.filter(|since| *since != Time::MAX) {
+                    self.records.order(&format!("draining of {}", self.id), since, true);
+                    drains_since = Some(Time::MAX);
+                }
                 thread::sleep(HEARTBEAT);
             } else {
                 at = *self.controls.choose(&mut self.rng).expect("a process");
--- a/crates/passrelay/tests/soak/operator.rs
+++ b/crates/passrelay/tests/soak/operator.rs
@@ -51,8 +51,15 @@
 impl Caller {
     /// Sends a change until it gets a clear answer.
     pub fn submit(&self, rng: &mut ChaCha8Rng, change: &Change) -> Outcome {
+        let sent_at = self.records.now();
+        let outcome = self.submit_until(rng, change, sent_at + GIVE_UP);
+        let is_answered = outcome != Outcome::Unclear;
+        self.records.order(&format!("{} on {}", change.method, change.base), sent_at, is_answered);
+        outcome
+    }
+
+    fn submit_until(&self, rng: &mut ChaCha8Rng, change: &Change, until: Time) -> Outcome {
         let headers = format!("If-Match: {}\r\nContent-Type: application/json\r\n", change.base);
-        let until = self.records.now() + GIVE_UP;
         let mut pause = FIRST_RETRY_PAUSE;
         while self.records.now() < until {
             let at = *self.controls.choose(rng).expect("a process");
--- a/crates/passrelay/tests/soak/records.rs
+++ b/crates/passrelay/tests/soak/records.rs
@@ -1,5 +1,6 @@
 //! What clients, endpoints, the operator and the fault injector of a soak have seen, on one clock.
 
+use crate::orders::Order;
 use std::sync::Mutex;
 use std::time::{Duration, Instant};
 
@@ -80,6 +81,8 @@
     pub runs: Mutex<Vec<Run>>,
     pub expectations: Mutex<Vec<Expectation>>,
     pub disturbances: Mutex<Vec<Disturbance>>,
+    /// Proper orders.
+    pub orders: Mutex<Vec<Order>>,
     /// Faults that were seen at once, such as an invalid change that was acknowledged.
     pub violations: Mutex<Vec<String>>,
     /// What the operator did, for the log of a soak that fails.
@@ -94,6 +97,7 @@
             runs: Mutex::default(),
             expectations: Mutex::default(),
             disturbances: Mutex::default(),
+            orders: Mutex::default(),
             violations: Mutex::default(),
             operations: Mutex::default(),
         }
@@ -108,6 +112,12 @@
         self.violations.lock().unwrap().push(format!("{at:?}: {what}"));
     }
 
+    /// A proper order has ended.
+    pub fn order(&self, what: &str, sent_at: Time, is_answered: bool) {
+        let order = Order { what: what.to_owned(), sent_at, ended_at: self.now(), is_answered };
+        self.orders.lock().unwrap().push(order);
+    }
+
     pub fn operation(&self, what: String) {
         let at = self.now();
         self.operations.lock().unwrap().push(format!("{at:?}: {what}"));
--- a/crates/passrelay/tests/soak/scenario.rs
+++ b/crates/passrelay/tests/soak/scenario.rs
@@ -1,19 +1,18 @@
 //! One soak: a fleet, its clients, endpoints, operator and faults, by a seed.
 
 use crate::bounds::{self, GRACE, RECOVERY};
-use crate::checks::{violations, Exposure};
+use crate::checks::violations;
 use crate::clients::Client;
 use crate::endpoints::{Endpoint, Endpoints, Quality};
 use crate::faults::{schedule, Platform};
-use crate::http::call;
 use crate::operator::{first_document, stable_paths, Caller, Operator, SERVICES, STABLE_KEY};
 use crate::records::{Records, Time};
+use crate::second_versions::start_second_versions;
 use passrelay_test_support::fleet::{Fleet, Sidecar};
 use passrelay_test_support::until;
-use rand::seq::{IndexedRandom, SliceRandom};
+use rand::seq::SliceRandom;
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
-use serde_json::json;
 use std::fmt;
 use std::net::SocketAddr;
 use std::path::PathBuf;
@@ -26,7 +25,7 @@
 const PROGRAM: &str = env!("CARGO_BIN_EXE_passrelay");
 /// Machines up to this number have three voters, larger fleets six.
 const SMALL_FLEET: u8 = 16;
-const ENDPOINTS_PER_SERVICE: usize = 4;
+pub const ENDPOINTS_PER_SERVICE: usize = 4;
 /// Of the fleets that the operators run.
 const IDLE_ROUTES: usize = 350;
 /// Requests a second of all clients together.
@@ -241,45 +240,6 @@
     }
 }
 
-/// Brings faulty second versions of a service up for some seconds each, with an order as operators send it: it ends at the third 4xx.
-fn start_second_versions(
-    endpoints: &Endpoints,
-    records: &Records,
-    controls: &[SocketAddr],
-    seed: u64,
-    until: Time,
-) {
-    let mut rng = ChaCha8Rng::seed_from_u64(seed ^ 0x5ec0);
-    for number in 2.. {
-        thread::sleep(Duration::from_millis(rng.random_range(1_000..5_000)));
-        let deadline = Duration::from_secs(rng.random_range(4..8));
-        let from = records.now();
-        if from + deadline > until {
-            return;
-        }
-        let version = format!("v{number}");
-        let second: Vec<_> = (0..ENDPOINTS_PER_SERVICE)
-            .map(|_| endpoints.start(SERVICES[0], &version, Quality::Bad))
-            .collect();
-        let order =
-            json!({ "backend": SERVICES[0], "target-version": version, "deadline-s": deadline.as_secs() });
-        let answers: Vec<_> = (0..3)
-            .map(|_| {
-                let at = *controls.choose(&mut rng).expect("a process");
-                call(at, "POST", "/rollouts", "", &order.to_string()).map(|(status, _)| status)
-            })
-            .collect();
-        thread::sleep(deadline);
-        second.iter().for_each(Endpoint::end);
-        let exposure = Exposure::measure(records, SERVICES[0], &version, from, records.now());
-        records.operation(format!("second version {version}, order answered {answers:?}: {exposure:?}"));
-        let is_ordered = answers.contains(&Some(200));
-        if !exposure.is_within_bound() || (!is_ordered && exposure.exposed > 0) {
-            records.violation(format!("EXPOSURE: {version}, order answered {answers:?}: {exposure:?}"));
-        }
-    }
-}
-
 /// When the machines were back after the final fault.
 fn recovery_began(records: &Records) -> Time {
     let disturbances = records.disturbances.lock().unwrap();
--- a/crates/router/control-plane/src/coordinator/rollouts.rs
+++ b/crates/router/control-plane/src/coordinator/rollouts.rs
@@ -103,7 +103,7 @@
         let confirmed_at = replica.confirmed_at();
         let is_confirmed = confirmed_at.is_some_and(|at| now.saturating_sub(at) <= MAX_CONFIRMATION_AGE);
         let Some(committed) = replica.committed().filter(|_| is_confirmed) else { return };
-        let shares = controller.shares(now, &committed.rollouts, bound);
+        let shares = controller.shares(now, from.address, &committed.rollouts, bound);
         let grant = RolloutMessage::Grant { request_id, shares };
         if from.address == self.own.address {
             context.push(Action::RolloutShares(grant));
--- a/crates/router/control-plane/src/rollout/controller.rs
+++ b/crates/router/control-plane/src/rollout/controller.rs
@@ -15,7 +15,8 @@
     Configuration, Rollout, RolloutPhase, Rollouts, ServiceRollouts, ServiceVersions,
 };
 use passrelay_dissemination::{EndpointState, Peer, Registry, RolloutReport, ShareGrant, Tally};
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
+use std::net::SocketAddrV4;
 use std::time::Duration;
 
 /// The next order begins this long after the end of the one before, so that operators see how that ended.
@@ -36,10 +37,31 @@
     phase_since: Duration,
     /// Requests that had ended at the new version when it was judged last.
     requests_at_target: u32,
-    /// Since when the version is tested under load.
-    load_test_since: Option<Duration>,
-    /// Requests of the test at each router.
-    load_test_requests: u16,
+    /// The test under load, once it has begun.
+    load_test: Option<LoadTest>,
+}
+
+/// A test of one endpoint under load.
+#[derive(Debug)]
+struct LoadTest {
+    since: Duration,
+    /// Routers that take part, and requests of each. All of them would be too many for a small endpoint, where both versions
+    /// would be slow.
+    routers: BTreeSet<SocketAddrV4>,
+    requests_each: u16,
+}
+
+impl LoadTest {
+    /// A test of so many requests, by as many routers.
+    fn new(now: Duration, requests: f64, routers: &BTreeSet<SocketAddrV4>) -> Self {
+        let taken = (requests.round().max(1.0) as usize).min(routers.len().max(1));
+        let step = (routers.len() / taken).max(1);
+        LoadTest {
+            since: now,
+            routers: routers.iter().step_by(step).take(taken).copied().collect(),
+            requests_each: (requests / taken as f64).round().max(1.0) as u16,
+        }
+    }
 }
 
 /// The controller of one term.
@@ -77,8 +99,7 @@
                 phase: rollout.phase,
                 phase_since: now,
                 requests_at_target: 0,
-                load_test_since: None,
-                load_test_requests: 0,
+                load_test: None,
             });
             if tracked.phase != rollout.phase {
                 tracked.phase = rollout.phase;
@@ -107,8 +128,14 @@
         }
     }
 
-    /// The shares that committed records allow now; `exposure` bounds what a version gets that isn't judged.
-    pub fn shares(&self, now: Duration, rollouts: &Rollouts, exposure: ExposureBound) -> Vec<ShareGrant> {
+    /// The shares of a router that committed records allow now; `exposure` bounds what a version gets that isn't judged.
+    pub fn shares(
+        &self,
+        now: Duration,
+        router: SocketAddrV4,
+        rollouts: &Rollouts,
+        exposure: ExposureBound,
+    ) -> Vec<ShareGrant> {
         let current = rollouts.services().filter_map(|(_, of_service)| of_service.current.as_ref());
         let grant = |rollout: &Rollout| {
             let tracked = self.tracked.get(&rollout.id)?;
@@ -119,10 +146,12 @@
                 RolloutPhase::Promoting => promotion_share(now.saturating_sub(tracked.phase_since))?,
                 _ => return None,
             };
-            let load_test = tracked.load_test_since.filter(|since| {
-                rollout.phase == RolloutPhase::Canary && is_load_test_granted(now.saturating_sub(*since))
+            let load_test = tracked.load_test.as_ref().filter(|test| {
+                rollout.phase == RolloutPhase::Canary
+                    && test.routers.contains(&router)
+                    && is_load_test_granted(now.saturating_sub(test.since))
             });
-            let load_test = load_test.map(|_| tracked.load_test_requests);
+            let load_test = load_test.map(|test| test.requests_each);
             Some(grant_of(rollout.id, share, load_test))
         };
         current.filter_map(grant).collect()
@@ -172,7 +201,7 @@
         for rollout in current.filter(|rollout| rollout.phase == RolloutPhase::Canary) {
             let Some(tracked) = self.tracked.get_mut(&rollout.id) else { continue };
             let is_due = tracked.evidence.age(now) >= Schedule::of(rollout).load_test_at;
-            if tracked.load_test_since.is_some() || !is_due || !has_endpoints(rollout, registry) {
+            if tracked.load_test.is_some() || !is_due || !has_endpoints(rollout, registry) {
                 continue;
             }
             let comparisons = tracked.evidence.comparisons();
@@ -185,9 +214,8 @@
                 capacity_of_target(rollout, registry),
                 comparisons.values().map(|both| both.base.ended + both.target.ended).sum(),
             );
-            let routers = tracked.evidence.reporter_count(now.saturating_sub(REPORT_LIFETIME)).max(1);
-            tracked.load_test_requests = (requests / routers as f64).round().max(1.0) as u16;
-            tracked.load_test_since = Some(now);
+            let routers = tracked.evidence.reporters(now.saturating_sub(REPORT_LIFETIME));
+            tracked.load_test = Some(LoadTest::new(now, requests, &routers));
         }
     }
 
@@ -260,8 +288,8 @@
                 Some((RolloutPhase::RolledBack, reason))
             }
             RolloutPhase::Canary => {
-                let is_tested =
-                    tracked.load_test_since.is_some_and(|since| is_load_tested(now.saturating_sub(since)));
+                let load_test = tracked.load_test.as_ref();
+                let is_tested = load_test.is_some_and(|test| is_load_tested(now.saturating_sub(test.since)));
                 let is_due = age >= schedule.promote_at && judgement == Judgement::Good && is_tested;
                 (is_due && has_endpoints(rollout, registry))
                     .then(|| (RolloutPhase::Promoting, format!("judged good by {requests} requests")))
--- a/crates/router/control-plane/src/rollout/evidence.rs
+++ b/crates/router/control-plane/src/rollout/evidence.rs
@@ -4,7 +4,7 @@
 //! counts nothing twice. Nothing here is durable: a new controller has it again from the next reports.
 
 use passrelay_dissemination::{Peer, RequestClass, RolloutReport, Tally};
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddrV4;
 use std::time::Duration;
 
@@ -73,9 +73,10 @@
         comparisons
     }
 
-    /// Number of sidecars with a report since `since`.
-    pub fn reporter_count(&self, since: Duration) -> usize {
-        self.reports.values().filter(|received| received.at >= since).count()
+    /// The sidecars with a report since `since`.
+    pub fn reporters(&self, since: Duration) -> BTreeSet<SocketAddrV4> {
+        let recent = self.reports.iter().filter(|(_, received)| received.at >= since);
+        recent.map(|((address, _), _)| *address).collect()
     }
 
     /// Whether all sidecars with a report since `since` send to the new version alone and have nothing left at others. False
--- a/crates/router/control-plane/src/rollout/schedule.rs
+++ b/crates/router/control-plane/src/rollout/schedule.rs
@@ -31,7 +31,7 @@
 /// Shares of a load test are granted for so long; each router serves it once.
 const LOAD_TEST_GRANT_TIME: Duration = Duration::from_millis(900);
 /// A load test brings one endpoint to this fraction of its capacity, as far as the bound on exposure allows.
-const LOAD_TEST_FILL: f64 = 0.7;
+const LOAD_TEST_FILL: f64 = 0.6;
 /// Of the slack in the bound on exposure, what a load test may use ...
 const LOAD_TEST_SLACK_FRACTION: f64 = 0.8;
 /// ... and of the share that the bound allows of the requests so far.
