--- a/crates/router/control-plane/src/rollout/schedule.rs
+++ b/crates/router/control-plane/src/rollout/schedule.rs
@@ -21,7 +21,7 @@
 /// A version that isn't judged good by then is not promoted any more.
 const MIN_MOVE_TIME_PERCENT: u32 = 20;
 /// Of the share that the bound allows, what a canary gets: sidecars count their own requests and round.
-const CANARY_SHARE_OF_BOUND: f64 = 0.6;
+const CANARY_SHARE_OF_BOUND: f64 = 0.55;
 /// Until so many requests have ended, a canary gets half of that, and isn't tested under load.
 pub(super) const FIRST_REQUESTS: u32 = 8;
 /// Endpoints of a canary get somewhat more each than they would in service, so that a fault under load shows.
@@ -31,11 +31,11 @@
 /// Shares of a load test are granted for so long; each router serves it once.
 const LOAD_TEST_GRANT_TIME: Duration = Duration::from_millis(900);
 /// A load test brings one endpoint to this fraction of its capacity, as far as the bound on exposure allows.
-const LOAD_TEST_FILL: f64 = 0.6;
+const LOAD_TEST_FILL: f64 = 0.95;
 /// Of the slack in the bound on exposure, what a load test may use ...
-const LOAD_TEST_SLACK_FRACTION: f64 = 0.8;
+const LOAD_TEST_SLACK_FRACTION: f64 = 0.9;
 /// ... and of the share that the bound allows of the requests so far.
-const LOAD_TEST_SHARE_OF_BOUND: f64 = 0.25;
+const LOAD_TEST_SHARE_OF_BOUND: f64 = 0.3;
 /// Shares while a version is promoted, each for [`PROMOTION_STEP`]: caches fill, and nobody reads everything at one moment.
 const PROMOTION_SHARES: [f64; 2] = [0.3, 0.65];
 const PROMOTION_STEP: Duration = Duration::from_millis(700);
