--- a/review/stand-ins/src/drain.rs
+++ b/review/stand-ins/src/drain.rs
@@ -60,8 +60,8 @@
 }
 
 pub fn play(record: &Arc<Record>, trouble: bool) -> Verdict {
-    let fleet =
-        Arc::new(Fleet::start(MACHINES, "base,drain,config,cost,retry,recover,engine,stream,tenants,quota")?);
+    let running = Fleet::start(MACHINES, "base,drain,config,cost,retry,recover,engine,stream,tenants,quota")?;
+    let fleet = running.fleet.clone();
     let stop = Arc::new(AtomicBool::new(false));
     let old = Endpoint::start("i-old", "modelo", record, work())?;
     let others = [
--- a/review/stand-ins/src/fleet.rs
+++ b/review/stand-ins/src/fleet.rs
@@ -4,7 +4,8 @@
 use std::fs::{create_dir_all, remove_dir_all, write, File};
 use std::net::{SocketAddr, TcpListener, UdpSocket};
 use std::path::PathBuf;
-use std::process::{Child, Command, Stdio};
+use std::process::{exit, Child, Command, Stdio};
+use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
 const FRONT: u16 = 8_662;
@@ -13,30 +14,40 @@
 const INTERNAL: u16 = 7_680;
 /// Machines with a disk; they come first.
 pub const VOTERS: usize = 3;
+/// A case that takes longer is given up.
+const TIME_LIMIT: Duration = Duration::from_secs(110);
 
 pub struct Fleet {
     directory: PathBuf,
     network: String,
     contracts: &'static str,
-    processes: Vec<Option<Child>>,
+    processes: Mutex<Vec<Child>>,
+    machines: usize,
 }
 
 impl Fleet {
     /// Starts a whole system for the first time: three machines with a disk, and others without one.
-    pub fn start(machines: usize, contracts: &'static str) -> Result<Fleet, String> {
+    pub fn start(machines: usize, contracts: &'static str) -> Result<Running, String> {
         let directory = std::env::temp_dir().join(format!("passrelay-review-{}", std::process::id()));
         create_dir_all(&directory).map_err(|error| error.to_string())?;
         let network = free_network(machines)?;
-        let mut fleet = Fleet { directory, network, contracts, processes: Vec::new() };
+        let fleet = Fleet { directory, network, contracts, processes: Mutex::default(), machines };
+        let running = Running { fleet: Arc::new(fleet) };
         for machine in 0..machines {
-            fleet.processes.push(None);
-            fleet.spawn(machine, true)?;
+            running.fleet.spawn(machine, true)?;
         }
-        Ok(fleet)
+        let watched = running.fleet.clone();
+        std::thread::spawn(move || {
+            std::thread::sleep(TIME_LIMIT);
+            eprintln!("the case takes too long");
+            watched.end_all();
+            exit(2);
+        });
+        Ok(running)
     }
 
     /// Starts the process of one machine, with the settings of that moment.
-    pub fn spawn(&mut self, machine: usize, bootstrap: bool) -> Result<(), String> {
+    fn spawn(&self, machine: usize, bootstrap: bool) -> Result<(), String> {
         let path = self.write_settings(machine, bootstrap)?;
         let log =
             File::options().create(true).append(true).open(self.directory.join(format!("log-{machine}")));
@@ -51,7 +62,7 @@
             .stderr(copy)
             .spawn()
             .map_err(|error| format!("target/release/passrelay: {error}"))?;
-        self.processes[machine] = Some(child);
+        self.processes.lock().unwrap().push(child);
         Ok(())
     }
 
@@ -118,7 +129,7 @@
     }
 
     pub fn machines(&self) -> usize {
-        self.processes.len()
+        self.machines
     }
 
     fn ip(&self, machine: usize) -> String {
@@ -175,9 +186,10 @@
     }
 }
 
-impl Drop for Fleet {
-    fn drop(&mut self) {
-        for child in self.processes.iter_mut().flatten() {
+impl Fleet {
+    /// Ends all processes that were started, and removes their files.
+    fn end_all(&self) {
+        for mut child in self.processes.lock().unwrap().drain(..) {
             let _ = child.kill();
             let _ = child.wait();
         }
@@ -185,6 +197,17 @@
     }
 }
 
+/// A running fleet. Dropping this ends all of its processes, whoever still holds the fleet.
+pub struct Running {
+    pub fleet: Arc<Fleet>,
+}
+
+impl Drop for Running {
+    fn drop(&mut self) {
+        self.fleet.end_all();
+    }
+}
+
 /// Returns the first three numbers of a loopback network in which all needed ports are free.
 fn free_network(machines: usize) -> Result<String, String> {
     let start = std::process::id();
--- a/review/stand-ins/src/keys.rs
+++ b/review/stand-ins/src/keys.rs
@@ -41,8 +41,8 @@
 }
 
 pub fn play(record: &Arc<Record>, trouble: bool) -> Verdict {
-    let fleet =
-        Arc::new(Fleet::start(MACHINES, "base,drain,config,cost,retry,recover,engine,stream,tenants,quota")?);
+    let running = Fleet::start(MACHINES, "base,drain,config,cost,retry,recover,engine,stream,tenants,quota")?;
+    let fleet = running.fleet.clone();
     let stop = Arc::new(AtomicBool::new(false));
     let endpoint = Endpoint::start("i-plate", "placa", record, work())?;
     {
--- a/review/stand-ins/src/twice.rs
+++ b/review/stand-ins/src/twice.rs
@@ -36,8 +36,8 @@
 const REMOVED: &str = r#"{"generation":2,"remove":{"routes":["r-pay"]}}"#;
 
 pub fn play(record: &Arc<Record>, trouble: bool) -> Verdict {
-    let fleet =
-        Arc::new(Fleet::start(MACHINES, "base,drain,config,cost,retry,recover,engine,stream,tenants,quota")?);
+    let running = Fleet::start(MACHINES, "base,drain,config,cost,retry,recover,engine,stream,tenants,quota")?;
+    let fleet = running.fleet.clone();
     let stop = Arc::new(AtomicBool::new(false));
     let mut endpoints = Vec::new();
     for number in 0..ENDPOINTS {
