Repeat a request only as every route allows under which it was admitted

Cause: before each attempt the request is admitted anew, and whether and how often it may be repeated was taken from that newest route, not from those it had been sent under. Evidence: the new status field repeats is 1 under generation 4 for an unsafe request sent under 3. The same cause joined two answers in a stream whose route was removed or moved to another service, and charged a request to the tenant that its key had before.

Now a request carries what all its routes allow in common (ExecutionLimits), a response remembers where its stream began (StreamOrigin), and the quota is charged anew if the tenant is another.

The account test gained the two new keys of the status.

--- a/crates/passrelay/tests/fleet/account.rs
+++ b/crates/passrelay/tests/fleet/account.rs
@@ -5,7 +5,7 @@
 use passrelay_test_support::wait_until;
 use serde_json::Value;
 
-const KEYS: [&str; 16] = [
+const KEYS: [&str; 18] = [
     "answers_dropped",
     "denials",
     "endpoints",
@@ -18,10 +18,12 @@
     "members",
     "peers",
     "primary",
+    "repeats",
     "requests_sent",
     "service_versions",
     "term",
     "unproven_denials",
+    "withheld_repeats",
 ];
 
 #[test]
--- a/crates/passrelay/tests/fleet/main.rs
+++ b/crates/passrelay/tests/fleet/main.rs
@@ -2,6 +2,7 @@
 
 mod account;
 mod answers;
+mod changes_in_flight;
 mod interruptions;
 
 use passrelay_test_support::fleet::{read_all, Fleet, Sidecar};
--- a/crates/router/configuration/src/model.rs
+++ b/crates/router/configuration/src/model.rs
@@ -59,6 +59,11 @@
             RouteType::Streaming => self.resumable,
         }
     }
+
+    /// Returns whether requests of the route may go to `service`. A backend of weight 0 receives none.
+    pub fn sends_to(&self, service: &str) -> bool {
+        self.backends.iter().any(|backend| backend.service == service && backend.weight > 0.0)
+    }
 }
 
 /// A service and the common properties of its endpoints.
--- a/crates/router/data-plane/src/lib.rs
+++ b/crates/router/data-plane/src/lib.rs
@@ -5,7 +5,8 @@
 //! 3. [`traffic_split`] selects the service if the route has several backends.
 //! 4. [`rollout_shares`] selects the version while a new one is being rolled out.
 //! 5. [`balancer`] selects the endpoint by load, health, zone and the [`prompt`].
-//! 6. [`retry_budget`] limits how often a request is sent again after a failed attempt.
+//! 6. [`execution_limits`] and [`retry_budget`] limit how often a request is sent again after a failed attempt, and
+//!    [`stream_origin`] decides whether a stream that broke off continues.
 //!
 //! This crate does no I/O, reads no clock and is single-threaded: the caller passes events in, with `now` as
 //! the time since the process started, and carries out the decisions. Sockets, deadlines and retries are
@@ -13,9 +14,11 @@
 //! `passrelay-control-plane`.
 
 pub mod balancer;
+pub mod execution_limits;
 pub mod prompt;
 pub mod quota;
 pub mod retry_budget;
 pub mod rollout_shares;
 pub mod routing;
+pub mod stream_origin;
 pub mod traffic_split;
--- a/crates/router/node/src/coordinator_driver.rs
+++ b/crates/router/node/src/coordinator_driver.rs
@@ -210,6 +210,8 @@
         status["requests_sent"] = serde_json::json!(data_plane.balancer.borrow().request_counts());
         status["denials"] = data_plane.denials.proven.get().into();
         status["unproven_denials"] = data_plane.denials.unproven.get().into();
+        status["repeats"] = data_plane.repeats.sent.get().into();
+        status["withheld_repeats"] = data_plane.repeats.withheld.get().into();
         status.to_string()
     }
 
--- a/crates/router/node/src/data_plane.rs
+++ b/crates/router/node/src/data_plane.rs
@@ -7,6 +7,7 @@
 use crate::denials::Denials;
 use crate::logging::{log_event, Quoted};
 use crate::quota_client::QuotaClient;
+use crate::repeats::Repeats;
 use passrelay_configuration::{parse_document, Configuration, ServiceVersions};
 use passrelay_control_plane::quota::TenantKey;
 use passrelay_data_plane::balancer::Balancer;
@@ -34,6 +35,8 @@
     pub quota: QuotaClient,
     /// Number of requests denied since the start of the process.
     pub denials: Denials,
+    /// Number of requests repeated since the start of the process.
+    pub repeats: Repeats,
 }
 
 impl DataPlane {
@@ -47,6 +50,7 @@
             rollout_shares: RefCell::new(RolloutShares::new(rand::random())),
             quota: QuotaClient::new(),
             denials: Denials::default(),
+            repeats: Repeats::default(),
         }
     }
 
--- a/crates/router/node/src/lib.rs
+++ b/crates/router/node/src/lib.rs
@@ -41,6 +41,7 @@
 mod process;
 mod quota_client;
 mod readiness;
+mod repeats;
 mod request;
 mod request_context;
 mod responses;
--- a/crates/router/node/src/request/admission.rs
+++ b/crates/router/node/src/request/admission.rs
@@ -68,9 +68,4 @@
     pub fn choose_service(&self, context: &RequestContext) -> String {
         context.data_plane.traffic_splits.borrow_mut().choose(&self.route).to_owned()
     }
-
-    /// Returns whether the route has `service` among its backends.
-    pub fn has_service(&self, service: &str) -> bool {
-        self.route.backends.iter().any(|backend| backend.service == service)
-    }
 }
--- a/crates/router/node/src/request/attempts.rs
+++ b/crates/router/node/src/request/attempts.rs
@@ -8,6 +8,7 @@
 use super::headers::{INSTANCE_LOAD, NOT_EXECUTED, REQUEST_ID};
 use super::inbound::InboundRequest;
 use super::outbound::{self, AttemptFields};
+use super::quota::{self, QuotaReservation};
 use super::retry_policy::{AttemptConditions, AttemptHistory};
 use crate::request_context::RequestContext;
 use crate::responses::Failure;
@@ -16,7 +17,9 @@
 use hyper::body::Incoming;
 use hyper::{Response, StatusCode};
 use passrelay_data_plane::balancer::{LoadReport, Pick, PickRequest, RequestOutcome};
+use passrelay_data_plane::execution_limits::ExecutionLimits;
 use passrelay_data_plane::rollout_shares::{CanaryChoice, RequestFeatures};
+use passrelay_data_plane::stream_origin::StreamOrigin;
 use smol::Timer;
 use std::rc::Rc;
 use std::sync::Arc;
@@ -33,6 +36,8 @@
     pub connection: Connection,
     /// Accounting of the call at the balancer.
     pub call: EndpointCall,
+    /// The conditions under which the response began.
+    pub origin: StreamOrigin,
 }
 
 /// Outcome of an attempt.
@@ -77,13 +82,35 @@
     /// Service of the previous attempt; `None` before the first one.
     service: Option<String>,
     history: AttemptHistory,
+    /// What all configurations allow under which the request was admitted.
+    limits: ExecutionLimits,
+    /// Tokens charged to the request's tenant.
+    reservation: Option<QuotaReservation>,
+    /// Origin of the response that is being relayed and has broken off; `None` before the first response.
+    resumed: Option<StreamOrigin>,
 }
 
 impl Attempts {
-    /// Creates the state before the first attempt.
-    pub fn new(context: Rc<RequestContext>, inbound: Rc<InboundRequest>, deadline: Duration) -> Self {
-        let history = AttemptHistory::default();
-        Attempts { context, inbound, deadline, attempted: Vec::new(), service: None, history }
+    /// Creates the state before the first attempt. `limits` are those of the routes that have admitted the request, and
+    /// `reservation` holds the tokens charged to its tenant.
+    pub fn new(
+        context: Rc<RequestContext>,
+        inbound: Rc<InboundRequest>,
+        deadline: Duration,
+        limits: ExecutionLimits,
+        reservation: Option<QuotaReservation>,
+    ) -> Self {
+        Attempts {
+            context,
+            inbound,
+            deadline,
+            attempted: Vec::new(),
+            service: None,
+            history: AttemptHistory::default(),
+            limits,
+            reservation,
+            resumed: None,
+        }
     }
 
     /// Returns the deadline of the request, on the clock of the process.
@@ -96,14 +123,20 @@
         &self.context
     }
 
-    /// Returns whether any endpoint may have executed the request.
-    pub fn may_have_executed(&self) -> bool {
-        self.history.may_have_executed()
+    /// Returns the reserved tokens, unless an endpoint may have executed the request.
+    pub fn refund(&mut self) {
+        if !self.history.may_have_executed() {
+            if let Some(reservation) = self.reservation.take() {
+                reservation.refund(&self.context);
+            }
+        }
     }
 
-    /// Records that the endpoint's response broke off. The request counts as possibly executed.
-    pub fn record_broken_response(&mut self) {
+    /// Records that the relayed response broke off. The request counts as possibly executed, and only an endpoint that may
+    /// continue a response of this origin is attempted from now on.
+    pub fn record_broken_response(&mut self, origin: StreamOrigin) {
         self.history.possibly_executed += 1;
+        self.resumed = Some(origin);
     }
 
     /// Attempts endpoints until one has executed the request and responds. When a stream is resumed,
@@ -120,7 +153,12 @@
             }
             let admission = admission::admit(&self.context, &self.inbound)
                 .map_err(|denied| self.history.admission_failure(denied))?;
-            self.history.check_next(&self.conditions(&admission))?;
+            self.check_next(&admission)?;
+            if !QuotaReservation::covers(self.reservation.as_ref(), &admission) {
+                self.charge(&admission).await?;
+                // Waiting for tokens may have taken long, so the request is admitted again.
+                continue;
+            }
             let service = self.assign_service(&admission);
             match self.attempt(&admission, &service, last_event_id).await? {
                 AttemptOutcome::Executed(response) => return Ok(*response),
@@ -134,18 +172,38 @@
         }
     }
 
-    fn conditions(&self, admission: &Admission) -> AttemptConditions {
-        AttemptConditions {
-            idempotent: admission.route.is_idempotent(),
-            max_executions: admission.route.max_attempts,
-            accepted_by_shutdown: self.context.shutdown.accepts(self.deadline),
+    /// Checks whether the request may be sent under `admission` after the attempts so far.
+    fn check_next(&mut self, admission: &Admission) -> Result<(), Failure> {
+        self.limits = self.limits.restricted_by(&admission.route);
+        let accepted_by_shutdown = self.context.shutdown.accepts(self.deadline);
+        let checked =
+            self.history.check_next(&AttemptConditions { limits: self.limits, accepted_by_shutdown });
+        let may_continue =
+            |origin: &StreamOrigin| origin.may_continue(&admission.route, admission.tenant.as_ref());
+        let checked = match &self.resumed {
+            Some(origin) if !may_continue(origin) => Err(Failure::NoResponse),
+            _ => checked,
+        };
+        let current =
+            AttemptConditions { limits: ExecutionLimits::of(&admission.route), accepted_by_shutdown };
+        if checked.is_err() && self.history.check_next(&current).is_ok() {
+            self.context.data_plane.repeats.record_withheld();
         }
+        checked
+    }
+
+    /// Charges the request to the tenant that it has under `admission`, to which it was not charged before.
+    async fn charge(&mut self, admission: &Admission) -> Result<(), Failure> {
+        self.refund();
+        let reserved = quota::reserve(&self.context, &self.inbound, admission).await;
+        self.reservation = reserved.map_err(|failure| self.history.admission_failure(failure))?;
+        Ok(())
     }
 
     /// Returns the service of the next attempt. A request stays with its service as long as its route has that
     /// service as a backend, so that retries do not skew the traffic split.
     fn assign_service(&mut self, admission: &Admission) -> String {
-        let assigned = self.service.take().filter(|service| admission.has_service(service));
+        let assigned = self.service.take().filter(|service| admission.route.sends_to(service));
         let service = assigned.unwrap_or_else(|| admission.choose_service(&self.context));
         self.service = Some(service.clone());
         if self.history.attempts == 0 {
@@ -185,6 +243,9 @@
             context.upstream.put(context.now(), connection);
             return Err(self.history.exhausted_failure());
         }
+        if self.history.may_have_executed() {
+            context.data_plane.repeats.record_sent();
+        }
         let fields = AttemptFields {
             endpoint: &pick.id,
             time_remaining: self.deadline.saturating_sub(context.now()),
@@ -208,7 +269,8 @@
         };
         let result = smol::future::or(async { Some(connection.send(request).await) }, timeout).await;
         self.attempted.push(pick.id);
-        Ok(self.classify_result(result, connection, call))
+        let origin = StreamOrigin::new(&admission.route, admission.tenant.as_ref(), service);
+        Ok(self.classify_result(result, connection, call, origin))
     }
 
     /// Selects an endpoint of a version being rolled out if this router's share provides for it, and otherwise of the version in
@@ -251,6 +313,7 @@
         result: Option<Result<Response<Incoming>, SendError>>,
         connection: Connection,
         call: EndpointCall,
+        origin: StreamOrigin,
     ) -> AttemptOutcome {
         match result {
             None => AttemptOutcome::TimedOut,
@@ -270,16 +333,14 @@
                 call.end(RequestOutcome::Failed);
                 AttemptOutcome::Unknown
             }
-            Some(Ok(response)) => self.classify_response(response, connection, call),
+            Some(Ok(response)) => {
+                self.classify_response(EndpointResponse { response, connection, call, origin })
+            }
         }
     }
 
-    fn classify_response(
-        &mut self,
-        response: Response<Incoming>,
-        connection: Connection,
-        call: EndpointCall,
-    ) -> AttemptOutcome {
+    fn classify_response(&mut self, received: EndpointResponse) -> AttemptOutcome {
+        let EndpointResponse { response, call, .. } = &received;
         if response.headers().get(&REQUEST_ID) != self.inbound.headers.get(&REQUEST_ID) {
             // The response belongs to another request.
             call.end(RequestOutcome::Failed);
@@ -291,10 +352,11 @@
         let executed = !misdirected && !response.headers().contains_key(&NOT_EXECUTED);
         call.record_response(report, executed && response.status().is_server_error());
         if executed {
-            return AttemptOutcome::Executed(Box::new(EndpointResponse { response, connection, call }));
+            return AttemptOutcome::Executed(Box::new(received));
         }
         call.end(if misdirected { RequestOutcome::Failed } else { RequestOutcome::Rejected });
         self.history.rejected += 1;
+        let EndpointResponse { response, connection, .. } = received;
         let context = self.context.clone();
         self.context.spawner.spawn_bounded(drain(context, response, connection));
         AttemptOutcome::NotExecuted
--- a/crates/router/node/src/request/mod.rs
+++ b/crates/router/node/src/request/mod.rs
@@ -34,7 +34,7 @@
 use hyper::body::Incoming;
 use hyper::{Request, Response};
 use inbound::{InboundRequest, DEFAULT_TIMEOUT};
-use passrelay_configuration::RouteType;
+use passrelay_data_plane::execution_limits::ExecutionLimits;
 use smol::Timer;
 use std::rc::Rc;
 use std::time::Duration;
@@ -79,20 +79,19 @@
     if !context.shutdown.accepts(inbound.deadline(&admission.route)) {
         return Err(Failure::ShuttingDown);
     }
+    let limits = ExecutionLimits::of(&admission.route);
     inbound.body = inbound_body::read(admission.snapshot.table.limits(), body).await?;
     let inbound = Rc::new(inbound);
     let admission = admission::admit(context, &inbound)?;
     let reservation = quota::reserve(context, &inbound, &admission).await?;
     let deadline = inbound.deadline(&admission.route);
-    let resumable = admission.route.route_type == RouteType::Streaming && admission.route.resumable;
+    let limits = limits.restricted_by(&admission.route);
     drop(admission);
-    let mut attempts = Attempts::new(context.clone(), inbound, deadline);
+    let mut attempts = Attempts::new(context.clone(), inbound, deadline, limits, reservation);
     match attempts.next(None).await {
-        Ok(response) => Ok(relay_body::respond(response, attempts, resumable)),
+        Ok(response) => Ok(relay_body::respond(response, attempts)),
         Err(failure) => {
-            if let Some(reservation) = reservation.filter(|_| !attempts.may_have_executed()) {
-                reservation.refund(context);
-            }
+            attempts.refund();
             Err(failure)
         }
     }
--- a/crates/router/node/src/request/quota.rs
+++ b/crates/router/node/src/request/quota.rs
@@ -5,7 +5,7 @@
 use super::inbound::InboundRequest;
 use crate::request_context::RequestContext;
 use crate::responses::Failure;
-use passrelay_configuration::TokenUnit;
+use passrelay_configuration::{Tenant, TokenUnit};
 use passrelay_control_plane::quota::TenantKey;
 use passrelay_data_plane::quota::SpentTokens;
 use smol::Timer;
@@ -23,6 +23,13 @@
 }
 
 impl QuotaReservation {
+    /// Returns whether a request with this reservation, if any, is charged to the tenant that it now has. A request without
+    /// a tenant, or whose tenant has no limit, needs none.
+    pub fn covers(reservation: Option<&Self>, admission: &Admission) -> bool {
+        let charged = reservation.map(|reservation| reservation.tenant);
+        limited_tenant(admission).is_none_or(|tenant| charged == Some(TenantKey::of(&tenant.name)))
+    }
+
     /// Returns the tokens of a request that no endpoint has executed.
     pub fn refund(self, context: &RequestContext) {
         context.data_plane.quota.shares.borrow_mut().refund(context.now(), self.tenant.0, self.spent);
@@ -60,8 +67,7 @@
     inbound: &InboundRequest,
     admission: &Admission,
 ) -> Result<Option<QuotaReservation>, Failure> {
-    let limited_tenant = admission.tenant.as_ref().filter(|tenant| tenant.is_limited());
-    let Some(tenant) = limited_tenant else { return Ok(None) };
+    let Some(tenant) = limited_tenant(admission) else { return Ok(None) };
     let key = TenantKey::of(&tenant.name);
     let tokens = match tenant.unit {
         TokenUnit::Requests => 1,
@@ -95,3 +101,7 @@
         smol::future::or(granted, retry).await;
     }
 }
+
+fn limited_tenant(admission: &Admission) -> Option<&Tenant> {
+    admission.tenant.as_ref().filter(|tenant| tenant.is_limited())
+}
--- a/crates/router/node/src/request/relay_body.rs
+++ b/crates/router/node/src/request/relay_body.rs
@@ -16,15 +16,17 @@
 use hyper::header::CONTENT_LENGTH;
 use hyper::{Response, StatusCode};
 use passrelay_data_plane::balancer::RequestOutcome;
+use passrelay_data_plane::stream_origin::StreamOrigin;
 use smol::stream;
 use smol::Timer;
 
 /// Returns the response to the client, which relays the endpoint's response.
-pub fn respond(endpoint_response: EndpointResponse, attempts: Attempts, resumable: bool) -> Response<Body> {
-    let EndpointResponse { response, connection, call } = endpoint_response;
+pub fn respond(endpoint_response: EndpointResponse, attempts: Attempts) -> Response<Body> {
+    let EndpointResponse { response, connection, call, origin } = endpoint_response;
     let (parts, incoming) = response.into_parts();
-    let can_resume =
-        resumable && parts.status == StatusCode::OK && !parts.headers.contains_key(CONTENT_LENGTH);
+    let can_resume = origin.is_resumable()
+        && parts.status == StatusCode::OK
+        && !parts.headers.contains_key(CONTENT_LENGTH);
     let time_remaining = attempts.deadline().saturating_sub(attempts.context().now());
     let is_empty = incoming.is_end_stream();
     let mut relay = BodyRelay {
@@ -32,6 +34,7 @@
         connection: Some(connection),
         call,
         events: can_resume.then(EventBuffer::default),
+        origin,
         deadline: Timer::after(time_remaining),
         attempts,
         ended: false,
@@ -59,6 +62,8 @@
     call: EndpointCall,
     /// Buffer for complete events, if the stream can be resumed.
     events: Option<EventBuffer>,
+    /// The conditions under which the response began, which hold for its continuation too.
+    origin: StreamOrigin,
     deadline: Timer,
     attempts: Attempts,
     ended: bool,
@@ -145,7 +150,7 @@
         let Some(events) = &mut self.events else { return false };
         events.discard_partial();
         let last_event_id = events.last_id().map(str::to_owned);
-        self.attempts.record_broken_response();
+        self.attempts.record_broken_response(self.origin.clone());
         let Ok(resumed) = self.attempts.next(last_event_id.as_deref()).await else { return false };
         if resumed.response.status() != StatusCode::OK {
             return false;
--- a/crates/router/node/src/request/retry_policy.rs
+++ b/crates/router/node/src/request/retry_policy.rs
@@ -8,14 +8,19 @@
 //! |---|---|---|
 //! | deadline passed before an attempt | 503 `NoEndpoint` | 504 `TimedOut` |
 //! | admission withdrawn (configuration, key, freshness) | the admission's own failure | 502 `NoResponse` |
-//! | route not idempotent, or its executions exhausted | attempt | 502 `NoResponse` |
+//! | not idempotent, or its executions exhausted | attempt | 502 `NoResponse` |
 //! | this process ends before the deadline | 503 `ShuttingDown` | attempt |
 //! | too many attempts, no endpoint left, or no retry budget | 503 `NoEndpoint` | 502 `NoResponse` |
 //! | deadline passed during an attempt | - | 504 `TimedOut` |
 //!
 //! The rows are checked in this order.
+//!
+//! The configuration may change while a request is in flight. What a request may do is what every route under which it
+//! was admitted allows ([`ExecutionLimits`]): an endpoint may be executing it under the permission of the first one, and
+//! the next attempt is sent under that of the last one.
 
 use crate::responses::Failure;
+use passrelay_data_plane::execution_limits::ExecutionLimits;
 
 /// Maximum number of attempts of one request, including refused connections. Bounds the work that a request
 /// causes while all endpoints reject requests.
@@ -35,10 +40,8 @@
 /// The conditions for the next attempt, apart from the history.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct AttemptConditions {
-    /// Whether the route's requests may be executed more than once.
-    pub idempotent: bool,
-    /// Maximum number of executions on the route.
-    pub max_executions: u64,
+    /// Limits of all routes under which the request was admitted.
+    pub limits: ExecutionLimits,
     /// Whether a graceful shutdown, if any, leaves enough time until the deadline.
     pub accepted_by_shutdown: bool,
 }
@@ -89,7 +92,7 @@
     /// Returns the failure that ends the request.
     pub fn check_next(&self, conditions: &AttemptConditions) -> Result<(), Failure> {
         if self.may_have_executed() {
-            if !conditions.idempotent || self.possibly_executed >= conditions.max_executions {
+            if !conditions.limits.allow_repeat(self.possibly_executed) {
                 return Err(Failure::NoResponse);
             }
         } else if !conditions.accepted_by_shutdown {
--- a/crates/router/node/src/request/retry_policy/tests.rs
+++ b/crates/router/node/src/request/retry_policy/tests.rs
@@ -3,9 +3,10 @@
 use super::*;
 use rstest::rstest;
 
-const IDEMPOTENT: AttemptConditions =
-    AttemptConditions { idempotent: true, max_executions: 3, accepted_by_shutdown: true };
-const NOT_IDEMPOTENT: AttemptConditions = AttemptConditions { idempotent: false, ..IDEMPOTENT };
+const LIMITS: ExecutionLimits = ExecutionLimits { idempotent: true, max_executions: 3 };
+const IDEMPOTENT: AttemptConditions = AttemptConditions { limits: LIMITS, accepted_by_shutdown: true };
+const NOT_IDEMPOTENT: AttemptConditions =
+    AttemptConditions { limits: ExecutionLimits { idempotent: false, ..LIMITS }, ..IDEMPOTENT };
 const SHUTTING_DOWN: AttemptConditions = AttemptConditions { accepted_by_shutdown: false, ..IDEMPOTENT };
 
 fn history(attempts: usize, possibly_executed: u64, rejected: u64) -> AttemptHistory {
