Refuse all keys once the last tenant is gone, and keep what else became empty

Cause: that a configuration has tenants was asked as 'its list isn't empty'. Evidence: in the new process test 200 for the taken key after a PATCH by name, a PUT with an empty list and a PUT without the list; the log event configured has tenants and keys since.

Now a configuration has tenants if the field is there (KeyPolicy).

--- a/crates/passrelay/src/config.rs
+++ b/crates/passrelay/src/config.rs
@@ -41,7 +41,7 @@
         /// Control address of any sidecar.
         #[arg(long, value_name = "ADDRESS")]
         at: SocketAddr,
-        /// With json: the change in the format that patch accepts.
+        /// With json: the change in the format that patch accepts. Exit code 3 if no patch can make it.
         #[arg(long, value_enum, default_value = "text")]
         output: Output,
     },
@@ -134,6 +134,10 @@
     let difference = Difference::between(&current, &later);
     let generation = later.get("generation").and_then(Value::as_u64).unwrap_or_default();
     match output {
+        Output::Json if !difference.is_patchable() => {
+            println!("tenants: no patch adds an empty list or removes the list, put the whole configuration");
+            return Ok(ExitCode::from(REFUSED));
+        }
         Output::Json => println!("{}", difference.patch(generation)),
         Output::Text => difference.items.iter().for_each(|item| println!("{item}")),
     }
--- a/crates/passrelay/tests/fleet/main.rs
+++ b/crates/passrelay/tests/fleet/main.rs
@@ -4,6 +4,7 @@
 mod answers;
 mod changes_in_flight;
 mod interruptions;
+mod last_tenant;
 
 use passrelay_test_support::fleet::{read_all, Fleet, Sidecar};
 use passrelay_test_support::{response, wait_until, Message, Reply, Server};
--- a/crates/router/configuration/src/difference.rs
+++ b/crates/router/configuration/src/difference.rs
@@ -1,6 +1,7 @@
 //! The difference between two documents, item by item, and the patch that transforms one into the other.
 
 use crate::patch::{name_of, LISTS};
+use crate::validate::{has_tenants, TENANTS};
 use serde_json::{json, Map, Value};
 use std::collections::{BTreeMap, BTreeSet};
 use std::fmt;
@@ -21,7 +22,7 @@
 pub struct ItemDifference {
     /// Key of the list in the document that contains the item, or `limits`.
     pub list: &'static str,
-    /// Name that identifies the item within its list; empty for `limits`.
+    /// Name that identifies the item within its list; empty for `limits`, and for the list of tenants itself.
     pub name: String,
     /// Whether the item was added, removed or changed.
     pub change: ItemChange,
@@ -44,7 +45,7 @@
 }
 
 /// All items that differ between two documents.
-#[derive(Clone, Debug, Default, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Difference {
     /// The differing items, sorted by list and name, with `limits` last.
     pub items: Vec<ItemDifference>,
@@ -52,19 +53,28 @@
     upserts: Map<String, Value>,
     /// Value of `remove` in the patch: item names by list.
     removed: Map<String, Value>,
+    is_patchable: bool,
 }
 
 impl Difference {
     /// Computes the difference from one complete document to another. Items without a name are ignored.
     pub fn between(from: &Value, to: &Value) -> Self {
-        let mut difference = Difference::default();
+        let mut difference =
+            Difference { items: Vec::new(), upserts: Map::new(), removed: Map::new(), is_patchable: true };
         for list in LISTS {
             difference.compare_list(list, &items_by_name(from, list), &items_by_name(to, list));
         }
         difference.compare_limits(from.get("limits"), to.get("limits"));
+        difference.compare_presence_of_tenants(from, to);
         difference
     }
 
+    /// Returns whether a patch can transform the old document into the new one. A patch can neither remove the list of
+    /// tenants nor add an empty one.
+    pub fn is_patchable(&self) -> bool {
+        self.is_patchable
+    }
+
     /// Returns the patch that transforms the old document into the new one, for
     /// [`apply_patch`](crate::apply_patch).
     pub fn patch(&self, generation: u64) -> Value {
@@ -116,6 +126,20 @@
     }
 }
 
+impl Difference {
+    /// Reports a list of tenants that only one of the documents has, since requests need an API key only if there is one.
+    fn compare_presence_of_tenants(&mut self, from: &Value, to: &Value) {
+        let change = match (has_tenants(from), has_tenants(to)) {
+            (false, true) => ItemChange::Added,
+            (true, false) => ItemChange::Removed,
+            _ => return,
+        };
+        // Upserted tenants bring their list with them.
+        self.is_patchable = self.upserts.contains_key(TENANTS);
+        self.items.push(ItemDifference { list: TENANTS, name: String::new(), change });
+    }
+}
+
 fn items_by_name<'a>(document: &'a Value, list: &str) -> BTreeMap<&'a str, &'a Value> {
     let items = document.get(list).and_then(Value::as_array);
     items.into_iter().flatten().filter_map(|item| Some((name_of(item)?, item))).collect()
--- a/crates/router/configuration/src/lib.rs
+++ b/crates/router/configuration/src/lib.rs
@@ -33,4 +33,4 @@
 pub use patch::apply_patch;
 pub use rollouts::{OrderError, Rollout, RolloutOrder, RolloutPhase, Rollouts, ServiceRollouts};
 pub use service_versions::ServiceVersions;
-pub use validate::parse_document;
+pub use validate::{document_has_tenants, parse_document};
--- a/crates/router/configuration/src/model.rs
+++ b/crates/router/configuration/src/model.rs
@@ -141,6 +141,14 @@
     pub services: Vec<Service>,
     /// Limits on clients' requests.
     pub limits: Limits,
-    /// Tenants, in document order. If empty, no request needs an API key.
-    pub tenants: Vec<Tenant>,
+    /// Tenants, in document order. `None` if the document has no `tenants`: requests then need no API key. An empty list
+    /// is not the same: requests need a key, and no key is valid.
+    pub tenants: Option<Vec<Tenant>>,
+}
+
+impl Configuration {
+    /// Returns the tenants, none if the document has no `tenants`.
+    pub fn tenants(&self) -> &[Tenant] {
+        self.tenants.as_deref().unwrap_or_default()
+    }
 }
--- a/crates/router/configuration/src/patch.rs
+++ b/crates/router/configuration/src/patch.rs
@@ -6,11 +6,12 @@
 
 use crate::errors::{ValidationErrorKind, ValidationErrors};
 use crate::reader::{ErrorCollector, PathReader};
+use crate::validate::TENANTS;
 use serde_json::{Map, Value};
 use std::collections::{HashMap, HashSet};
 
 /// Keys of the lists whose items a patch can change, in the order in which they are applied and compared.
-pub(crate) const LISTS: [&str; 3] = ["routes", "services", "tenants"];
+pub(crate) const LISTS: [&str; 3] = ["routes", "services", TENANTS];
 
 /// Changes to one list.
 struct ListPatch {
@@ -85,8 +86,11 @@
     upserts
 }
 
+/// Changes one list of the document. A list that becomes empty stays in the document, and one that is absent stays
+/// absent unless items are added: `tenants` without items and no `tenants` at all mean different things.
 fn apply_list_patch(document: &mut Map<String, Value>, list: &str, patch: ListPatch) {
-    if patch.removed.is_empty() && patch.upserts.is_empty() {
+    let is_absent = !matches!(document.get(list), Some(Value::Array(_)));
+    if patch.upserts.is_empty() && (patch.removed.is_empty() || is_absent) {
         return;
     }
     let mut items = match document.remove(list) {
--- a/crates/router/configuration/src/validate.rs
+++ b/crates/router/configuration/src/validate.rs
@@ -16,6 +16,21 @@
 const DEFAULT_TARGET_LATENCY_MS: u64 = 1_000;
 const DEFAULT_PRIORITY: u64 = 5;
 
+/// Key of the list of tenants, the only list whose absence differs from an empty one.
+pub(crate) const TENANTS: &str = "tenants";
+
+/// Returns whether the text of a valid document has `tenants`, if only an empty list.
+pub fn document_has_tenants(document: &str) -> bool {
+    // Most documents without tenants do not contain the word, and need not be parsed.
+    document.contains(TENANTS)
+        && serde_json::from_str::<Value>(document).is_ok_and(|document| has_tenants(&document))
+}
+
+/// Returns whether a document has `tenants`, if only an empty list.
+pub(crate) fn has_tenants(document: &Value) -> bool {
+    document.get(TENANTS).is_some_and(|tenants| !tenants.is_null())
+}
+
 /// Parses the bytes of a document as JSON.
 ///
 /// # Errors
@@ -63,7 +78,7 @@
         generation: root.field("generation").unsigned(),
         routes,
         limits: read_limits(&root.field("limits")),
-        tenants: read_tenants(&root.field("tenants")),
+        tenants: read_tenants(&root.field(TENANTS)),
         services,
     }
 }
@@ -210,7 +225,11 @@
     }
 }
 
-fn read_tenants(list: &PathReader) -> Vec<Tenant> {
+/// Reads the list of tenants, or returns `None` if it is absent.
+fn read_tenants(list: &PathReader) -> Option<Vec<Tenant>> {
+    if !list.is_present() {
+        return None;
+    }
     let mut names = HashSet::new();
     let mut key_owners = HashMap::new();
     let read = |item: &PathReader| {
@@ -228,7 +247,7 @@
             burst: item.field("burst").non_negative_or(0.0),
         }
     };
-    list.items().iter().map(read).collect()
+    Some(list.items().iter().map(read).collect())
 }
 
 /// Returns the API keys of a tenant. Keys that another tenant has as well are reported and left out. `owners`
--- a/crates/router/configuration/tests/difference.rs
+++ b/crates/router/configuration/tests/difference.rs
@@ -42,3 +42,28 @@
     let patch = Difference::between(&before(), &after).patch(9);
     assert_eq!(apply_patch(&before(), &patch).unwrap(), after);
 }
+
+// Guards against a difference that hides, or a patch that fails to make, the step from no tenants to an empty list.
+#[rstest]
+#[case::list_added(json!({}), json!({ "tenants": [] }), &["+ tenants"], false)]
+#[case::list_removed(json!({ "tenants": [] }), json!({}), &["- tenants"], false)]
+#[case::list_and_tenant_removed(json!({ "tenants": [{ "name": "a" }] }), json!({}), &["- tenants a", "- tenants"], false)]
+#[case::first_tenant(json!({}), json!({ "tenants": [{ "name": "a" }] }), &["+ tenants a", "+ tenants"], true)]
+#[case::last_tenant(json!({ "tenants": [{ "name": "a" }] }), json!({ "tenants": [] }), &["- tenants a"], true)]
+fn the_list_of_tenants_itself_is_part_of_a_difference(
+    #[case] from: Value,
+    #[case] to: Value,
+    #[case] expected: &[&str],
+    #[case] is_patchable: bool,
+) {
+    let difference = Difference::between(&from, &to);
+    let items: Vec<String> = difference.items.iter().map(ToString::to_string).collect();
+    assert_eq!(
+        (items, difference.is_patchable()),
+        (expected.iter().map(ToString::to_string).collect(), is_patchable)
+    );
+    if is_patchable {
+        let patched = apply_patch(&from, &difference.patch(2)).unwrap();
+        assert_eq!(patched.get("tenants"), to.get("tenants"));
+    }
+}
--- a/crates/router/configuration/tests/patch.rs
+++ b/crates/router/configuration/tests/patch.rs
@@ -3,7 +3,8 @@
 mod common;
 
 use common::valid_document;
-use passrelay_configuration::{apply_patch, Configuration, ValidationErrorKind};
+use passrelay_configuration::{apply_patch, document_has_tenants, Configuration, ValidationErrorKind};
+use rstest::rstest;
 use serde_json::{json, Value};
 use std::time::{Duration, Instant};
 
@@ -19,10 +20,34 @@
     });
     let next = Configuration::read(&apply_patch(&valid_document(), &patch).unwrap()).unwrap();
     let names: Vec<&str> = next.routes.iter().map(|r| r.name.as_str()).collect();
-    assert_eq!((next.generation, names, next.tenants.len()), (6, vec!["a", "c"], 1));
+    assert_eq!((next.generation, names, next.tenants().len()), (6, vec!["a", "c"], 1));
     assert_eq!(next.routes[0].path_prefix, "/new/");
 }
 
+// Guards against review/1: a document whose last tenant was removed looks like one that never had tenants, or the reverse.
+#[rstest]
+#[case::last_one_removed(json!([{ "name": "a" }]), json!({ "remove": { "tenants": ["a"] } }), json!([]))]
+#[case::already_empty(json!([]), json!({ "remove": { "tenants": ["a"] } }), json!([]))]
+#[case::untouched_empty(json!([]), json!({ "remove": { "routes": ["a"] } }), json!([]))]
+#[case::nobody_removed(Value::Null, json!({ "remove": { "tenants": ["a"] } }), Value::Null)]
+#[case::nobody_added(Value::Null, json!({ "upsert": { "tenants": [] } }), Value::Null)]
+#[case::first_one_added(Value::Null, json!({ "upsert": { "tenants": [{ "name": "a" }] } }), json!([{ "name": "a" }]))]
+fn an_empty_list_of_tenants_and_no_list_stay_different(
+    #[case] before: Value,
+    #[case] patch: Value,
+    #[case] expected: Value,
+) {
+    let mut document = json!({ "generation": 1 });
+    if !before.is_null() {
+        document["tenants"] = before;
+    }
+    let mut patch = patch;
+    patch["generation"] = json!(2);
+    let after = apply_patch(&document, &patch).unwrap();
+    assert_eq!(after.get("tenants").cloned().unwrap_or_default(), expected);
+    assert_eq!(document_has_tenants(&after.to_string()), !expected.is_null());
+}
+
 #[test]
 fn a_contradictory_patch_is_rejected() {
     let patch = json!({ "generation": 6, "upsert": { "services": [{ "name": "s" }] }, "remove": { "services": ["s"] } });
--- a/crates/router/configuration/tests/validation.rs
+++ b/crates/router/configuration/tests/validation.rs
@@ -10,7 +10,7 @@
 #[test]
 fn a_valid_configuration_is_read() {
     let read = Configuration::read(&valid_document()).unwrap();
-    assert_eq!((read.generation, read.routes.len(), read.services.len(), read.tenants.len()), (4, 2, 2, 2));
+    assert_eq!((read.generation, read.routes.len(), read.services.len(), read.tenants().len()), (4, 2, 2, 2));
     assert_eq!(read.routes[1].backends.len(), 2);
     assert!(read.check_generation_above(3).is_ok());
     assert_eq!(
@@ -67,3 +67,21 @@
     let deep = "[".repeat(100_000);
     assert!(parse_document(deep.as_bytes()).is_err());
 }
+
+#[rstest]
+#[case(Some(json!([])), Some(0))]
+#[case(Some(json!([{ "name": "a", "api-keys": [] }])), Some(1))]
+#[case(Some(Value::Null), None)]
+#[case(None, None)]
+fn a_configuration_with_an_empty_list_of_tenants_has_tenants(
+    #[case] tenants: Option<Value>,
+    #[case] expected: Option<usize>,
+) {
+    let mut document = valid_document();
+    document.as_object_mut().unwrap().remove("tenants");
+    if let Some(tenants) = tenants {
+        document["tenants"] = tenants;
+    }
+    let read = Configuration::read(&document).unwrap();
+    assert_eq!(read.tenants.map(|tenants| tenants.len()), expected);
+}
--- a/crates/router/control-plane/src/quota/grantor.rs
+++ b/crates/router/control-plane/src/quota/grantor.rs
@@ -67,6 +67,9 @@
     /// Generation of the configuration applied last; 0 before the first.
     generation: u64,
     buckets: BTreeMap<TenantKey, TokenBucket>,
+    /// Buckets of tenants that the configuration no longer limits. They refill further, so that a tenant that is removed and
+    /// put back has no more tokens than if it had stayed. Those nearly full are dropped at the next configuration.
+    unconfigured_buckets: BTreeMap<TenantKey, TokenBucket>,
     /// Time of each sidecar's last request. Each grant removes those older than [`REQUESTER_TIMEOUT`].
     last_requests: BTreeMap<SocketAddrV4, Duration>,
     /// Lower bound of the number of sidecars that share the reserve.
@@ -97,6 +100,7 @@
             grants_from: if term <= 1 { started_at } else { started_at + MAX_CONFIRMATION_AGE },
             generation: 0,
             buckets: BTreeMap::new(),
+            unconfigured_buckets: BTreeMap::new(),
             last_requests: BTreeMap::new(),
             min_sidecars: 1,
         }
@@ -108,7 +112,7 @@
     }
 
     /// Applies the quotas of a configuration. Has no effect for the generation applied last. Tenants keep their level,
-    /// capped by the new capacity; buckets of tenants that are no longer limited are dropped.
+    /// capped by the new capacity, also those that were not limited in between.
     pub fn configure(&mut self, now: Duration, configuration: &Configuration) {
         if self.generation == configuration.generation {
             return;
@@ -117,7 +121,8 @@
         // A bucket accumulates no tokens while its grantor waits for the predecessor to stop granting.
         let refill_from = now.max(self.grants_from);
         let mut previous = std::mem::take(&mut self.buckets);
-        for tenant in configuration.tenants.iter().filter(|tenant| tenant.is_limited()) {
+        previous.append(&mut self.unconfigured_buckets);
+        for tenant in configuration.tenants().iter().filter(|tenant| tenant.is_limited()) {
             let key = TenantKey::of(&tenant.name);
             let capacity = self.bounds.bucket_capacity(tenant.rate_per_s, tenant.burst);
             let mut bucket = previous.remove(&key).unwrap_or_else(|| {
@@ -127,6 +132,8 @@
             bucket.set_limit(refill_from, tenant.rate_per_s, capacity);
             self.buckets.insert(key, bucket);
         }
+        previous.retain(|_, bucket| bucket.level_unless_nearly_full(refill_from).is_some());
+        self.unconfigured_buckets = previous;
     }
 
     /// Returns the initial level of a bucket: the level at the predecessor, or a small one if that is unknown.
@@ -135,10 +142,10 @@
         levels.get(&tenant).map_or(NEARLY_FULL_FRACTION * capacity, |tokens| (*tokens as f64).min(capacity))
     }
 
-    /// Returns the levels of all buckets that are not nearly full.
+    /// Returns the levels of all buckets that are not nearly full, also of tenants that are not limited at present.
     pub fn levels(&mut self, now: Duration) -> BucketLevels {
         let mut tokens = Vec::new();
-        for (tenant, bucket) in &mut self.buckets {
+        for (tenant, bucket) in self.buckets.iter_mut().chain(&mut self.unconfigured_buckets) {
             if let Some(level) = bucket.level_unless_nearly_full(now) {
                 tokens.push(TenantLevel { tenant: *tenant, tokens: level as i64 });
             }
--- a/crates/router/control-plane/src/replication/state.rs
+++ b/crates/router/control-plane/src/replication/state.rs
@@ -2,7 +2,7 @@
 //!
 //! The state is replicated as a whole, not as a log: it is small, and a lagging backup needs only the newest version.
 
-use passrelay_configuration::{Rollouts, ServiceVersions};
+use passrelay_configuration::{document_has_tenants, Rollouts, ServiceVersions};
 use serde::{Deserialize, Serialize};
 use std::collections::VecDeque;
 use std::sync::Arc;
@@ -55,6 +55,11 @@
     /// from them. Not written if empty, and dropped by members of earlier builds.
     #[serde(default, skip_serializing_if = "Rollouts::is_empty")]
     pub rollouts: Rollouts,
+    /// Whether this configuration or an earlier one had tenants, so that there are API keys, which must not work any more
+    /// once they are taken away. Invariant: replicated with the document, which may have no `tenants` itself. Not written
+    /// if false, and dropped by members of earlier builds.
+    #[serde(default, skip_serializing_if = "std::ops::Not::not")]
+    pub had_tenants: bool,
 }
 
 impl ReplicatedState {
@@ -80,6 +85,9 @@
         while applied_changes.len() > MAX_APPLIED_CHANGES {
             applied_changes.pop_front();
         }
+        let had_tenants = self.had_tenants
+            || self.document.as_deref().is_some_and(document_has_tenants)
+            || document_has_tenants(&document);
         let version = StateVersion { term, index: self.version.index + 1 };
         ReplicatedState {
             version,
@@ -88,6 +96,7 @@
             applied_changes,
             service_versions: self.service_versions.clone(),
             rollouts: self.rollouts.clone(),
+            had_tenants,
         }
     }
 
--- a/crates/router/control-plane/tests/quota.rs
+++ b/crates/router/control-plane/tests/quota.rs
@@ -200,3 +200,26 @@
 fn tenant_keys_are_fixed(#[case] name: &str, #[case] key: u64) {
     assert_eq!(TenantKey::of(name), TenantKey(key), "{:#018x}", TenantKey::of(name).0);
 }
+
+// Guards against a tenant that has its whole burst again because it was removed and put back (the cause of review/1: absence is
+// read as a bucket that is full), also at the next grantor.
+#[rstest]
+#[case::same_grantor(false)]
+#[case::next_grantor(true)]
+fn a_tenant_that_was_removed_and_comes_back_has_spent_what_it_had_spent(#[case] fails_over: bool) {
+    let levels = ReportedLevels { levels: BucketLevels { term: 1, tokens: Vec::new() }, received_at: ms(0) };
+    let mut grantor = Grantor::new(ms(0), 2, bounds(), Some(&levels));
+    grantor.configure(ms(0), &configuration(1, RATE));
+    let spent = request_tokens(&mut grantor, ms(1_000), sidecar(1), MORE_THAN_ANY_BUCKET).unwrap();
+    assert!(spent as f64 > RATE, "the bucket was nearly full: {spent}");
+    let empty = json!({ "generation": 2, "routes": [], "services": [], "tenants": [] });
+    grantor.configure(ms(1_010), &Configuration::read(&empty).unwrap());
+    if fails_over {
+        let levels = ReportedLevels { levels: grantor.levels(ms(1_020)), received_at: ms(1_020) };
+        grantor = Grantor::new(ms(1_030), 3, bounds(), Some(&levels));
+        grantor.configure(ms(1_030), &Configuration::read(&empty).unwrap());
+    }
+    grantor.configure(ms(1_500), &configuration(3, RATE));
+    let again = request_tokens(&mut grantor, ms(1_500), sidecar(1), MORE_THAN_ANY_BUCKET).unwrap();
+    assert!(again as f64 <= RATE * 0.5, "{again} tokens 500 ms after {spent}");
+}
--- a/crates/router/control-plane/tests/state_delta.rs
+++ b/crates/router/control-plane/tests/state_delta.rs
@@ -3,7 +3,7 @@
 mod common;
 
 use common::{receive, replica, NOW};
-use passrelay_configuration::{DeltaError, ServiceVersions};
+use passrelay_configuration::{document_has_tenants, DeltaError, ServiceVersions};
 use passrelay_control_plane::replication::{
     AppliedChange, MemberId, ReplicaAction, ReplicatedState, ReplicationMessage, StateDelta, StateVersion,
 };
@@ -221,3 +221,25 @@
     assert!(contains(&with, "service_versions"));
     assert_eq!(ciborium::from_reader::<ReplicatedState, _>(with.as_slice()).ok(), Some(recorded));
 }
+
+// Guards against review/1 after a change of primary or a restart: keys work again since no member remembers that there were any.
+#[rstest]
+#[case::never(&["{}", "{}"], false)]
+#[case::the_word_elsewhere(&[r#"{"services":[{"name":"tenants"}]}"#, "{}"], false)]
+#[case::empty_list(&[r#"{"tenants":[]}"#], true)]
+#[case::list_taken_away(&[r#"{"tenants":[{"name":"a"}]}"#, "{}", "{}"], true)]
+fn a_state_remembers_that_a_configuration_had_tenants(#[case] documents: &[&str], #[case] expected: bool) {
+    let mut state = ReplicatedState::default();
+    for (generation, document) in (1..).zip(documents) {
+        state = state.with_change(1, generation, (*document).into(), change(generation));
+        state = state.with_service_versions(1, Default::default());
+    }
+    assert_eq!(state.had_tenants, expected);
+    let mut stored = Vec::new();
+    ciborium::into_writer(&state, &mut stored).unwrap();
+    assert_eq!(ciborium::from_reader::<ReplicatedState, _>(stored.as_slice()).unwrap(), state);
+    // A state of an earlier build has no such field; the next change finds the tenants in its document.
+    let earlier = ReplicatedState { had_tenants: false, ..state.clone() };
+    let next = earlier.with_change(1, 9, "{}".into(), change(9));
+    assert_eq!(next.had_tenants, document_has_tenants(documents.last().unwrap()));
+}
--- a/crates/router/data-plane/src/routing.rs
+++ b/crates/router/data-plane/src/routing.rs
@@ -31,7 +31,7 @@
 pub struct RouteMatch<'a> {
     /// Route with the longest path prefix that matches the request.
     pub route: &'a Route,
-    /// Tenant that owns the API key; `None` if the route is public or the configuration has no tenants.
+    /// Tenant that owns the API key; `None` if the route is public or the configuration has no `tenants`.
     pub tenant: Option<&'a Tenant>,
 }
 
@@ -45,10 +45,35 @@
     }
 }
 
+/// What API keys mean under a configuration.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum KeyPolicy {
+    /// The configuration has `tenants`, if only an empty list: requests on routes that are not public need a key of one
+    /// of them.
+    Required,
+    /// The configuration has no `tenants`, but an earlier one had: requests need no key, and a key that one has
+    /// nevertheless was taken away or never existed.
+    Revoked,
+    /// No configuration so far had `tenants`: there are no keys, and `Authorization` belongs to the endpoints.
+    Unused,
+}
+
+impl KeyPolicy {
+    /// Returns the policy of a configuration. `had_tenants` tells whether it or an earlier one had tenants.
+    fn new(configuration: &Configuration, had_tenants: bool) -> Self {
+        match configuration.tenants {
+            Some(_) => KeyPolicy::Required,
+            None if had_tenants => KeyPolicy::Revoked,
+            None => KeyPolicy::Unused,
+        }
+    }
+}
+
 /// Index of the routes and tenants of one configuration.
 #[derive(Debug)]
 pub struct RoutingTable {
     configuration: Configuration,
+    key_policy: KeyPolicy,
     /// Indices into the configuration's routes, by lower-case host name. The longest path prefix comes first;
     /// routes with prefixes of equal length are in configuration order.
     routes: HashMap<String, Vec<usize>>,
@@ -57,8 +82,8 @@
 }
 
 impl RoutingTable {
-    /// Builds the table for a configuration.
-    pub fn new(configuration: Configuration) -> Self {
+    /// Builds the table for a configuration. `had_tenants` tells whether it or an earlier one had tenants.
+    pub fn new(configuration: Configuration, had_tenants: bool) -> Self {
         let mut routes: HashMap<String, Vec<usize>> = HashMap::new();
         for (index, route) in configuration.routes.iter().enumerate() {
             routes.entry(route.hostname.to_ascii_lowercase()).or_default().push(index);
@@ -67,12 +92,13 @@
             indices.sort_by_key(|index| Reverse(configuration.routes[*index].path_prefix.len()));
         }
         let mut tenants = HashMap::new();
-        for (index, tenant) in configuration.tenants.iter().enumerate() {
+        for (index, tenant) in configuration.tenants().iter().enumerate() {
             for key in &tenant.api_keys {
                 tenants.insert(key.clone(), index);
             }
         }
-        RoutingTable { configuration, routes, tenants }
+        let key_policy = KeyPolicy::new(&configuration, had_tenants);
+        RoutingTable { configuration, key_policy, routes, tenants }
     }
 
     /// Returns the limits on clients' requests.
@@ -82,7 +108,12 @@
 
     /// Returns all tenants, in configuration order.
     pub fn tenants(&self) -> &[Tenant] {
-        &self.configuration.tenants
+        self.configuration.tenants()
+    }
+
+    /// Returns what API keys mean under the configuration.
+    pub fn key_policy(&self) -> KeyPolicy {
+        self.key_policy
     }
 
     /// Finds the route of a request by host and longest path prefix, and its tenant by API key. `host` may
@@ -91,7 +122,7 @@
     /// # Errors
     ///
     /// Returns [`RoutingError::NoRoute`] if no route matches, and [`RoutingError::UnknownKey`] if the route
-    /// is not public, the configuration has tenants, and `key` belongs to none of them.
+    /// is not public and the [`KeyPolicy`] does not accept `key`, or its absence.
     pub fn find(&self, host: &str, path: &str, key: Option<&str>) -> Result<RouteMatch<'_>, RoutingError> {
         let hostname = without_port(host).to_ascii_lowercase();
         let indices = self.routes.get(&hostname).ok_or(RoutingError::NoRoute)?;
@@ -100,11 +131,18 @@
             .map(|index| &self.configuration.routes[*index])
             .find(|route| path.starts_with(&route.path_prefix))
             .ok_or(RoutingError::NoRoute)?;
-        if route.public || self.configuration.tenants.is_empty() {
-            return Ok(RouteMatch { route, tenant: None });
+        let tenant = if route.public { None } else { self.authenticate(key)? };
+        Ok(RouteMatch { route, tenant })
+    }
+
+    /// Returns the tenant that a key belongs to, or `None` if the request needs no key.
+    fn authenticate(&self, key: Option<&str>) -> Result<Option<&Tenant>, RoutingError> {
+        let tenant = key.and_then(|key| self.tenants.get(key)).map(|index| &self.tenants()[*index]);
+        match self.key_policy {
+            KeyPolicy::Required => tenant.map(Some).ok_or(RoutingError::UnknownKey),
+            KeyPolicy::Revoked if key.is_some() => Err(RoutingError::UnknownKey),
+            KeyPolicy::Revoked | KeyPolicy::Unused => Ok(None),
         }
-        let tenant = key.and_then(|key| self.tenants.get(key)).ok_or(RoutingError::UnknownKey)?;
-        Ok(RouteMatch { route, tenant: Some(&self.configuration.tenants[*tenant]) })
     }
 }
 
--- a/crates/router/dissemination/src/gossip/configuration.rs
+++ b/crates/router/dissemination/src/gossip/configuration.rs
@@ -158,17 +158,31 @@
             let service_versions = service_versions.unwrap_or(&base.service_versions).clone();
             let rollouts = Some(&delta.rollouts).filter(|rollouts| !rollouts.is_empty());
             let rollouts = rollouts.unwrap_or(&base.rollouts).clone();
-            result = Some(CommittedConfiguration { index, generation, document, service_versions, rollouts });
+            result = Some(CommittedConfiguration {
+                index,
+                generation,
+                document,
+                service_versions,
+                rollouts,
+                had_tenants: base.had_tenants,
+            });
         }
         Ok(result)
     }
 }
 
-/// Returns the delta from `base` to the later `configuration`, or `None` if it is too long to be sent.
+/// Returns the delta from `base` to the later `configuration`, or `None` if it is too long to be sent or cannot express
+/// the difference.
 fn delta_between(
     base: &CommittedConfiguration,
     configuration: &CommittedConfiguration,
 ) -> Option<ConfigurationDelta> {
+    // The receiver of a delta keeps the versions and rollouts of its base if those of the delta are empty.
+    let empties_versions = configuration.service_versions.is_empty() && !base.service_versions.is_empty();
+    let empties_rollouts = configuration.rollouts.is_empty() && !base.rollouts.is_empty();
+    if empties_versions || empties_rollouts || configuration.had_tenants != base.had_tenants {
+        return None;
+    }
     Some(ConfigurationDelta {
         base_index: base.index,
         index: configuration.index,
--- a/crates/router/dissemination/tests/gossip.rs
+++ b/crates/router/dissemination/tests/gossip.rs
@@ -40,6 +40,7 @@
         document: document.into(),
         service_versions: ServiceVersions::default(),
         rollouts: Rollouts::default(),
+        had_tenants: false,
     }
 }
 
@@ -270,6 +271,38 @@
     assert_eq!(gossip.configuration(), Some(&with_version(long_configuration(2), "v1")));
 }
 
+fn with_rollouts(configuration: CommittedConfiguration) -> CommittedConfiguration {
+    let mut rollouts = Rollouts::default();
+    rollouts.get_or_insert_default("s");
+    CommittedConfiguration { rollouts, ..configuration }
+}
+
+fn with_tenants(configuration: CommittedConfiguration) -> CommittedConfiguration {
+    CommittedConfiguration { had_tenants: true, ..configuration }
+}
+
+// Guards against machines that keep versions, rollouts or the memory of tenants of a configuration before, because what is empty
+// in a delta is read as unchanged (the cause of review/1). All machines must hold the same configuration under an index.
+#[rstest]
+#[case::versions(with_version(long_configuration(1), "v1"), long_configuration(2))]
+#[case::rollouts(with_rollouts(long_configuration(1)), long_configuration(2))]
+#[case::tenants(long_configuration(1), with_tenants(long_configuration(2)))]
+#[case::tenants_kept(with_tenants(long_configuration(1)), with_tenants(long_configuration(2)))]
+fn a_sidecar_that_follows_by_deltas_holds_what_the_source_holds(
+    #[case] before: CommittedConfiguration,
+    #[case] after: CommittedConfiguration,
+) {
+    let mut source = gossip();
+    let mut follower = gossip();
+    source.observe_committed(at(0), Some(&before), Some(at(0)), &mut Vec::new());
+    let first = fetch_response(&mut source, 0, true);
+    receive(&mut follower, at(5), 2, first);
+    source.observe_committed(at(10), Some(&after), Some(at(10)), &mut Vec::new());
+    let second = fetch_response(&mut source, 1, true);
+    receive(&mut follower, at(20), 2, second);
+    assert_eq!(follower.configuration(), Some(&after));
+}
+
 /// Fires the due timers and returns the addresses that digest requests are sent to.
 fn contacted_peers(gossip: &mut Gossip, now: Duration) -> Vec<SocketAddrV4> {
     let mut actions = Vec::new();
--- a/crates/router/node/src/data_plane.rs
+++ b/crates/router/node/src/data_plane.rs
@@ -65,15 +65,24 @@
                 self.log_rollouts(committed);
                 self.rollout_shares.borrow_mut().configure(now, &committed.rollouts);
                 let service_versions = versions_in_force(committed, &configuration);
-                let (table, index) = (RoutingTable::new(configuration), committed.index);
+                let (table, index) =
+                    (RoutingTable::new(configuration, committed.had_tenants), committed.index);
                 let rollouts = committed.rollouts.clone();
+                let (tenants, keys) = (table.tenants().len(), table.key_policy());
                 self.configuration.replace(ConfigurationSnapshot {
                     table,
                     index,
                     service_versions,
                     rollouts,
                 });
-                log_event!(info, "configured", generation = committed.generation, index = committed.index);
+                log_event!(
+                    info,
+                    "configured",
+                    generation = committed.generation,
+                    index = index,
+                    tenants = tenants,
+                    keys = format_args!("{keys:?}"),
+                );
             }
             Err(errors) => log_event!(error, "configuration_unreadable", problem = Quoted(&errors)),
         }
@@ -102,7 +111,7 @@
 
     fn retain_configured(&self, configuration: &Configuration) {
         let tenants: Vec<u64> =
-            configuration.tenants.iter().map(|tenant| TenantKey::of(&tenant.name).0).collect();
+            configuration.tenants().iter().map(|tenant| TenantKey::of(&tenant.name).0).collect();
         self.quota.shares.borrow_mut().retain(|key| tenants.contains(&key));
         let services = &configuration.services;
         self.retry_budget.borrow_mut().retain(|name| services.iter().any(|service| service.name == name));
--- a/crates/router/node/src/request/outbound.rs
+++ b/crates/router/node/src/request/outbound.rs
@@ -7,6 +7,7 @@
 use http_body_util::Full;
 use hyper::header::{HeaderValue, AUTHORIZATION, CONTENT_LENGTH};
 use hyper::Request;
+use passrelay_data_plane::routing::KeyPolicy;
 use std::time::Duration;
 
 /// The fields of a request that differ between attempts.
@@ -30,8 +31,8 @@
     for name in [CONTENT_LENGTH, TENANT, TARGET_INSTANCE, PRIORITY] {
         headers.remove(name);
     }
-    // Keys must not leave the fleet if the fleet checks them.
-    if admission.tenant.is_some() || !admission.snapshot.table.tenants().is_empty() {
+    // Keys must not leave the fleet, neither those that it checks nor those that it has revoked.
+    if admission.snapshot.table.key_policy() != KeyPolicy::Unused {
         headers.remove(AUTHORIZATION);
     }
     let remaining_ms = u64::try_from(attempt.time_remaining.as_millis()).unwrap_or(u64::MAX);
--- a/crates/testing/cluster-simulation/src/limits.rs
+++ b/crates/testing/cluster-simulation/src/limits.rs
@@ -189,10 +189,12 @@
         for observation in observations {
             match observation {
                 Observation::Configured { machine, incarnation, configuration } => {
+                    let had_tenants = configuration.had_tenants;
                     let document = parse_document(configuration.document.as_bytes());
                     let configuration = document.and_then(|document| Configuration::read(&document));
                     let sidecar = self.sidecar_of(machine, incarnation);
-                    sidecar.set_routing_table(configuration.ok().map(RoutingTable::new));
+                    let table = |configuration| RoutingTable::new(configuration, had_tenants);
+                    sidecar.set_routing_table(configuration.ok().map(table));
                 }
                 Observation::Answered { call, answer } => self.handle_change_answer(call, answer.status),
                 Observation::AnnouncementConfirmed { machine, incarnation, announcement } => {
