Play the removal of all tenants and changed routes under lost answers in the limit histories

Histories of RemoveTenants take all tenants away (by name, by an empty list, by none), put them back, change whether requests may be repeated, and lose answers of requests in flight. The checker knows keys that no configuration held and requests executed twice. The simulated sidecar admits a request without a tenant as the program does.

The bit that keys were revoked is written only while the document has no tenants itself, so that all other messages and the recorded digests stay.

--- a/crates/router/configuration/src/validate.rs
+++ b/crates/router/configuration/src/validate.rs
@@ -6,6 +6,8 @@
 use crate::errors::{ValidationError, ValidationErrorKind, ValidationErrors};
 use crate::model::{Backend, Configuration, Limits, Route, RouteType, Service, Tenant, TokenUnit};
 use crate::reader::{ErrorCollector, PathReader};
+use serde::de::IgnoredAny;
+use serde::Deserialize;
 use serde_json::Value;
 use std::collections::{HashMap, HashSet};
 
@@ -23,7 +25,13 @@
 pub fn document_has_tenants(document: &str) -> bool {
     // Most documents without tenants do not contain the word, and need not be parsed.
     document.contains(TENANTS)
-        && serde_json::from_str::<Value>(document).is_ok_and(|document| has_tenants(&document))
+        && serde_json::from_str::<TenantsField>(document).is_ok_and(|document| document.tenants.is_some())
+}
+
+/// The list of tenants of a document, of which only the presence is read.
+#[derive(Deserialize)]
+struct TenantsField {
+    tenants: Option<IgnoredAny>,
 }
 
 /// Returns whether a document has `tenants`, if only an empty list.
--- a/crates/router/control-plane/src/coordinator/publication.rs
+++ b/crates/router/control-plane/src/coordinator/publication.rs
@@ -67,7 +67,7 @@
         document,
         service_versions: state.service_versions.clone(),
         rollouts: state.rollouts.clone(),
-        had_tenants: state.had_tenants,
+        keys_revoked: state.keys_revoked,
     });
     context.step_gossip(gossip, |gossip, actions| {
         gossip.observe_committed(now, configuration.as_ref(), replica.confirmed_at(), actions);
--- a/crates/router/control-plane/src/replication/state.rs
+++ b/crates/router/control-plane/src/replication/state.rs
@@ -55,11 +55,11 @@
     /// from them. Not written if empty, and dropped by members of earlier builds.
     #[serde(default, skip_serializing_if = "Rollouts::is_empty")]
     pub rollouts: Rollouts,
-    /// Whether this configuration or an earlier one had tenants, so that there are API keys, which must not work any more
-    /// once they are taken away. Invariant: replicated with the document, which may have no `tenants` itself. Not written
-    /// if false, and dropped by members of earlier builds.
+    /// Whether the document has no `tenants` although an earlier one had, so that there are API keys, all of which were
+    /// taken away. Invariant: replicated with the document, which does not tell. Not written if false, and dropped by
+    /// members of earlier builds.
     #[serde(default, skip_serializing_if = "std::ops::Not::not")]
-    pub had_tenants: bool,
+    pub keys_revoked: bool,
 }
 
 impl ReplicatedState {
@@ -85,9 +85,8 @@
         while applied_changes.len() > MAX_APPLIED_CHANGES {
             applied_changes.pop_front();
         }
-        let had_tenants = self.had_tenants
-            || self.document.as_deref().is_some_and(document_has_tenants)
-            || document_has_tenants(&document);
+        let had_tenants = || self.document.as_deref().is_some_and(document_has_tenants);
+        let keys_revoked = !document_has_tenants(&document) && (self.keys_revoked || had_tenants());
         let version = StateVersion { term, index: self.version.index + 1 };
         ReplicatedState {
             version,
@@ -96,7 +95,7 @@
             applied_changes,
             service_versions: self.service_versions.clone(),
             rollouts: self.rollouts.clone(),
-            had_tenants,
+            keys_revoked,
         }
     }
 
--- a/crates/router/control-plane/tests/state_delta.rs
+++ b/crates/router/control-plane/tests/state_delta.rs
@@ -226,20 +226,22 @@
 #[rstest]
 #[case::never(&["{}", "{}"], false)]
 #[case::the_word_elsewhere(&[r#"{"services":[{"name":"tenants"}]}"#, "{}"], false)]
-#[case::empty_list(&[r#"{"tenants":[]}"#], true)]
+#[case::null(&[r#"{"tenants":null}"#, "{}"], false)]
+#[case::empty_list(&[r#"{"tenants":[]}"#], false)]
+#[case::empty_list_taken_away(&[r#"{"tenants":[]}"#, "{}"], true)]
+#[case::put_back(&[r#"{"tenants":[]}"#, "{}", r#"{"tenants":[]}"#], false)]
 #[case::list_taken_away(&[r#"{"tenants":[{"name":"a"}]}"#, "{}", "{}"], true)]
-fn a_state_remembers_that_a_configuration_had_tenants(#[case] documents: &[&str], #[case] expected: bool) {
+fn a_state_remembers_that_all_keys_were_revoked(#[case] documents: &[&str], #[case] expected: bool) {
     let mut state = ReplicatedState::default();
     for (generation, document) in (1..).zip(documents) {
         state = state.with_change(1, generation, (*document).into(), change(generation));
         state = state.with_service_versions(1, Default::default());
     }
-    assert_eq!(state.had_tenants, expected);
+    assert_eq!(state.keys_revoked, expected);
     let mut stored = Vec::new();
     ciborium::into_writer(&state, &mut stored).unwrap();
     assert_eq!(ciborium::from_reader::<ReplicatedState, _>(stored.as_slice()).unwrap(), state);
-    // A state of an earlier build has no such field; the next change finds the tenants in its document.
-    let earlier = ReplicatedState { had_tenants: false, ..state.clone() };
-    let next = earlier.with_change(1, 9, "{}".into(), change(9));
-    assert_eq!(next.had_tenants, document_has_tenants(documents.last().unwrap()));
+    let has_tenants = document_has_tenants(documents.last().unwrap());
+    let next = state.with_change(1, 9, "{}".into(), change(9));
+    assert_eq!(next.keys_revoked, expected || has_tenants, "the next change without tenants");
 }
--- a/crates/router/data-plane/src/routing.rs
+++ b/crates/router/data-plane/src/routing.rs
@@ -59,11 +59,12 @@
 }
 
 impl KeyPolicy {
-    /// Returns the policy of a configuration. `had_tenants` tells whether it or an earlier one had tenants.
-    fn new(configuration: &Configuration, had_tenants: bool) -> Self {
+    /// Returns the policy of a configuration. `keys_revoked` tells whether it has no
+    /// `tenants` although an earlier one had.
+    fn new(configuration: &Configuration, keys_revoked: bool) -> Self {
         match configuration.tenants {
             Some(_) => KeyPolicy::Required,
-            None if had_tenants => KeyPolicy::Revoked,
+            None if keys_revoked => KeyPolicy::Revoked,
             None => KeyPolicy::Unused,
         }
     }
@@ -82,8 +83,9 @@
 }
 
 impl RoutingTable {
-    /// Builds the table for a configuration. `had_tenants` tells whether it or an earlier one had tenants.
-    pub fn new(configuration: Configuration, had_tenants: bool) -> Self {
+    /// Builds the table for a configuration. `keys_revoked` tells whether it has no
+    /// `tenants` although an earlier one had.
+    pub fn new(configuration: Configuration, keys_revoked: bool) -> Self {
         let mut routes: HashMap<String, Vec<usize>> = HashMap::new();
         for (index, route) in configuration.routes.iter().enumerate() {
             routes.entry(route.hostname.to_ascii_lowercase()).or_default().push(index);
@@ -97,7 +99,7 @@
                 tenants.insert(key.clone(), index);
             }
         }
-        let key_policy = KeyPolicy::new(&configuration, had_tenants);
+        let key_policy = KeyPolicy::new(&configuration, keys_revoked);
         RoutingTable { configuration, key_policy, routes, tenants }
     }
 
--- a/crates/router/data-plane/tests/routing.rs
+++ b/crates/router/data-plane/tests/routing.rs
@@ -9,7 +9,7 @@
     table_with(Some(json!([{ "name": "t", "api-keys": ["k"], "priority": 1 }])), false)
 }
 
-fn table_with(tenants: Option<Value>, had_tenants: bool) -> RoutingTable {
+fn table_with(tenants: Option<Value>, keys_revoked: bool) -> RoutingTable {
     let route = |name: &str, prefix: &str, public: bool| {
         json!({ "name": name, "hostname": "Lot.example", "path-prefix": prefix, "timeout-ms": 9, "backend": "s",
             "public": public, "priority": 1 })
@@ -22,7 +22,7 @@
     if let Some(tenants) = tenants {
         document["tenants"] = tenants;
     }
-    RoutingTable::new(Configuration::read(&document).unwrap(), had_tenants)
+    RoutingTable::new(Configuration::read(&document).unwrap(), keys_revoked)
 }
 
 #[rstest]
@@ -63,12 +63,12 @@
 #[case::never_a_list_without_a_key(None, false, KeyPolicy::Unused, None, true)]
 fn a_key_that_no_tenant_holds_is_refused_once_there_were_tenants(
     #[case] tenants: Option<Value>,
-    #[case] had_tenants: bool,
+    #[case] keys_revoked: bool,
     #[case] policy: KeyPolicy,
     #[case] key: Option<&str>,
     #[case] accepted: bool,
 ) {
-    let table = table_with(tenants, had_tenants);
+    let table = table_with(tenants, keys_revoked);
     assert_eq!(table.key_policy(), policy);
     let found = table.find("lot.example", "/a", key).map(|found| found.tenant.is_none());
     assert_eq!(found, if accepted { Ok(true) } else { Err(RoutingError::UnknownKey) });
--- a/crates/router/dissemination/src/gossip/configuration.rs
+++ b/crates/router/dissemination/src/gossip/configuration.rs
@@ -164,7 +164,7 @@
                 document,
                 service_versions,
                 rollouts,
-                had_tenants: base.had_tenants,
+                keys_revoked: base.keys_revoked,
             });
         }
         Ok(result)
@@ -180,7 +180,7 @@
     // The receiver of a delta keeps the versions and rollouts of its base if those of the delta are empty.
     let empties_versions = configuration.service_versions.is_empty() && !base.service_versions.is_empty();
     let empties_rollouts = configuration.rollouts.is_empty() && !base.rollouts.is_empty();
-    if empties_versions || empties_rollouts || configuration.had_tenants != base.had_tenants {
+    if empties_versions || empties_rollouts || configuration.keys_revoked != base.keys_revoked {
         return None;
     }
     Some(ConfigurationDelta {
--- a/crates/router/dissemination/src/messages.rs
+++ b/crates/router/dissemination/src/messages.rs
@@ -23,9 +23,9 @@
     /// Rollouts by service. Omitted from the encoding when empty; sidecars of earlier builds drop it.
     #[serde(default, skip_serializing_if = "Rollouts::is_empty")]
     pub rollouts: Rollouts,
-    /// Whether this configuration or an earlier one had tenants. Omitted from the encoding when false; sidecars of earlier builds drop it.
-    #[serde(default, rename = "had-tenants", skip_serializing_if = "std::ops::Not::not")]
-    pub had_tenants: bool,
+    /// Whether the document has no `tenants` although an earlier one had. Omitted from the encoding when false; sidecars of earlier builds drop it.
+    #[serde(default, rename = "keys-revoked", skip_serializing_if = "std::ops::Not::not")]
+    pub keys_revoked: bool,
 }
 
 /// The difference between a committed configuration and its predecessor.
--- a/crates/router/dissemination/tests/gossip.rs
+++ b/crates/router/dissemination/tests/gossip.rs
@@ -40,7 +40,7 @@
         document: document.into(),
         service_versions: ServiceVersions::default(),
         rollouts: Rollouts::default(),
-        had_tenants: false,
+        keys_revoked: false,
     }
 }
 
@@ -277,17 +277,20 @@
     CommittedConfiguration { rollouts, ..configuration }
 }
 
-fn with_tenants(configuration: CommittedConfiguration) -> CommittedConfiguration {
-    CommittedConfiguration { had_tenants: true, ..configuration }
+fn with_revoked_keys(configuration: CommittedConfiguration) -> CommittedConfiguration {
+    CommittedConfiguration { keys_revoked: true, ..configuration }
 }
 
-// Guards against machines that keep versions, rollouts or the memory of tenants of a configuration before, because what is empty
+// Guards against machines that keep versions, rollouts or keys of a configuration before, because what is empty
 // in a delta is read as unchanged (the cause of review/1). All machines must hold the same configuration under an index.
 #[rstest]
 #[case::versions(with_version(long_configuration(1), "v1"), long_configuration(2))]
 #[case::rollouts(with_rollouts(long_configuration(1)), long_configuration(2))]
-#[case::tenants(long_configuration(1), with_tenants(long_configuration(2)))]
-#[case::tenants_kept(with_tenants(long_configuration(1)), with_tenants(long_configuration(2)))]
+#[case::keys_revoked(long_configuration(1), with_revoked_keys(long_configuration(2)))]
+#[case::keys_still_revoked(
+    with_revoked_keys(long_configuration(1)),
+    with_revoked_keys(long_configuration(2))
+)]
 fn a_sidecar_that_follows_by_deltas_holds_what_the_source_holds(
     #[case] before: CommittedConfiguration,
     #[case] after: CommittedConfiguration,
--- a/crates/router/node/src/data_plane.rs
+++ b/crates/router/node/src/data_plane.rs
@@ -66,7 +66,7 @@
                 self.rollout_shares.borrow_mut().configure(now, &committed.rollouts);
                 let service_versions = versions_in_force(committed, &configuration);
                 let (table, index) =
-                    (RoutingTable::new(configuration, committed.had_tenants), committed.index);
+                    (RoutingTable::new(configuration, committed.keys_revoked), committed.index);
                 let rollouts = committed.rollouts.clone();
                 let (tenants, keys) = (table.tenants().len(), table.key_policy());
                 self.configuration.replace(ConfigurationSnapshot {
--- a/crates/testing/cluster-simulation/src/limit_checker.rs
+++ b/crates/testing/cluster-simulation/src/limit_checker.rs
@@ -3,7 +3,7 @@
 //!
 //! Unlike any sidecar, the checker sees the requests of all sidecars on one clock. It does not know how they share limits.
 
-use std::collections::{BTreeMap, VecDeque};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::time::Duration;
 
 /// The limits of a deployment and the deviations that are tolerated.
@@ -58,6 +58,16 @@
         /// Time since the acknowledgement of its draining.
         after: Duration,
     },
+    /// A request was sent with a key that no configuration ever held.
+    UnknownKeyUsed {
+        /// The key.
+        key: String,
+    },
+    /// A request that was sent as not idempotent was executed more than once.
+    ExecutedTwice {
+        /// Number of the request.
+        request: u64,
+    },
 }
 
 /// A tenant's quota.
@@ -93,14 +103,26 @@
     tokens: u64,
 }
 
+/// The executions of one request.
+#[derive(Debug)]
+struct Executions {
+    count: usize,
+    /// Whether all routes that it was sent under are idempotent.
+    idempotent: bool,
+}
+
 /// Records requests, retries and acknowledgements, and collects the violations.
 #[derive(Debug)]
 pub struct LimitChecker {
     bounds: LimitBounds,
     /// Tokens spent within the quota window, by tenant.
     spent: BTreeMap<String, VecDeque<Spending>>,
-    /// Time of the first acknowledgement of each key's removal.
+    /// All keys that any configuration held, acknowledged or not.
+    issued: BTreeSet<String>,
+    /// Time of the first acknowledgement of each key's removal, since the key was last issued.
     revoked: BTreeMap<String, Duration>,
+    /// Executions by the number of the request.
+    executions: BTreeMap<u64, Executions>,
     /// Arrival times of requests within the retry window.
     requests: VecDeque<Duration>,
     /// Times of retries within the retry window.
@@ -117,7 +139,9 @@
         LimitChecker {
             bounds,
             spent: BTreeMap::new(),
+            issued: BTreeSet::new(),
             revoked: BTreeMap::new(),
+            executions: BTreeMap::new(),
             requests: VecDeque::new(),
             retries: VecDeque::new(),
             draining: BTreeMap::new(),
@@ -125,6 +149,22 @@
         }
     }
 
+    /// Records that a configuration that holds this key is proposed, so that the key may be used from now on.
+    pub fn key_issued(&mut self, key: &str) {
+        self.issued.insert(key.to_owned());
+        self.revoked.remove(key);
+    }
+
+    /// Records that an endpoint executes a request that was sent under a route that is idempotent or not.
+    pub fn request_executed(&mut self, request: u64, idempotent: bool) {
+        let executions = self.executions.entry(request).or_insert(Executions { count: 0, idempotent: true });
+        executions.count += 1;
+        executions.idempotent &= idempotent;
+        if executions.count > 1 && !executions.idempotent {
+            self.violations.push(LimitViolation::ExecutedTwice { request });
+        }
+    }
+
     /// Records that a configuration without this key was acknowledged.
     pub fn key_revoked(&mut self, now: Duration, key: &str) {
         self.revoked.entry(key.to_owned()).or_insert(now);
@@ -163,6 +203,9 @@
     }
 
     fn check_key(&mut self, now: Duration, request: &SentRequest) {
+        if !self.issued.contains(request.key) {
+            self.violations.push(LimitViolation::UnknownKeyUsed { key: request.key.to_owned() });
+        }
         let Some(at) = self.revoked.get(request.key) else { return };
         if now > *at + self.bounds.revocation_delay {
             let key = request.key.to_owned();
--- a/crates/testing/cluster-simulation/src/limits.rs
+++ b/crates/testing/cluster-simulation/src/limits.rs
@@ -2,11 +2,13 @@
 //! draining endpoints, faults, and the checker's result.
 //!
 //! The control plane, dissemination and the data plane's components that share limits (quota shares, retry budget, routing
-//! table) are those of the program. Connections to endpoints are simulated by a random delay. `clients` generates requests,
-//! `sidecar` admits and sends them, `endpoints` sends heartbeats and drains endpoints, `operator` replaces keys.
+//! table, execution limits) are those of the program. Connections to endpoints are simulated by a random delay. `clients`
+//! generates requests, `sidecar` admits and sends them, `executions` loses answers and repeats requests, `endpoints` sends
+//! heartbeats and drains endpoints, `operator` changes the configuration.
 
 mod clients;
 mod endpoints;
+mod executions;
 mod operator;
 mod sidecar;
 
@@ -83,6 +85,20 @@
     SendsToDraining,
     /// An endpoint's draining is acknowledged without waiting for a quorum to know of it.
     AcknowledgesDrainingWithoutQuorum,
+    /// Whether a request may be repeated is taken from the newest route, whatever it was sent under.
+    RepeatsByNewestRoute,
+    /// A configuration without any tenant is taken for one that needs no keys.
+    AcceptsAnyKeyWithoutTenants,
+}
+
+/// The configuration changes of a history.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum ConfigurationChanges {
+    /// Each change replaces the key of the tenant without a quota.
+    ReplaceKeys,
+    /// Changes take all tenants away and put them back, and change whether requests may be repeated. Requests stay in
+    /// flight for up to a second and a half, and some answers are lost.
+    RemoveTenants,
 }
 
 /// Settings of a history.
@@ -90,6 +106,8 @@
 pub struct LimitSettings {
     /// Machines, network and mutations of the control plane.
     pub cluster: ClusterSettings,
+    /// What operators change.
+    pub changes: ConfigurationChanges,
     /// Whether to inject no faults.
     pub fault_free: bool,
     /// Mutation of all sidecars, to test the checker.
@@ -109,6 +127,8 @@
     pub revoked: usize,
     /// Number of endpoints whose draining was acknowledged.
     pub drained: usize,
+    /// Number of requests that were executed more than once.
+    pub repeated: usize,
 }
 
 struct LimitHistory {
@@ -128,6 +148,10 @@
     announced: BTreeMap<AnnouncementKey, String>,
     /// All keys of the unlimited tenant so far, of which the last one is current.
     keys: Vec<String>,
+    /// Whether the configuration proposed last has tenants.
+    has_tenants: bool,
+    /// Number of requests sent so far, which numbers them.
+    request_count: u64,
     outcome: LimitOutcome,
 }
 
@@ -157,6 +181,8 @@
             generation: 0,
             announced: BTreeMap::new(),
             keys: Vec::new(),
+            has_tenants: false,
+            request_count: 0,
             outcome: LimitOutcome::default(),
         }
     }
@@ -189,11 +215,11 @@
         for observation in observations {
             match observation {
                 Observation::Configured { machine, incarnation, configuration } => {
-                    let had_tenants = configuration.had_tenants;
+                    let keys_revoked = configuration.keys_revoked;
                     let document = parse_document(configuration.document.as_bytes());
                     let configuration = document.and_then(|document| Configuration::read(&document));
                     let sidecar = self.sidecar_of(machine, incarnation);
-                    let table = |configuration| RoutingTable::new(configuration, had_tenants);
+                    let table = |configuration| RoutingTable::new(configuration, keys_revoked);
                     sidecar.set_routing_table(configuration.ok().map(table));
                 }
                 Observation::Answered { call, answer } => self.handle_change_answer(call, answer.status),
--- a/crates/testing/cluster-simulation/src/limits/clients.rs
+++ b/crates/testing/cluster-simulation/src/limits/clients.rs
@@ -1,10 +1,14 @@
 //! Clients, which send random requests of each tenant to random machines.
 
 use super::sidecar::ClientRequest;
-use super::{LimitHistory, STEP_INTERVAL, TENANTS, UNLIMITED_TENANT};
+use super::{ConfigurationChanges, LimitHistory, STEP_INTERVAL, TENANTS, UNLIMITED_TENANT};
 use rand::seq::IndexedRandom;
 use rand::Rng;
 
+/// A key that no configuration ever holds.
+const FALSE_KEY: &str = "never-issued";
+/// Probability that a client of the unlimited tenant uses that key, in histories that remove tenants.
+const FALSE_KEY_PROBABILITY: f64 = 0.1;
 /// Probability that a client of the unlimited tenant uses a random one of its keys so far, mostly a revoked one.
 const OLD_KEY_PROBABILITY: f64 = 0.3;
 
@@ -27,6 +31,10 @@
     }
 
     fn unlimited_key(&mut self) -> String {
+        let removes_tenants = self.settings.changes == ConfigurationChanges::RemoveTenants;
+        if removes_tenants && self.cluster.rng.random_bool(FALSE_KEY_PROBABILITY) {
+            return FALSE_KEY.to_owned();
+        }
         let old = self.cluster.rng.random_bool(OLD_KEY_PROBABILITY);
         let key = if old { self.keys.choose(&mut self.cluster.rng) } else { self.keys.last() };
         key.cloned().unwrap_or_default()
--- a/crates/testing/cluster-simulation/src/limits/sidecar.rs
+++ b/crates/testing/cluster-simulation/src/limits/sidecar.rs
@@ -4,13 +4,13 @@
 //! A request passes through `admit`, the quota queue (tenants with a quota only), `connect` and `send`. Key and freshness
 //! are checked again before sending, because both may have changed in the meantime.
 
-use super::{LimitHistory, LimitMutation, BOUNDS, HOST, SERVICE, TENANTS};
+use super::executions::Execution;
+use super::{ConfigurationChanges, LimitHistory, LimitMutation, BOUNDS, HOST, SERVICE, TENANTS};
 use crate::limit_checker::{Quota, SentRequest};
-use passrelay_configuration::Tenant;
 use passrelay_control_plane::quota::{QuotaMessage, TenantKey, GRANT_LIFETIME};
 use passrelay_data_plane::quota::{QuotaShares, TenantTokens};
 use passrelay_data_plane::retry_budget::RetryBudget;
-use passrelay_data_plane::routing::RoutingTable;
+use passrelay_data_plane::routing::{RouteMatch, RoutingTable};
 use passrelay_dissemination::{EndpointRecord, EndpointState};
 use rand::seq::IndexedRandom;
 use rand::Rng;
@@ -60,6 +60,7 @@
     table: Option<RoutingTable>,
     queued: Vec<QueuedRequest>,
     connecting: Vec<ConnectingRequest>,
+    pub(super) executing: Vec<Execution>,
     /// Remaining retries beyond the budget; 0 unless a mutation grants some.
     extra_retries: f64,
 }
@@ -74,6 +75,7 @@
             table: None,
             queued: Vec::new(),
             connecting: Vec::new(),
+            executing: Vec::new(),
             extra_retries: if has_slack { BOUNDS.retry_slack } else { 0.0 },
         }
     }
@@ -82,11 +84,16 @@
         self.table = table;
     }
 
-    fn tenant(&self, key: &str) -> Option<&Tenant> {
-        self.table.as_ref()?.find(HOST, "/", Some(key)).ok()?.tenant
+    /// Returns the route and tenant of a request with this key, or `None` if it is denied.
+    pub(super) fn find(&self, key: &str) -> Option<RouteMatch<'_>> {
+        self.table.as_ref()?.find(HOST, "/", Some(key)).ok()
     }
 
-    fn may_retry(&mut self) -> bool {
+    fn has_no_tenants(&self) -> bool {
+        self.table.as_ref().is_some_and(|table| table.tenants().is_empty())
+    }
+
+    pub(super) fn may_retry(&mut self) -> bool {
         if self.budget.withdraw(SERVICE) {
             return true;
         }
@@ -108,7 +115,7 @@
     }
 
     /// Returns the sidecar of the process that runs on a machine now.
-    fn sidecar(&mut self, machine: usize) -> &mut Sidecar {
+    pub(super) fn sidecar(&mut self, machine: usize) -> &mut Sidecar {
         let incarnation = self.cluster.incarnation(machine);
         self.sidecar_of(machine, incarnation)
     }
@@ -121,7 +128,8 @@
         }
         let sidecar = self.sidecar(machine);
         sidecar.budget.deposit(SERVICE);
-        let tenant = sidecar.tenant(&request.key).filter(|tenant| tenant.is_limited());
+        let tenant = sidecar.find(&request.key).and_then(|found| found.tenant);
+        let tenant = tenant.filter(|tenant| tenant.is_limited());
         match tenant.map(|tenant| TenantKey::of(&tenant.name).0) {
             Some(tenant) => {
                 sidecar.shares.add_demand(tenant, request.tokens);
@@ -136,13 +144,24 @@
         *self.outcome.rejected.entry(request.tenant.clone()).or_default() += 1;
     }
 
-    /// Returns whether a machine may send a request with this key now: its configuration must be fresh and contain the key.
-    fn may_send(&mut self, machine: usize, key: &str) -> bool {
+    /// Returns whether a machine may send a request with this key now: its configuration must accept the key and, if a tenant
+    /// holds it, be fresh.
+    pub(super) fn may_send(&mut self, machine: usize, key: &str) -> bool {
+        let accepts_any = self.settings.mutation == Some(LimitMutation::AcceptsAnyKeyWithoutTenants);
+        let sidecar = self.sidecar(machine);
+        if accepts_any && sidecar.has_no_tenants() {
+            return true;
+        }
+        let Some(found) = sidecar.find(key) else { return false };
+        found.tenant.is_none() || self.is_fresh(machine)
+    }
+
+    /// Returns whether a machine's configuration was proven to be current recently.
+    fn is_fresh(&self, machine: usize) -> bool {
         let now = self.cluster.local_now(machine);
         let process = self.cluster.process(machine);
         let Some(fresh_at) = process.and_then(|process| process.gossip().fresh_at()) else { return false };
-        let max_age = BOUNDS.revocation_delay.saturating_sub(REVOCATION_MARGIN);
-        now.saturating_sub(fresh_at) < max_age && self.sidecar(machine).tenant(key).is_some()
+        now.saturating_sub(fresh_at) < BOUNDS.revocation_delay.saturating_sub(REVOCATION_MARGIN)
     }
 
     /// Selects an endpoint and starts to connect to it, at times with a delay.
@@ -177,6 +196,7 @@
             self.advance_queued(machine, now, request);
         }
         self.request_quota(machine);
+        self.end_executions(machine, now);
         let connecting = std::mem::take(&mut self.sidecar(machine).connecting);
         for request in connecting {
             if request.connected_at > now {
@@ -232,6 +252,9 @@
             return self.connect(machine, connected.request);
         }
         self.record_sent(machine, &connected);
+        if self.settings.changes == ConfigurationChanges::RemoveTenants {
+            return self.execute(machine, connected.request, None);
+        }
         if self.cluster.rng.random_bool(REJECTED_PROBABILITY) && self.sidecar(machine).may_retry() {
             self.checker.retry_sent(self.cluster.now());
         }
--- a/crates/testing/cluster-simulation/tests/limits.rs
+++ b/crates/testing/cluster-simulation/tests/limits.rs
@@ -1,14 +1,19 @@
 //! Random histories exceed no fleet-wide limit, and the checker detects mutated sidecars, gossip and grantors.
 
 use passrelay_cluster_simulation::cluster::ClusterSettings;
-use passrelay_cluster_simulation::limits::{simulate, LimitMutation, LimitSettings};
+use passrelay_cluster_simulation::limits::{simulate, ConfigurationChanges, LimitMutation, LimitSettings};
 use passrelay_cluster_simulation::seeds::seeds_from_env;
 use passrelay_control_plane::replication::ProtocolMutation;
 use passrelay_dissemination::GossipMutation;
 use rstest::rstest;
 
 fn settings(voters: usize, machines: usize, seed: u64) -> LimitSettings {
-    LimitSettings { cluster: ClusterSettings::new(voters, machines, seed), fault_free: false, mutation: None }
+    LimitSettings {
+        cluster: ClusterSettings::new(voters, machines, seed),
+        changes: ConfigurationChanges::ReplaceKeys,
+        fault_free: false,
+        mutation: None,
+    }
 }
 
 /// Returns the first `histories` seeds, or those that `LIMIT_HISTORIES=FROM..TO` selects instead.
@@ -39,6 +44,36 @@
     assert!(revoked > 0 && drained > 0 && sent > 0);
 }
 
+// Guards against the faults of review/1 and review/2: keys that work again once no tenant is left, and requests that are repeated
+// as a route allows that they were not sent under.
+#[rstest]
+#[case::three_voters_of_six(3, 6, 200)]
+#[case::three_voters_of_twelve(3, 12, 100)]
+fn no_limit_is_exceeded_while_all_tenants_come_and_go(
+    #[case] voters: usize,
+    #[case] machines: usize,
+    #[case] histories: u64,
+) {
+    let mut revoked = 0;
+    let mut repeated = 0;
+    for seed in seeds(histories) {
+        let settings = LimitSettings {
+            changes: ConfigurationChanges::RemoveTenants,
+            ..settings(voters, machines, seed)
+        };
+        let outcome = simulate(&settings);
+        assert!(
+            outcome.violations.is_empty(),
+            "LIMIT_HISTORIES={seed}..{} ({voters} voters of {machines}): {:?}",
+            seed + 1,
+            outcome.violations
+        );
+        revoked += outcome.revoked;
+        repeated += outcome.repeated;
+    }
+    assert!(revoked > 0 && repeated > 0);
+}
+
 #[test]
 fn without_faults_no_request_within_a_quota_is_rejected() {
     for seed in seeds(40) {
@@ -53,13 +88,15 @@
 }
 
 #[rstest]
-#[case(LimitMutation::ChecksBeforeWaitOnly)]
-#[case(LimitMutation::RetrySlackPerSidecar)]
-#[case(LimitMutation::SendsToDraining)]
-#[case(LimitMutation::AcknowledgesDrainingWithoutQuorum)]
-fn a_sidecar_mutation_is_detected(#[case] mutation: LimitMutation) {
+#[case(LimitMutation::ChecksBeforeWaitOnly, ConfigurationChanges::ReplaceKeys)]
+#[case(LimitMutation::RetrySlackPerSidecar, ConfigurationChanges::ReplaceKeys)]
+#[case(LimitMutation::SendsToDraining, ConfigurationChanges::ReplaceKeys)]
+#[case(LimitMutation::AcknowledgesDrainingWithoutQuorum, ConfigurationChanges::ReplaceKeys)]
+#[case(LimitMutation::RepeatsByNewestRoute, ConfigurationChanges::RemoveTenants)]
+#[case(LimitMutation::AcceptsAnyKeyWithoutTenants, ConfigurationChanges::RemoveTenants)]
+fn a_sidecar_mutation_is_detected(#[case] mutation: LimitMutation, #[case] changes: ConfigurationChanges) {
     let found = (0..500).find(|seed| {
-        let settings = LimitSettings { mutation: Some(mutation), ..settings(3, 12, *seed) };
+        let settings = LimitSettings { changes, mutation: Some(mutation), ..settings(3, 12, *seed) };
         !simulate(&settings).violations.is_empty()
     });
     println!("{mutation:?}: seed {found:?}");
--- a/crates/testing/cluster-simulation/tests/traces.rs
+++ b/crates/testing/cluster-simulation/tests/traces.rs
@@ -11,7 +11,7 @@
 use passrelay_cluster_simulation::failover::{time_to_acknowledge, PrimaryLoss};
 use passrelay_cluster_simulation::faults::FaultInjector;
 use passrelay_cluster_simulation::history::{self, HistorySettings, Scenario};
-use passrelay_cluster_simulation::limits::{self, LimitSettings};
+use passrelay_cluster_simulation::limits::{self, ConfigurationChanges, LimitSettings};
 use passrelay_control_plane::configuration_change::{ChangeKind, ConfigurationChange};
 use passrelay_control_plane::quota::{QuotaMessage, TenantKey};
 use passrelay_control_plane::{OperatorRequest, Status};
@@ -179,7 +179,12 @@
 ) {
     assert_digests(expected, |seed, digest| {
         let cluster = ClusterSettings::new(voters, machines, seed);
-        let outcome = limits::simulate(&LimitSettings { cluster, fault_free: false, mutation: None });
+        let outcome = limits::simulate(&LimitSettings {
+            cluster,
+            changes: ConfigurationChanges::ReplaceKeys,
+            fault_free: false,
+            mutation: None,
+        });
         digest.number(outcome.violations.len() as u64);
         for by_tenant in [&outcome.sent, &outcome.rejected] {
             for (tenant, requests) in by_tenant {
