--- a/crates/router/node/src/request/attempts.rs
+++ b/crates/router/node/src/request/attempts.rs
@@ -5,6 +5,7 @@
 
 use super::admission::{self, Admission};
 use super::endpoint_call::EndpointCall;
+use super::endpoint_selection::{EndpointSelection, SelectedEndpoint, VersionChoice};
 use super::headers::{INSTANCE_LOAD, NOT_EXECUTED, REQUEST_ID};
 use super::inbound::InboundRequest;
 use super::outbound::{self, AttemptFields};
@@ -16,9 +17,9 @@
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
 use hyper::{Response, StatusCode};
-use passrelay_data_plane::balancer::{LoadReport, Pick, PickRequest, RequestOutcome};
+use passrelay_data_plane::balancer::{LoadReport, Pick, RequestOutcome};
 use passrelay_data_plane::execution_limits::ExecutionLimits;
-use passrelay_data_plane::rollout_shares::{CanaryChoice, RequestFeatures};
+use passrelay_data_plane::rollout_shares::RequestFeatures;
 use passrelay_data_plane::stream_origin::StreamOrigin;
 use smol::Timer;
 use std::rc::Rc;
@@ -53,25 +54,6 @@
     TimedOut,
 }
 
-/// A selected endpoint and the reason for its version.
-struct SelectedEndpoint {
-    pick: Pick,
-    /// The requested version; empty if any version was accepted.
-    version: String,
-    choice: VersionChoice,
-}
-
-/// Reason for sending a request to a version.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-enum VersionChoice {
-    /// The version is in service, or the service has none recorded.
-    InService,
-    /// The version is being rolled out, and this router holds a share of its traffic.
-    Canary,
-    /// The version is being rolled out, and one of its endpoints is load-tested.
-    LoadTest,
-}
-
 /// The attempts of one request.
 pub struct Attempts {
     context: Rc<RequestContext>,
@@ -175,23 +157,26 @@
     /// Checks whether the request may be sent under `admission` after the attempts so far.
     fn check_next(&mut self, admission: &Admission) -> Result<(), Failure> {
         self.limits = self.limits.restricted_by(&admission.route);
-        let accepted_by_shutdown = self.context.shutdown.accepts(self.deadline);
-        let checked =
-            self.history.check_next(&AttemptConditions { limits: self.limits, accepted_by_shutdown });
-        let may_continue =
-            |origin: &StreamOrigin| origin.may_continue(&admission.route, admission.tenant.as_ref());
-        let checked = match &self.resumed {
-            Some(origin) if !may_continue(origin) => Err(Failure::NoResponse),
-            _ => checked,
-        };
-        let current =
-            AttemptConditions { limits: ExecutionLimits::of(&admission.route), accepted_by_shutdown };
-        if checked.is_err() && self.history.check_next(&current).is_ok() {
+        let checked = self.check_limits(self.limits).and_then(|()| self.check_origin(admission));
+        if checked.is_err() && self.check_limits(ExecutionLimits::of(&admission.route)).is_ok() {
             self.context.data_plane.repeats.record_withheld();
         }
         checked
     }
 
+    fn check_limits(&self, limits: ExecutionLimits) -> Result<(), Failure> {
+        let accepted_by_shutdown = self.context.shutdown.accepts(self.deadline);
+        self.history.check_next(&AttemptConditions { limits, accepted_by_shutdown })
+    }
+
+    /// Checks whether a response that has broken off may continue under `admission`.
+    fn check_origin(&self, admission: &Admission) -> Result<(), Failure> {
+        let may_continue =
+            |origin: &StreamOrigin| origin.may_continue(&admission.route, admission.tenant.as_ref());
+        let continues = self.resumed.as_ref().is_none_or(may_continue);
+        continues.then_some(()).ok_or(Failure::NoResponse)
+    }
+
     /// Charges the request to the tenant that it has under `admission`, to which it was not charged before.
     async fn charge(&mut self, admission: &Admission) -> Result<(), Failure> {
         self.refund();
@@ -273,38 +258,19 @@
         Ok(self.classify_result(result, connection, call, origin))
     }
 
-    /// Selects an endpoint of a version being rolled out if this router's share provides for it, and otherwise of the version in
-    /// service. Retries always go to the version in service, because the version being rolled out may have caused the failure.
     fn select_endpoint(&self, admission: &Admission, service: &str) -> Option<SelectedEndpoint> {
+        let selection = EndpointSelection {
+            context: &self.context,
+            admission,
+            service,
+            prompt: self.inbound.prompt,
+            attempted: &self.attempted,
+        };
         if self.history.attempts == 0 {
-            let now = self.context.now();
-            let choice = self.context.data_plane.rollout_shares.borrow_mut().choose(now, service);
-            if let Some(CanaryChoice { version, endpoint_share, is_load_test }) = choice {
-                let choice = if is_load_test { VersionChoice::LoadTest } else { VersionChoice::Canary };
-                if let Some(pick) = self.pick(admission, service, Some(&version), Some(endpoint_share)) {
-                    return Some(SelectedEndpoint { pick, version, choice });
-                }
-            }
+            selection.select_first()
+        } else {
+            selection.select_in_service()
         }
-        // Endpoints report their own version, so they receive requests only if it is the version in service.
-        let version = admission.snapshot.service_versions.get(service);
-        let pick = self.pick(admission, service, version, None)?;
-        let version = version.unwrap_or_default().to_owned();
-        Some(SelectedEndpoint { pick, version, choice: VersionChoice::InService })
-    }
-
-    fn pick(
-        &self,
-        admission: &Admission,
-        service: &str,
-        version: Option<&str>,
-        endpoint_share: Option<f64>,
-    ) -> Option<Pick> {
-        let prompt = Some(self.inbound.prompt).filter(|_| admission.route.session_affinity);
-        let latency_target = Duration::from_millis(admission.route.target_latency_ms);
-        let attempted = &self.attempted;
-        let request = PickRequest { service, version, endpoint_share, prompt, latency_target, attempted };
-        self.context.data_plane.balancer.borrow_mut().pick(self.context.now(), &request)
     }
 
     /// Classifies the result of sending a request; `None` stands for a timeout.
--- a/crates/router/node/src/request/mod.rs
+++ b/crates/router/node/src/request/mod.rs
@@ -9,7 +9,7 @@
 //! | read the body | `inbound_body` | 400, 408, 413 |
 //! | admit again, because reading may have taken long | `admission` | as above |
 //! | reserve quota | `quota` | 429, 503 |
-//! | select an endpoint, attempt, retry | `attempts`, by the rules in `retry_policy` | 502, 503, 504 |
+//! | select an endpoint, attempt, retry | `endpoint_selection`, `attempts`, by the rules in `retry_policy` | 502, 503, 504 |
 //! | relay the response, resume a stream | `relay_body` | a closed connection |
 //!
 //! Status codes 429 and 503 promise that the request has not been and will not be executed. A request that may have
@@ -18,6 +18,7 @@
 mod admission;
 mod attempts;
 mod endpoint_call;
+mod endpoint_selection;
 mod event_buffer;
 mod headers;
 mod inbound;
--- a/crates/testing/cluster-simulation/tests/limits.rs
+++ b/crates/testing/cluster-simulation/tests/limits.rs
@@ -1,7 +1,9 @@
 //! Random histories exceed no fleet-wide limit, and the checker detects mutated sidecars, gossip and grantors.
 
 use passrelay_cluster_simulation::cluster::ClusterSettings;
-use passrelay_cluster_simulation::limits::{simulate, ConfigurationChanges, LimitMutation, LimitSettings};
+use passrelay_cluster_simulation::limits::{
+    simulate, ConfigurationChanges, LimitMutation, LimitOutcome, LimitSettings,
+};
 use passrelay_cluster_simulation::seeds::seeds_from_env;
 use passrelay_control_plane::replication::ProtocolMutation;
 use passrelay_dissemination::GossipMutation;
@@ -21,6 +23,16 @@
     seeds_from_env("LIMIT_HISTORIES", histories)
 }
 
+/// Checks that a history exceeded no limit. The message contains the variable that repeats its seed.
+fn assert_no_violation(outcome: &LimitOutcome, seed: u64, voters: usize, machines: usize) {
+    assert!(
+        outcome.violations.is_empty(),
+        "LIMIT_HISTORIES={seed}..{} ({voters} voters of {machines}): {:?}",
+        seed + 1,
+        outcome.violations
+    );
+}
+
 #[rstest]
 #[case::three_voters_of_twelve(3, 12, 600)]
 #[case::five_voters_of_twelve(5, 12, 300)]
@@ -31,12 +43,7 @@
     let mut sent = 0;
     for seed in seeds(histories) {
         let outcome = simulate(&settings(voters, machines, seed));
-        assert!(
-            outcome.violations.is_empty(),
-            "LIMIT_HISTORIES={seed}..{} ({voters} voters of {machines}): {:?}",
-            seed + 1,
-            outcome.violations
-        );
+        assert_no_violation(&outcome, seed, voters, machines);
         revoked += outcome.revoked;
         drained += outcome.drained;
         sent += outcome.sent.values().sum::<usize>();
@@ -62,12 +69,7 @@
             ..settings(voters, machines, seed)
         };
         let outcome = simulate(&settings);
-        assert!(
-            outcome.violations.is_empty(),
-            "LIMIT_HISTORIES={seed}..{} ({voters} voters of {machines}): {:?}",
-            seed + 1,
-            outcome.violations
-        );
+        assert_no_violation(&outcome, seed, voters, machines);
         revoked += outcome.revoked;
         repeated += outcome.repeated;
     }
