--- a/crates/passrelay/tests/fleet/changes_in_flight.rs
+++ b/crates/passrelay/tests/fleet/changes_in_flight.rs
@@ -33,15 +33,15 @@
     Remove,
 }
 
-/// One sidecar, and endpoints of service `bays` that hold every request but those of the warm-up until [`Held::release`].
-struct Held {
+/// One sidecar, and endpoints of service `bays` that hold every request but those of the warm-up until [`BlockedFleet::release`].
+struct BlockedFleet {
     _fleet: Fleet,
     sidecar: Sidecar,
     endpoints: Vec<Server>,
     released: Arc<AtomicBool>,
 }
 
-impl Held {
+impl BlockedFleet {
     /// Starts endpoints that react with `reply` once they are released.
     fn start(
         configuration: &Value,
@@ -64,9 +64,9 @@
         let mut fleet = Fleet::new(PROGRAM, 1);
         fleet.more_settings.push(RETRY_BUDGET_SETTING.to_owned());
         let (fleet, sidecar) = in_service(fleet, &addresses, configuration);
-        let held = Held { _fleet: fleet, sidecar, endpoints, released };
-        held.warm_up("/look/");
-        held
+        let blocked = BlockedFleet { _fleet: fleet, sidecar, endpoints, released };
+        blocked.warm_up("/look/");
+        blocked
     }
 
     /// Has requests answered on a route, so that its service has its full retry budget.
@@ -105,7 +105,7 @@
 }
 
 /// Replaces, modifies or removes the route of this name. A removed route's path falls to `/`, which is `safe` with two attempts.
-fn change_route(held: &Held, change: Change, name: &str, fields: &[(&str, Value)]) {
+fn change_route(blocked: &BlockedFleet, change: Change, name: &str, fields: &[(&str, Value)]) {
     let mut document = with_fallback();
     document["generation"] = json!(AFTER);
     let routes = document["routes"].as_array_mut().unwrap();
@@ -115,10 +115,10 @@
     }
     let upsert = json!({ "generation": AFTER, "upsert": { "routes": [route] } });
     match change {
-        Change::Replace => held.change("PUT", &document),
-        Change::Upsert => held.change("PATCH", &upsert),
+        Change::Replace => blocked.change("PUT", &document),
+        Change::Upsert => blocked.change("PATCH", &upsert),
         Change::Remove => {
-            held.change("PATCH", &json!({ "generation": AFTER, "remove": { "routes": [name] } }))
+            blocked.change("PATCH", &json!({ "generation": AFTER, "remove": { "routes": [name] } }))
         }
     }
 }
@@ -143,13 +143,13 @@
 fn an_unsafe_request_whose_answer_is_lost_runs_once_whatever_its_route_becomes_meanwhile(
     #[values(Change::Replace, Change::Upsert, Change::Remove)] change: Change,
 ) {
-    let held = Held::start(&with_fallback(), 2, lost);
-    let mut client = held.send("/open/gate");
-    change_route(&held, change, "open", &[("route-type", json!("safe")), ("max-attempts", json!(2))]);
-    held.release();
+    let blocked = BlockedFleet::start(&with_fallback(), 2, lost);
+    let mut client = blocked.send("/open/gate");
+    change_route(&blocked, change, "open", &[("route-type", json!("safe")), ("max-attempts", json!(2))]);
+    blocked.release();
     assert_eq!(status(&read_all(&mut client)), 502);
-    assert_eq!(held.runs().len(), 1, "{change:?}: {}", held.sidecar.status());
-    assert_eq!(held.sidecar.status()["withheld_repeats"], 1);
+    assert_eq!(blocked.runs().len(), 1, "{change:?}: {}", blocked.sidecar.status());
+    assert_eq!(blocked.sidecar.status()["withheld_repeats"], 1);
 }
 
 // Guards against more executions than the route allowed when the request was sent.
@@ -157,12 +157,12 @@
 fn a_request_in_flight_is_not_sent_more_often_because_its_route_allows_more_attempts_meanwhile(
     #[values(Change::Replace, Change::Upsert)] change: Change,
 ) {
-    let held = Held::start(&with_fallback(), 4, lost);
-    let mut client = held.send("/look/gate");
-    change_route(&held, change, "look", &[("max-attempts", json!(4))]);
-    held.release();
+    let blocked = BlockedFleet::start(&with_fallback(), 4, lost);
+    let mut client = blocked.send("/look/gate");
+    change_route(&blocked, change, "look", &[("max-attempts", json!(4))]);
+    blocked.release();
     assert_eq!(status(&read_all(&mut client)), 502);
-    assert_eq!(held.runs().len(), 2, "{change:?}: {}", held.sidecar.status());
+    assert_eq!(blocked.runs().len(), 2, "{change:?}: {}", blocked.sidecar.status());
 }
 
 // Guards against the opposite error: a change that takes permission to repeat away holds for requests in flight too.
@@ -170,12 +170,12 @@
 fn a_safe_request_is_not_repeated_once_its_route_is_unsafe(
     #[values(Change::Replace, Change::Upsert)] change: Change,
 ) {
-    let held = Held::start(&with_fallback(), 2, lost);
-    let mut client = held.send("/look/gate");
-    change_route(&held, change, "look", &[("route-type", json!("unsafe"))]);
-    held.release();
+    let blocked = BlockedFleet::start(&with_fallback(), 2, lost);
+    let mut client = blocked.send("/look/gate");
+    change_route(&blocked, change, "look", &[("route-type", json!("unsafe"))]);
+    blocked.release();
     assert_eq!(status(&read_all(&mut client)), 502);
-    assert_eq!(held.runs().len(), 1);
+    assert_eq!(blocked.runs().len(), 1);
 }
 
 /// A stream that breaks off after its third event; whoever is asked to go on sends events that belong to another answer.
@@ -189,14 +189,14 @@
 // Guards against one answer joined of two: a stream that goes on at a route that isn't the one it began on.
 #[test]
 fn a_stream_whose_route_is_removed_is_broken_off_and_not_continued_by_a_route_that_is_no_stream() {
-    let held = Held::start(&with_fallback(), 2, broken_stream);
-    let mut client = held.send("/ask/gate");
-    change_route(&held, Change::Remove, "ask", &[]);
-    held.release();
+    let blocked = BlockedFleet::start(&with_fallback(), 2, broken_stream);
+    let mut client = blocked.send("/ask/gate");
+    change_route(&blocked, Change::Remove, "ask", &[]);
+    blocked.release();
     let answer = read_all(&mut client);
     assert!(answer.contains("data: 2") && !answer.contains("data: 70"), "{answer}");
     assert!(!answer.ends_with("0\r\n\r\n"), "{answer}");
-    assert_eq!(held.runs().len(), 1);
+    assert_eq!(blocked.runs().len(), 1);
 }
 
 // Guards against a stream whose first half is of one service and whose second half is of another.
@@ -205,18 +205,18 @@
     let mut document = with_fallback();
     document["services"].as_array_mut().unwrap().push(json!({ "name": "decks", "max-connections": 100 }));
     document["routes"][0]["backend"] = json!("decks");
-    let held = Held::start(&document, 1, broken_stream);
+    let blocked = BlockedFleet::start(&document, 1, broken_stream);
     let other = Server::start(|message| match message.header("last-event-id") {
         None => ok(""),
         Some(_) => events(70..72, true),
     });
-    assert_eq!(held.sidecar.heartbeat("i-other", "decks", other.address, "ready", 1), 200);
-    held.warm_up("/open/");
-    let mut client = held.send("/ask/gate");
+    assert_eq!(blocked.sidecar.heartbeat("i-other", "decks", other.address, "ready", 1), 200);
+    blocked.warm_up("/open/");
+    let mut client = blocked.send("/ask/gate");
     document["generation"] = json!(AFTER);
     document["routes"][2]["backend"] = json!("decks");
-    held.change("PUT", &document);
-    held.release();
+    blocked.change("PUT", &document);
+    blocked.release();
     let answer = read_all(&mut client);
     assert!(answer.contains("data: 2") && !answer.contains("data: 70"), "{answer}");
     assert!(!answer.ends_with("0\r\n\r\n"), "{answer}");
@@ -225,16 +225,16 @@
 // Guards against the opposite error: a stream goes on though its configuration has changed, if its route has not.
 #[test]
 fn a_stream_is_continued_after_a_change_of_another_route() {
-    let held = Held::start(&with_fallback(), 2, |message| match message.header("last-event-id") {
+    let blocked = BlockedFleet::start(&with_fallback(), 2, |message| match message.header("last-event-id") {
         None => events(0..3, false),
         Some(_) => events(3..5, true),
     });
-    let mut client = held.send("/ask/gate");
-    change_route(&held, Change::Upsert, "open", &[("timeout-ms", json!(2_000))]);
-    held.release();
+    let mut client = blocked.send("/ask/gate");
+    change_route(&blocked, Change::Upsert, "open", &[("timeout-ms", json!(2_000))]);
+    blocked.release();
     let answer = read_all(&mut client);
     assert!(answer.contains("data: 4") && answer.ends_with("0\r\n\r\n"), "{answer}");
-    assert_eq!(held.runs().len(), 2);
+    assert_eq!(blocked.runs().len(), 2);
 }
 
 // Guards against requests that run for a limited tenant and are charged to another: the key changes hands while they wait.
@@ -244,15 +244,15 @@
     document["tenants"] = json!([{ "name": "family", "api-keys": ["key-1"] }]);
     let full =
         |_: &Message| response(503, "X-Passrelay-Request-Id: r1\r\nX-Passrelay-Not-Executed: full\r\n", b"");
-    let held = Held::start(&document, 1, full);
-    let mut client = held.send("/open/gate");
+    let blocked = BlockedFleet::start(&document, 1, full);
+    let mut client = blocked.send("/open/gate");
     let second = Server::start(|_| ok("ran"));
-    assert_eq!(held.sidecar.heartbeat("i-second", "bays", second.address, "ready", 1), 200);
+    assert_eq!(blocked.sidecar.heartbeat("i-second", "bays", second.address, "ready", 1), 200);
     let limited = json!({ "name": "staff", "api-keys": ["key-1"], "unit": "token_usage",
         "uncached-tokens": 1_000_000_000, "rate-per-s": 1, "burst": 1 });
     let moved = json!({ "generation": AFTER, "upsert": { "tenants": [limited] }, "remove": { "tenants": ["family"] } });
-    held.change("PATCH", &moved);
-    held.release();
+    blocked.change("PATCH", &moved);
+    blocked.release();
     let answer = read_all(&mut client);
     assert!([429, 503].contains(&status(&answer)), "{answer}");
     assert!(second.requests().is_empty(), "{:?}", second.requests()[0].header("x-passrelay-tenant"));
