--- /dev/null
+++ b/review/stand-ins-2/src/endpoint.rs
@@ -0,0 +1,132 @@
+//! A sound endpoint: registers by heartbeats, runs each request at once and answers it with its seal.
+
+use crate::http;
+use crate::record::note;
+use std::io::{BufRead, BufReader, Read, Write};
+use std::net::{SocketAddrV4, TcpListener, TcpStream};
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::{Arc, Mutex};
+use std::thread;
+use std::time::Duration;
+
+const HEARTBEAT: Duration = Duration::from_millis(1_200);
+const CALL_TIMEOUT: Duration = Duration::from_millis(1_000);
+
+/// A running endpoint. It lives as long as the process.
+pub struct Endpoint {
+    pub id: String,
+    service: String,
+    address: SocketAddrV4,
+    zone: String,
+    sequence: AtomicU64,
+    /// Ids of the requests that were run.
+    runs: Mutex<Vec<String>>,
+}
+
+impl Endpoint {
+    /// Opens the port and begins to send heartbeats to `controls`.
+    pub fn start(
+        id: &str,
+        service: &str,
+        address: SocketAddrV4,
+        zone: &str,
+        controls: Vec<SocketAddrV4>,
+    ) -> Result<Arc<Self>, String> {
+        let listener = TcpListener::bind(address).map_err(|error| format!("{address}: {error}"))?;
+        let endpoint = Arc::new(Endpoint {
+            id: id.to_owned(),
+            service: service.to_owned(),
+            address,
+            zone: zone.to_owned(),
+            sequence: AtomicU64::new(0),
+            runs: Mutex::default(),
+        });
+        let serving = endpoint.clone();
+        thread::spawn(move || {
+            for stream in listener.incoming().flatten() {
+                let serving = serving.clone();
+                thread::spawn(move || serving.serve(stream));
+            }
+        });
+        let beating = endpoint.clone();
+        thread::spawn(move || loop {
+            beating.heartbeat("ready", &controls);
+            thread::sleep(HEARTBEAT);
+        });
+        Ok(endpoint)
+    }
+
+    /// Sends one heartbeat, to one sidecar after the other until one acknowledges it.
+    fn heartbeat(&self, state: &str, controls: &[SocketAddrV4]) -> bool {
+        let sequence = self.sequence.fetch_add(1, Ordering::Relaxed) + 1;
+        let body = format!(
+            "{{\"backend\":\"{}\",\"address\":\"{}\",\"zone\":\"{}\",\"generation\":\"v1\",\"capacity\":8,\"state\":\"{state}\",\
+             \"cold-remaining-ms\":0,\"sequence\":{sequence}}}",
+            self.service, self.address, self.zone
+        );
+        let path = format!("/instances/{}", self.id);
+        let headers = [("Content-Type", "application/json")];
+        controls.iter().any(|control| {
+            let answer = http::call(*control, "PUT", &path, &headers, body.as_bytes(), CALL_TIMEOUT);
+            answer.is_ok_and(|answer| (200..300).contains(&answer.status))
+        })
+    }
+
+    /// Returns the ids of the requests that were run so far.
+    pub fn runs(&self) -> Vec<String> {
+        self.runs.lock().map(|runs| runs.clone()).unwrap_or_default()
+    }
+
+    fn serve(&self, mut stream: TcpStream) {
+        let _ = stream.set_nodelay(true);
+        let Ok(reading) = stream.try_clone() else { return };
+        let mut reader = BufReader::new(reading);
+        while let Some(id) = self.serve_request(&mut reader, &mut stream) {
+            note(&format!("endpoint {} ran request {id}", self.id));
+        }
+    }
+
+    /// Serves the next request of a connection. Returns its id, or `None` at the end of the connection.
+    fn serve_request(&self, reader: &mut BufReader<TcpStream>, stream: &mut TcpStream) -> Option<String> {
+        let line = read_line(reader)?;
+        let (mut id, mut length, mut target) = (String::new(), 0, None);
+        loop {
+            let line = read_line(reader)?;
+            if line.is_empty() {
+                break;
+            }
+            let (name, value) = line.split_once(':')?;
+            match name.to_ascii_lowercase().as_str() {
+                "x-passrelay-request-id" => id = value.trim().to_owned(),
+                "x-passrelay-target-instance" => target = Some(value.trim().to_owned()),
+                "content-length" => length = value.trim().parse().ok()?,
+                _ => {}
+            }
+        }
+        let mut body = vec![0; length];
+        reader.read_exact(&mut body).ok()?;
+        let (status, extra) = if line.starts_with("GET /health") {
+            ("200 OK", format!("X-Passrelay-Instance-Id: {}\r\n", self.id))
+        } else if target.is_some_and(|target| target != self.id) {
+            ("421 Misdirected Request", String::new())
+        } else {
+            if let Ok(mut runs) = self.runs.lock() {
+                runs.push(id.clone());
+            }
+            ("200 OK", format!("X-Passrelay-Response-Seal: {}.{id}\r\n", self.id))
+        };
+        let answer = format!("{} answers {id}", self.id);
+        let head = format!(
+            "HTTP/1.1 {status}\r\nX-Passrelay-Request-Id: {id}\r\n{extra}Keep-Alive: timeout=10\r\nContent-Length: {}\r\n\r\n",
+            answer.len()
+        );
+        stream.write_all(format!("{head}{answer}").as_bytes()).ok()?;
+        Some(id)
+    }
+}
+
+fn read_line(reader: &mut BufReader<TcpStream>) -> Option<String> {
+    let mut line = Vec::new();
+    let count = reader.read_until(b'\n', &mut line).ok()?;
+    (count > 0).then(|| String::from_utf8_lossy(&line).trim_end().to_owned())
+}
