Show that a late heartbeat of a crashed endpoint takes a healthy one away

Cause: a heartbeat with an unknown id deregisters the endpoint that has its address, for good and on all sidecars, although the unknown endpoint may be the earlier one. The removed endpoint's own heartbeats are acknowledged and ignored for 60 s.

--- a/review/stand-ins-2/src/endpoint.rs
+++ b/review/stand-ins-2/src/endpoint.rs
@@ -3,14 +3,15 @@
 use crate::http;
 use crate::record::note;
 use std::io::{BufRead, BufReader, Read, Write};
-use std::net::{SocketAddrV4, TcpListener, TcpStream};
-use std::sync::atomic::{AtomicU64, Ordering};
+use std::net::{Shutdown, SocketAddrV4, TcpListener, TcpStream};
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex};
 use std::thread;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 const HEARTBEAT: Duration = Duration::from_millis(1_200);
 const CALL_TIMEOUT: Duration = Duration::from_millis(1_000);
+const ACCEPT_INTERVAL: Duration = Duration::from_millis(5);
 
 /// A running endpoint. It lives as long as the process.
 pub struct Endpoint {
@@ -19,6 +20,9 @@
     address: SocketAddrV4,
     zone: String,
     sequence: AtomicU64,
+    acknowledged: AtomicU64,
+    crashed: AtomicBool,
+    connections: Mutex<Vec<TcpStream>>,
     /// Ids of the requests that were run.
     runs: Mutex<Vec<String>>,
 }
@@ -31,6 +35,24 @@
         address: SocketAddrV4,
         zone: &str,
         controls: Vec<SocketAddrV4>,
+    ) -> Result<Arc<Self>, String> {
+        let endpoint = Self::start_silent(id, service, address, zone)?;
+        let beating = endpoint.clone();
+        thread::spawn(move || {
+            while !beating.has_crashed() {
+                beating.heartbeat(&controls);
+                thread::sleep(HEARTBEAT);
+            }
+        });
+        Ok(endpoint)
+    }
+
+    /// Opens the port. The caller sends the heartbeats.
+    pub fn start_silent(
+        id: &str,
+        service: &str,
+        address: SocketAddrV4,
+        zone: &str,
     ) -> Result<Arc<Self>, String> {
         let listener = TcpListener::bind(address).map_err(|error| format!("{address}: {error}"))?;
         let endpoint = Arc::new(Endpoint {
@@ -39,37 +61,83 @@
             address,
             zone: zone.to_owned(),
             sequence: AtomicU64::new(0),
+            acknowledged: AtomicU64::new(0),
+            crashed: AtomicBool::new(false),
+            connections: Mutex::default(),
             runs: Mutex::default(),
         });
+        listener.set_nonblocking(true).map_err(|error| error.to_string())?;
         let serving = endpoint.clone();
         thread::spawn(move || {
-            for stream in listener.incoming().flatten() {
-                let serving = serving.clone();
-                thread::spawn(move || serving.serve(stream));
+            while !serving.has_crashed() {
+                let Ok((stream, _)) = listener.accept() else {
+                    thread::sleep(ACCEPT_INTERVAL);
+                    continue;
+                };
+                let connection = serving.clone();
+                thread::spawn(move || connection.serve(stream));
             }
         });
-        let beating = endpoint.clone();
-        thread::spawn(move || loop {
-            beating.heartbeat("ready", &controls);
-            thread::sleep(HEARTBEAT);
-        });
         Ok(endpoint)
     }
 
     /// Sends one heartbeat, to one sidecar after the other until one acknowledges it.
-    fn heartbeat(&self, state: &str, controls: &[SocketAddrV4]) -> bool {
-        let sequence = self.sequence.fetch_add(1, Ordering::Relaxed) + 1;
-        let body = format!(
-            "{{\"backend\":\"{}\",\"address\":\"{}\",\"zone\":\"{}\",\"generation\":\"v1\",\"capacity\":8,\"state\":\"{state}\",\
-             \"cold-remaining-ms\":0,\"sequence\":{sequence}}}",
-            self.service, self.address, self.zone
-        );
+    fn heartbeat(&self, controls: &[SocketAddrV4]) {
+        let body = self.next_heartbeat();
         let path = format!("/instances/{}", self.id);
         let headers = [("Content-Type", "application/json")];
-        controls.iter().any(|control| {
+        let is_acknowledged = controls.iter().any(|control| {
             let answer = http::call(*control, "PUT", &path, &headers, body.as_bytes(), CALL_TIMEOUT);
             answer.is_ok_and(|answer| (200..300).contains(&answer.status))
-        })
+        });
+        self.acknowledged.fetch_add(u64::from(is_acknowledged), Ordering::Relaxed);
+    }
+
+    /// Returns the body of the next heartbeat.
+    pub fn next_heartbeat(&self) -> String {
+        let sequence = self.sequence.fetch_add(1, Ordering::Relaxed) + 1;
+        format!(
+            "{{\"backend\":\"{}\",\"address\":\"{}\",\"zone\":\"{}\",\"generation\":\"v1\",\"capacity\":8,\"state\":\"ready\",\
+             \"cold-remaining-ms\":0,\"sequence\":{sequence}}}",
+            self.service, self.address, self.zone
+        )
+    }
+
+    /// Returns the number of heartbeats sent so far.
+    pub fn sent(&self) -> u64 {
+        self.sequence.load(Ordering::Relaxed)
+    }
+
+    /// Returns the number of heartbeats that were acknowledged.
+    pub fn acknowledged(&self) -> u64 {
+        self.acknowledged.load(Ordering::Relaxed)
+    }
+
+    /// Waits until the first heartbeat is acknowledged.
+    pub fn wait_until_acknowledged(&self, limit: Duration) -> Result<(), String> {
+        let until = Instant::now() + limit;
+        while self.acknowledged() == 0 {
+            if Instant::now() > until {
+                return Err(format!("endpoint {} is not acknowledged", self.id));
+            }
+            thread::sleep(ACCEPT_INTERVAL);
+        }
+        Ok(())
+    }
+
+    /// Ends the endpoint without a word: closes its port and its connections, and sends no more heartbeats.
+    pub fn crash(&self) {
+        self.crashed.store(true, Ordering::Relaxed);
+        if let Ok(mut connections) = self.connections.lock() {
+            for connection in connections.drain(..) {
+                let _ = connection.shutdown(Shutdown::Both);
+            }
+        }
+        thread::sleep(2 * ACCEPT_INTERVAL);
+    }
+
+    fn has_crashed(&self) -> bool {
+        self.crashed.load(Ordering::Relaxed)
     }
 
     /// Returns the ids of the requests that were run so far.
@@ -78,8 +146,12 @@
     }
 
     fn serve(&self, mut stream: TcpStream) {
+        let _ = stream.set_nonblocking(false);
         let _ = stream.set_nodelay(true);
-        let Ok(reading) = stream.try_clone() else { return };
+        let (Ok(reading), Ok(kept)) = (stream.try_clone(), stream.try_clone()) else { return };
+        if let Ok(mut connections) = self.connections.lock() {
+            connections.push(kept);
+        }
         let mut reader = BufReader::new(reading);
         while let Some(id) = self.serve_request(&mut reader, &mut stream) {
             note(&format!("endpoint {} ran request {id}", self.id));
