Show that a version nobody ordered gets all requests of a service that returns

Cause: the record of the version in service is dropped with its service, and taken anew from the endpoints of the moment.

--- a/review/stand-ins-2/src/endpoint.rs
+++ b/review/stand-ins-2/src/endpoint.rs
@@ -19,6 +19,7 @@
     service: String,
     address: SocketAddrV4,
     zone: String,
+    version: String,
     sequence: AtomicU64,
     acknowledged: AtomicU64,
     crashed: AtomicBool,
@@ -36,7 +37,19 @@
         zone: &str,
         controls: Vec<SocketAddrV4>,
     ) -> Result<Arc<Self>, String> {
-        let endpoint = Self::start_silent(id, service, address, zone)?;
+        Self::start_version(id, service, "v1", address, zone, controls)
+    }
+
+    /// Like [`Self::start`], with the version of the endpoint's software.
+    pub fn start_version(
+        id: &str,
+        service: &str,
+        version: &str,
+        address: SocketAddrV4,
+        zone: &str,
+        controls: Vec<SocketAddrV4>,
+    ) -> Result<Arc<Self>, String> {
+        let endpoint = Self::open(id, service, version, address, zone)?;
         let beating = endpoint.clone();
         thread::spawn(move || {
             while !beating.has_crashed() {
@@ -47,12 +60,22 @@
         Ok(endpoint)
     }
 
-    /// Opens the port. The caller sends the heartbeats.
+    /// Opens the port of an endpoint of version v1. The caller sends the heartbeats.
     pub fn start_silent(
         id: &str,
         service: &str,
         address: SocketAddrV4,
         zone: &str,
+    ) -> Result<Arc<Self>, String> {
+        Self::open(id, service, "v1", address, zone)
+    }
+
+    fn open(
+        id: &str,
+        service: &str,
+        version: &str,
+        address: SocketAddrV4,
+        zone: &str,
     ) -> Result<Arc<Self>, String> {
         let listener = TcpListener::bind(address).map_err(|error| format!("{address}: {error}"))?;
         let endpoint = Arc::new(Endpoint {
@@ -60,6 +83,7 @@
             service: service.to_owned(),
             address,
             zone: zone.to_owned(),
+            version: version.to_owned(),
             sequence: AtomicU64::new(0),
             acknowledged: AtomicU64::new(0),
             crashed: AtomicBool::new(false),
@@ -97,9 +121,9 @@
     pub fn next_heartbeat(&self) -> String {
         let sequence = self.sequence.fetch_add(1, Ordering::Relaxed) + 1;
         format!(
-            "{{\"backend\":\"{}\",\"address\":\"{}\",\"zone\":\"{}\",\"generation\":\"v1\",\"capacity\":8,\"state\":\"ready\",\
+            "{{\"backend\":\"{}\",\"address\":\"{}\",\"zone\":\"{}\",\"generation\":\"{}\",\"capacity\":8,\"state\":\"ready\",\
              \"cold-remaining-ms\":0,\"sequence\":{sequence}}}",
-            self.service, self.address, self.zone
+            self.service, self.address, self.zone, self.version
         )
     }
 
--- a/review/stand-ins-2/src/fleet.rs
+++ b/review/stand-ins-2/src/fleet.rs
@@ -31,13 +31,28 @@
 impl Fleet {
     /// Writes the settings of `with_disk` machines of the core and `without_disk` others, and starts their processes.
     pub fn start(with_disk: usize, without_disk: usize) -> Result<Self, String> {
+        Self::start_with(
+            with_disk,
+            without_disk,
+            "base,drain,config,cost,retry,recover,engine,stream,tenants,quota",
+            "",
+        )
+    }
+
+    /// Like [`Self::start`], with other contracts and further lines of settings.
+    pub fn start_with(
+        with_disk: usize,
+        without_disk: usize,
+        contracts: &str,
+        further: &str,
+    ) -> Result<Self, String> {
         let variable = |name: &str| std::env::var(name).map_err(|_| format!("{name} is not set"));
         let (root, folder) = (PathBuf::from(variable("ROOT")?), PathBuf::from(variable("FOLDER")?));
         let count = with_disk + without_disk;
         let network = free_network(count).ok_or("no free loopback addresses")?;
         let mut fleet = Fleet { root, folder, network, processes: Vec::new() };
         for machine in 0..count {
-            fleet.write_settings(machine, machine < with_disk)?;
+            fleet.write_settings(machine, machine < with_disk, contracts, further)?;
             fleet.processes.push(None);
         }
         for machine in 0..count {
@@ -79,7 +94,13 @@
         self.folder.join(format!("machine-{machine}.conf"))
     }
 
-    fn write_settings(&self, machine: usize, has_disk: bool) -> Result<(), String> {
+    fn write_settings(
+        &self,
+        machine: usize,
+        has_disk: bool,
+        contracts: &str,
+        further: &str,
+    ) -> Result<(), String> {
         let ip = self.ip(machine);
         let seeds: Vec<String> = (0..3).map(|seed| format!("{}:{CONTROL}", self.ip(seed))).collect();
         let mut text = format!(
@@ -87,13 +108,13 @@
              region=uio\nlisten.front={ip}:{FRONT}\nlisten.readiness={ip}:{READINESS}\nlisten.control={ip}:{CONTROL}\n\
              internal-ports={INTERNAL},7695\nseeds={}\nbootstrap=true\nlimits.cores=1\nlimits.memory-mb=260\n\
              limits.max-fds=4100\ndiscovery=registration\nentry=vip\nheartbeat-ms=1200\n\
-             contracts=base,drain,config,cost,retry,recover,engine,stream,tenants,quota\nfault-tolerance.machines=1\n\
+             contracts={contracts}\nfault-tolerance.machines=1\n\
              fault-tolerance.zones=0\nfault-tolerance.regions=0\nbounds.seed-lag-s=3\nbounds.reuse-after-s=2\n\
              bounds.contact-ms=3000\nbounds.ack-ms=4000\nbounds.catch-up-s=4\nbounds.drain-ms=2000\nbounds.grace-s=8\n\
              bounds.loss-slack-ms=200\nbounds.config-apply-ms=2000\nbounds.rollback-slack-ms=250\n\
              bounds.max-stretch-ms=5000\nbounds.strict-revocation=true\nbounds.revoke-ms=5000\n\
              bounds.retry-budget-ratio=0.2\nbounds.budget-window-s=10\nbounds.budget-slack=64\nbounds.quota-window-s=8\n\
-             bounds.quota-overshoot=0.1\nbounds.quota-slack=140000\nbounds.recovery-s=12\n",
+             bounds.quota-overshoot=0.1\nbounds.quota-slack=140000\nbounds.recovery-s=12\n{further}",
             machine % 3,
             seeds.join(",")
         );
