--- a/review/stand-ins-2/src/fleet.rs
+++ b/review/stand-ins-2/src/fleet.rs
@@ -4,7 +4,7 @@
 use crate::record::note;
 use std::fs::File;
 use std::net::{Ipv4Addr, SocketAddrV4, TcpListener, UdpSocket};
-use std::path::{Path, PathBuf};
+use std::path::PathBuf;
 use std::process::{Child, Command, Stdio};
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
@@ -149,15 +149,23 @@
             .map_err(|error| format!("target/release/passrelay: {error}"))?;
         note(&format!("started machine {machine} at {} as process {}", self.ip(machine), child.id()));
         self.processes[machine] = Some(child);
+        self.list_processes();
         Ok(())
     }
 
+    /// Writes the ids of the running processes, so that the script can end them if it is itself ended.
+    fn list_processes(&self) {
+        let ids: Vec<String> = self.processes.iter().flatten().map(|child| child.id().to_string()).collect();
+        let _ = std::fs::write(self.folder.join("processes"), ids.join(" "));
+    }
+
     /// Ends the process of a machine with SIGKILL.
     pub fn kill(&mut self, machine: usize) {
         if let Some(mut child) = self.processes[machine].take() {
             let _ = child.kill();
             let _ = child.wait();
             note(&format!("killed machine {machine}, process {}", child.id()));
+            self.list_processes();
         }
     }
 
@@ -267,8 +275,3 @@
         (0..machines).all(is_free).then_some(network)
     })
 }
-
-/// Returns the path of a file in a folder as text.
-pub fn path_text(folder: &Path, name: &str) -> String {
-    folder.join(name).display().to_string()
-}
