Resume or break off event streams that end within an event

Cause: a response without a length or chunks ends with its connection, and the relay took every regular end of a connection for a complete response, whatever the content of the stream told.

Change: data-plane/event_stream follows the lines of a stream (LF, CR, CRLF, comments) and the event after which it can be resumed; request/body_content decides by it and by the framing whether an end is a complete one. A stream that ends within an event counts as failed, is resumed where its route and attempts allow it, and is broken off otherwise. On related paths: lines that end with CR, events without an id, ids that no header can contain, continuations that are no event stream, clients of HTTP/1.0 (a truncated response ends with a reset). What an endpoint declares complete by a length or a last chunk, and bodies that are no event streams, stay as they are.

--- a/crates/passrelay/tests/fleet/account.rs
+++ b/crates/passrelay/tests/fleet/account.rs
@@ -5,7 +5,7 @@
 use passrelay_test_support::wait_until;
 use serde_json::Value;
 
-const KEYS: [&str; 18] = [
+const KEYS: [&str; 19] = [
     "answers_dropped",
     "denials",
     "endpoints",
@@ -14,6 +14,7 @@
     "fresh_age_ms",
     "generation",
     "index",
+    "interrupted_responses",
     "leads",
     "members",
     "peers",
--- a/crates/passrelay/tests/fleet/main.rs
+++ b/crates/passrelay/tests/fleet/main.rs
@@ -5,6 +5,7 @@
 mod changes_in_flight;
 mod interruptions;
 mod last_tenant;
+mod stream_endings;
 
 use passrelay_test_support::fleet::{read_all, Fleet, Sidecar};
 use passrelay_test_support::{response, wait_until, Message, Reply, Server};
--- a/crates/router/data-plane/src/lib.rs
+++ b/crates/router/data-plane/src/lib.rs
@@ -6,7 +6,7 @@
 //! 4. [`rollout_shares`] selects the version while a new one is being rolled out.
 //! 5. [`balancer`] selects the endpoint by load, health, zone and the [`prompt`].
 //! 6. [`execution_limits`] and [`retry_budget`] limit how often a request is sent again after a failed attempt, and
-//!    [`stream_origin`] decides whether a stream that broke off continues.
+//!    [`stream_origin`] and [`event_stream`] decide whether, and after which event, a stream that broke off continues.
 //!
 //! This crate does no I/O, reads no clock and is single-threaded: the caller passes events in, with `now` as
 //! the time since the process started, and carries out the decisions. Sockets, deadlines and retries are
@@ -14,6 +14,7 @@
 //! `passrelay-control-plane`.
 
 pub mod balancer;
+pub mod event_stream;
 pub mod execution_limits;
 pub mod prompt;
 pub mod quota;
--- a/crates/router/node/src/client_connections.rs
+++ b/crates/router/node/src/client_connections.rs
@@ -44,6 +44,7 @@
 /// State of a connection, shared by its socket, its requests and the timeout sweep.
 pub struct ClientConnection {
     phase: Cell<Phase>,
+    reset_due: Cell<bool>,
     commands: Sender<ConnectionCommand>,
 }
 
@@ -70,6 +71,16 @@
         matches!(self.phase.get(), Phase::Busy)
     }
 
+    /// Requires the connection to be reset when it is closed, so that the client sees that its response is incomplete.
+    pub fn require_reset(&self) {
+        self.reset_due.set(true);
+    }
+
+    /// Returns whether the connection is to be reset when it is closed.
+    pub fn is_reset_due(&self) -> bool {
+        self.reset_due.get()
+    }
+
     fn is_expired(&self, now: Duration, timeouts: ConnectionTimeouts) -> bool {
         match self.phase.get() {
             Phase::Idle(since) => now.saturating_sub(since) > timeouts.idle,
@@ -100,7 +111,11 @@
     /// Registers a new connection.
     pub fn open(&self, now: Duration) -> OpenedConnection {
         let (commands, received) = smol::channel::bounded(MAX_PENDING_COMMANDS);
-        let connection = Rc::new(ClientConnection { phase: Cell::new(Phase::Idle(now)), commands });
+        let connection = Rc::new(ClientConnection {
+            phase: Cell::new(Phase::Idle(now)),
+            reset_due: Cell::new(false),
+            commands,
+        });
         let id = self.next_id.get();
         self.next_id.set(id + 1);
         self.open.borrow_mut().insert(id, connection.clone());
--- a/crates/router/node/src/client_listener.rs
+++ b/crates/router/node/src/client_listener.rs
@@ -8,12 +8,13 @@
 use crate::tasks::BackgroundTasks;
 use bytes::Bytes;
 use hyper::body::{Frame, Incoming, SizeHint};
-use hyper::header::{HeaderValue, CONNECTION};
+use hyper::header::{HeaderValue, CONNECTION, CONTENT_LENGTH};
 use hyper::service::service_fn;
-use hyper::{Request, Response};
+use hyper::{Request, Response, Version};
 use smol::io::{AsyncRead, AsyncWrite};
 use smol::net::{TcpListener, TcpStream};
 use smol_hyper::rt::FuturesIo;
+use socket2::SockRef;
 use std::convert::Infallible;
 use std::io;
 use std::net::{SocketAddr, SocketAddrV4};
@@ -110,14 +111,18 @@
     request: Request<Incoming>,
 ) -> Result<Response<Body>, Infallible> {
     connection.request_started();
+    let has_chunks = request.version() != Version::HTTP_10;
     let mut response = request::handle(&context, request).await;
     if context.shutdown.is_draining() {
         response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
     }
-    Ok(response.map(|body| -> Body { Box::pin(TrackedBody { body, connection, context }) }))
+    let ends_with_connection = !has_chunks && !response.headers().contains_key(CONTENT_LENGTH);
+    let track = |body| -> Body { Box::pin(TrackedBody { body, connection, context, ends_with_connection }) };
+    Ok(response.map(track))
 }
 
-/// A client socket that notifies its connection when bytes arrive.
+/// A client socket that notifies its connection when bytes arrive, and is reset if a response has been broken off whose
+/// regular end would be that of the connection.
 struct TrackedStream {
     stream: TcpStream,
     connection: Rc<ClientConnection>,
@@ -160,11 +165,22 @@
     }
 }
 
+impl Drop for TrackedStream {
+    fn drop(&mut self) {
+        if self.connection.is_reset_due() {
+            // If this fails, the connection has already ended.
+            let _ = SockRef::from(&self.stream).set_linger(Some(Duration::ZERO));
+        }
+    }
+}
+
 /// A response body that notifies its connection once it has been written or abandoned.
 struct TrackedBody {
     body: Body,
     connection: Rc<ClientConnection>,
     context: Rc<RequestContext>,
+    /// Whether only the end of the connection tells the client where the body ends, as with HTTP/1.0.
+    ends_with_connection: bool,
 }
 
 impl hyper::body::Body for TrackedBody {
@@ -175,7 +191,11 @@
         mut self: Pin<&mut Self>,
         context: &mut Context,
     ) -> Poll<Option<Result<Frame<Bytes>, BodyError>>> {
-        self.body.as_mut().poll_frame(context)
+        let frame = self.body.as_mut().poll_frame(context);
+        if self.ends_with_connection && matches!(frame, Poll::Ready(Some(Err(_)))) {
+            self.connection.require_reset();
+        }
+        frame
     }
 
     fn is_end_stream(&self) -> bool {
--- a/crates/router/node/src/data_plane.rs
+++ b/crates/router/node/src/data_plane.rs
@@ -5,6 +5,7 @@
 
 use crate::configuration_snapshot::{ConfigurationSnapshot, CurrentConfiguration};
 use crate::denials::Denials;
+use crate::interrupted_responses::InterruptedResponses;
 use crate::logging::{log_event, Quoted};
 use crate::quota_client::QuotaClient;
 use crate::repeats::Repeats;
@@ -37,6 +38,8 @@
     pub denials: Denials,
     /// Number of requests repeated since the start of the process.
     pub repeats: Repeats,
+    /// Number of responses interrupted since the start of the process.
+    pub interrupted_responses: InterruptedResponses,
 }
 
 impl DataPlane {
@@ -51,6 +54,7 @@
             quota: QuotaClient::new(),
             denials: Denials::default(),
             repeats: Repeats::default(),
+            interrupted_responses: InterruptedResponses::default(),
         }
     }
 
--- a/crates/router/node/src/lib.rs
+++ b/crates/router/node/src/lib.rs
@@ -33,6 +33,7 @@
 mod freshness;
 mod graceful_shutdown;
 mod held_back_versions;
+mod interrupted_responses;
 mod listener;
 mod load_reporter;
 mod logging;
--- a/crates/router/node/src/request/attempts.rs
+++ b/crates/router/node/src/request/attempts.rs
@@ -16,6 +16,7 @@
 use crate::upstream::{Connection, SendError};
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
+use hyper::header::HeaderValue;
 use hyper::{Response, StatusCode};
 use passrelay_data_plane::balancer::{LoadReport, Pick, RequestOutcome};
 use passrelay_data_plane::execution_limits::ExecutionLimits;
@@ -127,7 +128,7 @@
     /// # Errors
     ///
     /// Returns the failure to report to the client.
-    pub async fn next(&mut self, last_event_id: Option<&str>) -> Result<EndpointResponse, Failure> {
+    pub async fn next(&mut self, last_event_id: Option<&HeaderValue>) -> Result<EndpointResponse, Failure> {
         loop {
             let now = self.context.now();
             if now >= self.deadline {
@@ -202,7 +203,7 @@
         &mut self,
         admission: &Admission,
         service: &str,
-        last_event_id: Option<&str>,
+        last_event_id: Option<&HeaderValue>,
     ) -> Result<AttemptOutcome, Failure> {
         let context = self.context.clone();
         let SelectedEndpoint { pick, version, choice } =
--- a/crates/router/node/src/request/endpoint_call.rs
+++ b/crates/router/node/src/request/endpoint_call.rs
@@ -44,6 +44,11 @@
         }
     }
 
+    /// Returns the identifier of the endpoint.
+    pub fn endpoint(&self) -> &str {
+        &self.pick.id
+    }
+
     /// Records the arrival of the response head and the endpoint's load report. `failed` tells whether the response
     /// shows an error of the endpoint.
     pub fn record_response(&self, report: Option<LoadReport>, failed: bool) {
--- a/crates/router/node/src/request/headers.rs
+++ b/crates/router/node/src/request/headers.rs
@@ -1,6 +1,10 @@
-//! Names of the header fields that the router reads and writes, and the removal of hop-by-hop fields.
+//! Names of the header fields that the router reads and writes, the removal of hop-by-hop fields, and what the fields of a
+//! response tell about its body.
 
-use hyper::header::{HeaderName, CONNECTION, TE, TRAILER, TRANSFER_ENCODING, UPGRADE};
+use hyper::header::{
+    HeaderName, CONNECTION, CONTENT_ENCODING, CONTENT_LENGTH, CONTENT_TYPE, TE, TRAILER, TRANSFER_ENCODING,
+    UPGRADE,
+};
 use hyper::HeaderMap;
 
 /// Identifier of a request, echoed by the response.
@@ -26,6 +30,12 @@
 
 const KEEP_ALIVE: HeaderName = HeaderName::from_static("keep-alive");
 const PROXY_CONNECTION: HeaderName = HeaderName::from_static("proxy-connection");
+/// Media type of a stream of server-sent events.
+const EVENT_STREAM: &str = "text/event-stream";
+/// Content encoding of a body that is not encoded.
+const IDENTITY_ENCODING: &str = "identity";
+/// Transfer encoding of a body in chunks.
+const CHUNKED_ENCODING: &str = "chunked";
 /// Prefix of the header fields of this protocol.
 const PROTOCOL_PREFIX: &str = "x-passrelay-";
 
@@ -47,3 +57,22 @@
     }
     forwarded
 }
+
+/// Returns whether a response with these headers is a stream of server-sent events whose bytes are those of its text.
+pub fn is_event_stream(headers: &HeaderMap) -> bool {
+    let text = |name| headers.get(name).and_then(|value| value.to_str().ok()).unwrap_or_default();
+    let media_type = text(CONTENT_TYPE).split(';').next().unwrap_or_default().trim();
+    let encoding = text(CONTENT_ENCODING).trim();
+    media_type.eq_ignore_ascii_case(EVENT_STREAM)
+        && (encoding.is_empty() || encoding.eq_ignore_ascii_case(IDENTITY_ENCODING))
+}
+
+/// Returns whether the body of a response with these headers has neither a length nor chunks, so that it ends with its
+/// connection (RFC 9112, section 6.3).
+pub fn ends_with_connection(headers: &HeaderMap) -> bool {
+    let Some(encodings) = headers.get_all(TRANSFER_ENCODING).iter().next_back() else {
+        return !headers.contains_key(CONTENT_LENGTH);
+    };
+    let last_encoding = encodings.to_str().ok().and_then(|encodings| encodings.rsplit(',').next());
+    !last_encoding.is_some_and(|encoding| encoding.trim().eq_ignore_ascii_case(CHUNKED_ENCODING))
+}
--- a/crates/router/node/src/request/mod.rs
+++ b/crates/router/node/src/request/mod.rs
@@ -17,9 +17,9 @@
 
 mod admission;
 mod attempts;
+mod body_content;
 mod endpoint_call;
 mod endpoint_selection;
-mod event_buffer;
 mod headers;
 mod inbound;
 mod inbound_body;
--- a/crates/router/node/src/request/outbound.rs
+++ b/crates/router/node/src/request/outbound.rs
@@ -17,7 +17,7 @@
     /// Time remaining until the deadline.
     pub time_remaining: Duration,
     /// Identifier of the last event that the client has received, if a stream is resumed.
-    pub last_event_id: Option<&'a str>,
+    pub last_event_id: Option<&'a HeaderValue>,
 }
 
 /// Builds the request to an endpoint from the client's request: removes hop-by-hop fields and fields that only a
@@ -39,9 +39,10 @@
     headers.insert(DEADLINE, HeaderValue::from(remaining_ms));
     headers.insert(PRIORITY, HeaderValue::from(admission.priority));
     let tenant = admission.tenant.as_ref().map(|tenant| tenant.name.as_str());
-    let optional =
-        [(TARGET_INSTANCE, Some(attempt.endpoint)), (TENANT, tenant), (LAST_EVENT_ID, attempt.last_event_id)];
-    for (name, value) in optional {
+    if let Some(last_event_id) = attempt.last_event_id {
+        headers.insert(LAST_EVENT_ID, last_event_id.clone());
+    }
+    for (name, value) in [(TARGET_INSTANCE, Some(attempt.endpoint)), (TENANT, tenant)] {
         if let Some(value) = value.and_then(|value| HeaderValue::from_str(value).ok()) {
             headers.insert(name, value);
         }
--- a/crates/router/node/src/request/relay_body.rs
+++ b/crates/router/node/src/request/relay_body.rs
@@ -1,19 +1,25 @@
 //! Relays the body of an endpoint's response to the client, chunk by chunk as it arrives.
 //!
-//! A resumable stream is relayed in complete events. If the connection to its endpoint breaks, another endpoint
-//! resumes the stream after the last relayed event, within the same response.
+//! A resumable stream is relayed in complete events. If it is interrupted, another endpoint resumes it after the last
+//! relayed event, within the same response. A response that cannot be resumed is broken off, so that the client sees that
+//! it is incomplete.
+//!
+//! A response is interrupted if its connection breaks or ends before the declared length or the last chunk. A response
+//! that declares neither ends with its connection, which does not tell whether the endpoint has finished or has crashed.
+//! An event stream does: it is interrupted if it ends within an event. Other bodies count as complete.
 
 use super::attempts::{Attempts, EndpointResponse};
+use super::body_content::BodyContent;
 use super::endpoint_call::EndpointCall;
-use super::event_buffer::EventBuffer;
 use super::headers::end_to_end;
-use crate::logging::log_event;
+use crate::interrupted_responses::InterruptedResponses;
+use crate::logging::{log_event, Quoted};
 use crate::responses::{full, Body, BodyError};
 use crate::upstream::Connection;
 use bytes::Bytes;
 use http_body_util::{BodyExt, StreamBody};
 use hyper::body::{Body as _, Frame, Incoming};
-use hyper::header::CONTENT_LENGTH;
+use hyper::header::{HeaderValue, CONTENT_LENGTH};
 use hyper::{Response, StatusCode};
 use passrelay_data_plane::balancer::RequestOutcome;
 use passrelay_data_plane::stream_origin::StreamOrigin;
@@ -33,7 +39,7 @@
         incoming,
         connection: Some(connection),
         call,
-        events: can_resume.then(EventBuffer::default),
+        content: BodyContent::new(&parts.headers, can_resume),
         origin,
         deadline: Timer::after(time_remaining),
         attempts,
@@ -60,8 +66,7 @@
     /// The connection of `incoming`, until its body has been read completely.
     connection: Option<Connection>,
     call: EndpointCall,
-    /// Buffer for complete events, if the stream can be resumed.
-    events: Option<EventBuffer>,
+    content: BodyContent,
     /// The conditions under which the response began, which hold for its continuation too.
     origin: StreamOrigin,
     deadline: Timer,
@@ -87,7 +92,7 @@
                 }
                 Received::Frame(frame) => {
                     // The client's connection does not poll a body of known length again after its last byte.
-                    if self.events.is_none() && self.incoming.is_end_stream() {
+                    if !self.content.is_resumable() && self.incoming.is_end_stream() {
                         self.finish();
                     }
                     if let Some(chunk) = frame.into_data().ok().and_then(|data| self.relayable(data)) {
@@ -95,15 +100,20 @@
                     }
                 }
                 Received::ConnectionBroken => {
-                    self.call.end(RequestOutcome::Failed);
-                    if !self.resume().await {
-                        self.ended = true;
+                    self.interruptions().record_connection_broken();
+                    if !self.continue_elsewhere().await {
                         return Some(Err(BodyError::EndpointDisconnected));
                     }
                 }
+                Received::EndOfBody if self.content.is_truncated() => {
+                    self.interruptions().record_ended_inside_event();
+                    if !self.continue_elsewhere().await {
+                        return Some(Err(BodyError::EndedInsideEvent));
+                    }
+                }
                 Received::EndOfBody => {
                     self.finish();
-                    return self.events.as_mut().and_then(EventBuffer::take_remaining).map(Ok);
+                    return self.content.take_remaining().map(Ok);
                 }
             }
         }
@@ -126,13 +136,14 @@
         smol::future::or(frame, deadline).await
     }
 
+    fn interruptions(&self) -> &InterruptedResponses {
+        &self.attempts.context().data_plane.interrupted_responses
+    }
+
     /// Processes a chunk and returns the bytes that can now be relayed.
     fn relayable(&mut self, data: Bytes) -> Option<Bytes> {
         self.call.record_progress();
-        match &mut self.events {
-            Some(events) => events.push(&data),
-            None => Some(data),
-        }
+        self.content.relayable(data)
     }
 
     /// Ends a complete response and returns its connection to the pool.
@@ -145,17 +156,38 @@
         }
     }
 
-    /// Resumes the stream at another endpoint. Returns whether one responded with status 200.
+    /// Ends the call of an interrupted response, and resumes it at another endpoint. Returns whether one continues it;
+    /// otherwise the response has ended.
+    async fn continue_elsewhere(&mut self) -> bool {
+        log_event!(
+            debug,
+            "response_interrupted",
+            endpoint = self.call.endpoint(),
+            inside_event = self.content.is_inside_event(),
+        );
+        self.call.end(RequestOutcome::Failed);
+        self.connection = None;
+        let is_resumed = self.resume().await;
+        self.interruptions().record_result(is_resumed);
+        self.ended = !is_resumed;
+        is_resumed
+    }
+
+    /// Resumes the stream at another endpoint. Returns whether one responded with a continuation.
     async fn resume(&mut self) -> bool {
-        let Some(events) = &mut self.events else { return false };
-        events.discard_partial();
-        let last_event_id = events.last_id().map(str::to_owned);
+        if !self.content.is_resumable() {
+            return false;
+        }
+        let Ok(last_event_id) = self.content.last_event_id() else { return false };
         self.attempts.record_broken_response(self.origin.clone());
-        let Ok(resumed) = self.attempts.next(last_event_id.as_deref()).await else { return false };
-        if resumed.response.status() != StatusCode::OK {
+        let Ok(resumed) = self.attempts.next(last_event_id.as_ref()).await else { return false };
+        let has_continuation = resumed.response.status() == StatusCode::OK
+            && self.content.continue_with(resumed.response.headers());
+        if !has_continuation {
             return false;
         }
-        log_event!(debug, "resumed", after = last_event_id.as_deref().unwrap_or("start"));
+        let after = last_event_id.as_ref().map_or(Ok("start"), HeaderValue::to_str).unwrap_or("not ASCII");
+        log_event!(debug, "resumed", after = Quoted(after), endpoint = resumed.call.endpoint());
         self.incoming = resumed.response.into_body();
         self.connection = Some(resumed.connection);
         self.call = resumed.call;
--- a/crates/router/node/src/responses.rs
+++ b/crates/router/node/src/responses.rs
@@ -28,6 +28,9 @@
     /// The connection to the endpoint broke, and no other endpoint resumes the response.
     #[error("the connection to the endpoint broke before the response was complete")]
     EndpointDisconnected,
+    /// The event stream ended within an event, and no other endpoint resumes it.
+    #[error("the endpoint's stream ended within an event")]
+    EndedInsideEvent,
     /// The request's deadline has passed.
     #[error("the request's deadline passed before the response was complete")]
     TimedOut,
