Keep the numbers of a configuration as they were sent

Cause: a change is stored as its document parsed and written anew, and a parsed number was a double or an integer of 64 bits, read by an algorithm that isn't exact for 16 or 17 digits. Every later change writes the whole document anew.

Evidence: parse_document and to_string alone change the number, in a unit test without a process.

Change: serde_json keeps numbers as their text (arbitrary_precision) and reads the nearest double (float_roundtrip), set in one place for the workspace. The load simulator, a development dependency, had asked for float_roundtrip, so that tests ran with it and the delivered program without. A number beyond doubles in a known field is reported with its path, in an unknown one it is kept. `config diff` compares numbers by value. A JSON value now holds a 32-bit fraction with the digits of that type, so traces.rs takes the exact fractions for its digests, which are as recorded: the runs are the same, and the test is as strict.

--- a/crates/passrelay/tests/fleet/main.rs
+++ b/crates/passrelay/tests/fleet/main.rs
@@ -3,6 +3,7 @@
 mod account;
 mod answers;
 mod changes_in_flight;
+mod exact_numbers;
 mod interruptions;
 mod last_tenant;
 mod stream_endings;
--- a/crates/router/configuration/src/difference.rs
+++ b/crates/router/configuration/src/difference.rs
@@ -1,6 +1,7 @@
 //! The difference between two documents, item by item, and the patch that transforms one into the other.
 
 use crate::patch::{name_of, LISTS};
+use crate::same_value::{are_same, has_same_value};
 use crate::validate::{has_tenants, TENANTS};
 use serde_json::{json, Map, Value};
 use std::collections::{BTreeMap, BTreeSet};
@@ -92,7 +93,7 @@
         let names: BTreeSet<&str> = from.keys().chain(to.keys()).copied().collect();
         for name in names {
             let change = match (from.get(name), to.get(name)) {
-                (Some(before), Some(after)) if before == after => continue,
+                (Some(before), Some(after)) if has_same_value(before, after) => continue,
                 (Some(before), Some(after)) => ItemChange::Changed(changed_fields(before, after)),
                 (Some(_), None) => ItemChange::Removed,
                 _ => ItemChange::Added,
@@ -114,7 +115,7 @@
     /// Compares the limits. A patch can replace limits but not remove them, so if the new document has none,
     /// the patch contains an empty object, which means the defaults.
     fn compare_limits(&mut self, from: Option<&Value>, to: Option<&Value>) {
-        if from == to {
+        if are_same(from, to) {
             return;
         }
         let empty = Value::Object(Map::new());
@@ -151,5 +152,5 @@
         item.as_object().into_iter().flat_map(|fields| fields.keys().cloned()).collect()
     };
     let all_fields = &fields(before) | &fields(after);
-    all_fields.into_iter().filter(|field| before.get(field) != after.get(field)).collect()
+    all_fields.into_iter().filter(|field| !are_same(before.get(field), after.get(field))).collect()
 }
--- a/crates/router/configuration/src/lib.rs
+++ b/crates/router/configuration/src/lib.rs
@@ -22,6 +22,7 @@
 mod patch;
 mod reader;
 mod rollouts;
+mod same_value;
 mod service_versions;
 mod validate;
 
--- a/crates/router/configuration/src/reader.rs
+++ b/crates/router/configuration/src/reader.rs
@@ -155,22 +155,19 @@
         }
     }
 
-    /// Reads a finite non-negative number, or returns `default` if it is absent.
+    /// Reads a non-negative number, or returns `default` if it is absent.
     pub(crate) fn non_negative_or(&self, default: f64) -> f64 {
         if !self.is_present() {
             return default;
         }
-        match self.value.and_then(Value::as_f64) {
-            Some(number) if number.is_finite() && number >= 0.0 => number,
-            Some(_) => {
-                self.report(ValidationErrorKind::OutOfRange("from 0 up"));
-                default
-            }
-            None => {
-                self.report(ValidationErrorKind::WrongType("a number"));
-                default
-            }
-        }
+        let problem = match self.value.and_then(nearest_double) {
+            Some(number) if number < 0.0 => ValidationErrorKind::OutOfRange("from 0 up"),
+            Some(number) if number.is_infinite() => ValidationErrorKind::OutOfRange("at most 1.7e308"),
+            Some(number) => return number,
+            None => ValidationErrorKind::WrongType("a number"),
+        };
+        self.report(problem);
+        default
     }
 
     /// Reads a boolean, or returns `default` if it is absent.
@@ -190,3 +187,8 @@
         T::default()
     }
 }
+
+/// Returns the double that is nearest to a number, which is infinite beyond the range of doubles. `None` for other values.
+fn nearest_double(value: &Value) -> Option<f64> {
+    value.as_number()?.as_str().parse().ok()
+}
--- a/crates/testing/load-simulator/tests/traces.rs
+++ b/crates/testing/load-simulator/tests/traces.rs
@@ -5,10 +5,11 @@
 //! matter. They are exact fractions, so the digests hold for one mathematical library only.
 
 use passrelay_load_simulator::experiment::Experiment;
+use passrelay_load_simulator::meter::Outcome;
 use passrelay_load_simulator::rivals::Policy;
 use passrelay_load_simulator::world::{play, RunOptions};
 use rayon::prelude::*;
-use serde_json::Value;
+use serde_json::{json, Value};
 use std::collections::BTreeSet;
 use std::path::{Path, PathBuf};
 
@@ -76,6 +77,17 @@
     }
 }
 
+/// Returns the outcome as JSON in which utilisations have all digits of their exact fractions. How many digits a JSON value
+/// has of a 32-bit fraction depends on the features of the JSON library.
+fn with_exact_utilisations(outcome: &Outcome) -> Value {
+    let mut value = serde_json::to_value(outcome).expect("the outcome can be serialized");
+    for (index, node) in outcome.nodes.iter().enumerate() {
+        let exact: Vec<f64> = node.util.iter().copied().map(f64::from).collect();
+        value["nodes"][index]["util"] = json!(exact);
+    }
+    value
+}
+
 /// Returns the 64-bit FNV-1a digest of all numbers of a run's outcome.
 fn digest_of_run(name: &str, set: Set, policy: Policy) -> u64 {
     let set: Vec<(String, String)> =
@@ -85,7 +97,7 @@
     let options = RunOptions { nodes: true, ..RunOptions::default() };
     let outcome = play(&experiment, policy, SEED, options).expect("the run succeeds");
     let mut texts = Vec::new();
-    numbers(&serde_json::to_value(&outcome).expect("the outcome can be serialized"), &mut texts);
+    numbers(&with_exact_utilisations(&outcome), &mut texts);
     texts.sort_unstable();
     let bytes = texts.iter().flat_map(|text| text.bytes().chain([0]));
     bytes.fold(0xcbf2_9ce4_8422_2325, |digest: u64, byte| {
