Roll back versions that truncate streams, in a test, and test streams that clients resume

Cause: what roll-outs count for a truncated stream was only read so far, and the position that a client itself names had no test.

Change: the roll-out test runs with two kinds of bad version, errors and truncated streams; one process test for a stream resumed by its client. The scanner reads bodies only that are event streams.

--- a/crates/passrelay/tests/fleet/stream_endings.rs
+++ b/crates/passrelay/tests/fleet/stream_endings.rs
@@ -9,6 +9,8 @@
 use rstest::rstest;
 use std::io::{Read, Write};
 use std::ops::Range;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::Arc;
 
 /// Path of the route whose streams may be resumed, once.
 const RESUMABLE: &str = "/ask/1";
@@ -259,6 +261,29 @@
     assert_eq!(answer, Received { body: stream(0..4), is_complete: true });
 }
 
+#[test]
+fn a_stream_that_its_client_resumes_begins_anew_after_the_same_event() {
+    let is_first = Arc::new(AtomicBool::new(true));
+    let endpoint = || {
+        let is_first = is_first.clone();
+        Server::start(move |_| {
+            if is_first.swap(false, Ordering::SeqCst) {
+                respond("text/event-stream", Framing::Connection, Ending::Truncated, &["id: 2\nda"])
+            } else {
+                let rest = stream_text(2..EVENTS, "\n");
+                respond("text/event-stream", Framing::Connection, Ending::Complete, &[&rest])
+            }
+        })
+    };
+    let (one, other) = (endpoint(), endpoint());
+    let (_fleet, sidecar) = lone(&[&one, &other]);
+    let answer = received(&sidecar.exchange(&request(RESUMABLE, "Last-Event-Id: 1\r\n", "")));
+    assert_eq!(answer, Received { body: stream_text(2..EVENTS, "\n"), is_complete: true });
+    let runs = runs(&[&one, &other]);
+    let positions: Vec<_> = runs.iter().map(|run| run.header("last-event-id")).collect();
+    assert_eq!(positions, [Some("1"), Some("1")]);
+}
+
 fn response_of_another_kind() -> Reply {
     respond("text/plain", Framing::Chunked, Ending::Complete, &["not a part of the stream"])
 }
--- a/crates/passrelay/tests/soak/clients.rs
+++ b/crates/passrelay/tests/soak/clients.rs
@@ -2,6 +2,7 @@
 
 use crate::http::Connection;
 use crate::records::{Demand, Exchange, Records};
+use passrelay_test_support::Message;
 use rand::seq::IndexedRandom;
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
@@ -85,7 +86,11 @@
             service,
         };
         self.records.exchanges.lock().unwrap().push(exchange);
-        answer.is_some_and(|answer| answer.header("connection") != Some("close"))
+        // The body of a response in chunks is not read.
+        let can_reuse = |answer: Message| {
+            answer.header("connection") != Some("close") && answer.header("transfer-encoding").is_none()
+        };
+        answer.is_some_and(can_reuse)
     }
 }
 
--- a/crates/passrelay/tests/soak/endpoints.rs
+++ b/crates/passrelay/tests/soak/endpoints.rs
@@ -25,6 +25,14 @@
     Good,
     /// Every second answer is a 500.
     Bad,
+    /// Every second answer is an event stream without a length whose connection is closed within an event.
+    Truncating,
+}
+
+/// What an endpoint sends, and whether it then closes the connection.
+struct Answer {
+    bytes: Vec<u8>,
+    closes: bool,
 }
 
 /// One endpoint.
@@ -111,34 +119,50 @@
         let Ok(reading) = stream.try_clone() else { return };
         let mut reader = BufReader::new(reading);
         while let Some(request) = Message::read(&mut reader) {
-            if self.state.load(Ordering::SeqCst) == ENDED || stream.write_all(&self.answer(&request)).is_err()
-            {
+            if self.state.load(Ordering::SeqCst) == ENDED {
+                return;
+            }
+            let answer = self.answer(&request);
+            if stream.write_all(&answer.bytes).is_err() || answer.closes {
                 return;
             }
         }
     }
 
-    fn answer(&self, request: &Message) -> Vec<u8> {
+    fn answer(&self, request: &Message) -> Answer {
         let request_id = request.header("x-passrelay-request-id").unwrap_or_default();
         let target = request.header("x-passrelay-target-instance");
         if target.is_some_and(|target| target != self.id) {
-            return self.render(421, request_id);
+            return self.complete(421, request_id);
         }
         let number = self.answered.fetch_add(1, Ordering::SeqCst);
         let run =
             Run { at: self.records.now(), service: self.service.clone(), version: self.version.clone() };
         self.records.runs.lock().unwrap().push(run);
-        let fails = self.quality == Quality::Bad && number % 2 == 1;
-        self.render(if fails { 500 } else { 200 }, request_id)
+        match self.quality {
+            Quality::Bad if number % 2 == 1 => self.complete(500, request_id),
+            Quality::Truncating if number % 2 == 1 => self.truncated(request_id),
+            _ => self.complete(200, request_id),
+        }
+    }
+
+    fn complete(&self, status: u16, request_id: &str) -> Answer {
+        let head = self.head(status, request_id);
+        Answer { bytes: format!("{head}Content-Length: 2\r\n\r\nok").into_bytes(), closes: false }
+    }
+
+    fn truncated(&self, request_id: &str) -> Answer {
+        let head = self.head(200, request_id);
+        let text = format!("{head}Content-Type: text/event-stream\r\n\r\nid: 1\ndata: one\n\nid: 2\nda");
+        Answer { bytes: text.into_bytes(), closes: true }
     }
 
-    fn render(&self, status: u16, request_id: &str) -> Vec<u8> {
+    fn head(&self, status: u16, request_id: &str) -> String {
         let (service, version) = (&self.service, &self.version);
         format!(
-            "HTTP/1.1 {status} X\r\nContent-Length: 2\r\nX-Passrelay-Request-Id: {request_id}\r\n\
-             X-Passrelay-Response-Seal: s\r\nX-Passrelay-Instance-Load: 1,0,64\r\nX-Ran-By: {service} {version}\r\n\r\nok"
+            "HTTP/1.1 {status} X\r\nX-Passrelay-Request-Id: {request_id}\r\nX-Passrelay-Response-Seal: s\r\n\
+             X-Passrelay-Instance-Load: 1,0,64\r\nX-Ran-By: {service} {version}\r\n"
         )
-        .into_bytes()
     }
 }
 
--- a/crates/passrelay/tests/soak/rollout_order.rs
+++ b/crates/passrelay/tests/soak/rollout_order.rs
@@ -14,6 +14,7 @@
 use crate::scenario::SoakFleet;
 use passrelay_test_support::fleet::Sidecar;
 use passrelay_test_support::wait_until;
+use rstest::rstest;
 use serde_json::{json, Value};
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicBool, Ordering};
@@ -94,15 +95,18 @@
     soak.in_service.iter().for_each(Endpoint::end);
 }
 
-#[test]
-fn an_ordered_bad_version_is_rolled_back_and_gets_little_until_then() {
+// The case of truncated streams guards against review/6: they counted as completed.
+#[rstest]
+#[case::errors(Quality::Bad)]
+#[case::truncated_streams(Quality::Truncating)]
+fn an_ordered_bad_version_is_rolled_back_and_gets_little_until_then(#[case] quality: Quality) {
     let soak = SoakFleet::start(13, 4);
     let controls = controls(&soak);
     under_traffic(&soak, 13, || {
         thread::sleep(Duration::from_secs(2));
         let from = soak.records.now();
         assert_eq!(order(&controls, "v2", DEADLINE), Some(200));
-        let second: Vec<_> = (0..4).map(|_| soak.endpoints.start(SERVICES[0], "v2", Quality::Bad)).collect();
+        let second: Vec<_> = (0..4).map(|_| soak.endpoints.start(SERVICES[0], "v2", quality)).collect();
         wait_until("it is rolled back", || is_in_state(controls[2], "rolled_back", "v2"));
         let rolled_back_at = soak.records.now();
         assert!(rolled_back_at < from + DEADLINE, "{from:?} {rolled_back_at:?}");
--- a/crates/router/node/src/request/body_content.rs
+++ b/crates/router/node/src/request/body_content.rs
@@ -56,7 +56,9 @@
         let chunk = match &mut self.relaying {
             Relaying::Resumable(events) => events.push(&data),
             Relaying::Direct(scanner) => {
-                scanner.scan(&data);
+                if self.is_event_stream {
+                    scanner.scan(&data);
+                }
                 Some(data)
             }
         };
