--- a/crates/passrelay/tests/fleet/answers.rs
+++ b/crates/passrelay/tests/fleet/answers.rs
@@ -1,7 +1,7 @@
 //! An answer goes to its caller alone, in its time, and a call that may not be repeated runs once: single cases. Random
 //! ones are in `exchanges.rs`.
 
-use super::{in_service, lone, ok, request, status, with_timeout, PROGRAM};
+use super::{in_service, ok, request, single_sidecar, status, with_timeout, PROGRAM};
 use passrelay_test_support::fleet::{read_all, Fleet, Sidecar};
 use passrelay_test_support::{
     full_listener, response, serve_connections, wait_until, Message, Reply, Server,
@@ -73,7 +73,7 @@
         std::thread::sleep(Duration::from_millis(if slow { 200 } else { 1 }));
         response(200, &format!("X-Passrelay-Request-Id: {id}\r\n"), format!("for {id}").as_bytes())
     });
-    let (_fleet, sidecar) = lone(&[&endpoint]);
+    let (_fleet, sidecar) = single_sidecar(&[&endpoint]);
     let mut client = sidecar.client();
     let one = |path: &str, id: &str, more: &str| {
         format!(
@@ -142,7 +142,7 @@
         std::thread::sleep(Duration::from_millis(500));
         ok("whole")
     });
-    let (_fleet, sidecar) = lone(&[&endpoint]);
+    let (_fleet, sidecar) = single_sidecar(&[&endpoint]);
     let mut client = sidecar.client();
     client.write_all(&request("/open/1", "", "")).unwrap();
     wait_until("the endpoint has it", || !endpoint.requests().is_empty());
--- a/crates/passrelay/tests/fleet/interruptions.rs
+++ b/crates/passrelay/tests/fleet/interruptions.rs
@@ -1,7 +1,7 @@
 //! What a client gets, and what an endpoint runs, where the process stands still or is killed between the steps of a request,
 //! or an address changes hands.
 
-use super::{configuration, in_service, lone, ok, request, status, PROGRAM};
+use super::{configuration, in_service, ok, request, single_sidecar, status, PROGRAM};
 use passrelay_test_support::fleet::{read_all, Fleet};
 use passrelay_test_support::{full_listener, is_connecting, wait_until, Server};
 use serde_json::json;
@@ -45,7 +45,7 @@
         }
         ok("bay 7")
     });
-    let (fleet, mut sidecar) = lone(&[&endpoint]);
+    let (fleet, mut sidecar) = single_sidecar(&[&endpoint]);
     let mut client = sidecar.client();
     client.write_all(&request("/open/first", "", "hello")).unwrap();
     wait_until("the endpoint runs it", || endpoint.requests().len() == 1);
@@ -83,7 +83,7 @@
 #[test]
 fn a_declared_size_that_is_huge_or_no_size_does_not_pass_the_quota() {
     let endpoint = Server::start(|_| ok("bay 7"));
-    let (_fleet, sidecar) = lone(&[&endpoint]);
+    let (_fleet, sidecar) = single_sidecar(&[&endpoint]);
     let ask = |usage: &str| {
         sidecar.exchange(&request("/open/gate", &format!("X-Passrelay-Token-Usage: {usage}\r\n"), ""))
     };
--- a/crates/passrelay/tests/fleet/stream_endings.rs
+++ b/crates/passrelay/tests/fleet/stream_endings.rs
@@ -3,7 +3,7 @@
 //! The fault (review/6): a stream without a length whose endpoint crashed within an event was passed on as complete, although
 //! another endpoint could have resumed it.
 
-use super::{configuration, in_service, lone, request, status, PROGRAM};
+use super::{configuration, in_service, request, single_sidecar, status, PROGRAM};
 use passrelay_test_support::fleet::{Fleet, Sidecar};
 use passrelay_test_support::{Message, Reply, Server};
 use rstest::rstest;
@@ -142,7 +142,7 @@
     #[values("\n", "\r\n", "\r")] line_end: &'static str,
 ) {
     let (one, other) = (endpoint(framing, ending, line_end), endpoint(framing, ending, line_end));
-    let (_fleet, sidecar) = lone(&[&one, &other]);
+    let (_fleet, sidecar) = single_sidecar(&[&one, &other]);
     let answer = sidecar.exchange(&request(path, "", ""));
     assert_eq!(status(&answer), 200, "{answer}");
     let Received { body, is_complete } = received(&answer);
@@ -180,7 +180,7 @@
         })
     };
     let (one, other) = (endpoint(), endpoint());
-    let (_fleet, sidecar) = lone(&[&one, &other]);
+    let (_fleet, sidecar) = single_sidecar(&[&one, &other]);
     let answer = received(&sidecar.exchange(&request(RESUMABLE, "", "")));
     assert_eq!(answer, Received { body: stream_text(0..TRUNCATED_EVENT + 1, "\n"), is_complete: false });
     assert_eq!(runs(&[&one, &other]).len(), 2);
@@ -194,7 +194,7 @@
 ) {
     let text = "id: 0\ndata: piece 0\n\nid: 1\ndata: [DONE]\n";
     let endpoint = Server::start(move |_| respond("text/event-stream", framing, Ending::Complete, &[text]));
-    let (_fleet, sidecar) = lone(&[&endpoint]);
+    let (_fleet, sidecar) = single_sidecar(&[&endpoint]);
     let answer = received(&sidecar.exchange(&request(path, "", "")));
     assert_eq!(answer, Received { body: text.to_owned(), is_complete: true });
 }
@@ -213,7 +213,7 @@
 ) {
     let endpoint =
         Server::start(move |_| respond(media_type, Framing::Connection, Ending::Complete, &[text]));
-    let (_fleet, sidecar) = lone(&[&endpoint]);
+    let (_fleet, sidecar) = single_sidecar(&[&endpoint]);
     let answer = received(&sidecar.exchange(&request(path, "", "")));
     assert_eq!(answer, Received { body: text.to_owned(), is_complete: true });
     assert_eq!(interruptions(&sidecar, "ended_inside_event"), 0);
@@ -234,7 +234,7 @@
         })
     };
     let (one, other) = (endpoint(), endpoint());
-    let (_fleet, sidecar) = lone(&[&one, &other]);
+    let (_fleet, sidecar) = single_sidecar(&[&one, &other]);
     let answer = received(&sidecar.exchange(&request(RESUMABLE, "", "")));
     assert_eq!(answer, Received { body: complete.to_owned(), is_complete: false });
     assert_eq!(runs(&[&one, &other]).len(), 1);
@@ -256,7 +256,7 @@
         })
     };
     let (one, other) = (endpoint(), endpoint());
-    let (_fleet, sidecar) = lone(&[&one, &other]);
+    let (_fleet, sidecar) = single_sidecar(&[&one, &other]);
     let answer = received(&sidecar.exchange(&request(RESUMABLE, "", "")));
     assert_eq!(answer, Received { body: stream(0..4), is_complete: true });
 }
@@ -276,7 +276,7 @@
         })
     };
     let (one, other) = (endpoint(), endpoint());
-    let (_fleet, sidecar) = lone(&[&one, &other]);
+    let (_fleet, sidecar) = single_sidecar(&[&one, &other]);
     let answer = received(&sidecar.exchange(&request(RESUMABLE, "Last-Event-Id: 1\r\n", "")));
     assert_eq!(answer, Received { body: stream_text(2..EVENTS, "\n"), is_complete: true });
     let runs = runs(&[&one, &other]);
@@ -300,11 +300,15 @@
         })
     };
     let (one, other) = (endpoint(), endpoint());
-    let (_fleet, sidecar) = lone(&[&one, &other]);
+    let (_fleet, sidecar) = single_sidecar(&[&one, &other]);
     let answer = received(&sidecar.exchange(&request(RESUMABLE, "", "")));
     assert_eq!(answer, Received { body: stream_text(0..TRUNCATED_EVENT, "\n"), is_complete: false });
 }
 
+fn http_1_0_request(path: &str) -> Vec<u8> {
+    String::from_utf8(request(path, "", "")).unwrap().replace("HTTP/1.1", "HTTP/1.0").into_bytes()
+}
+
 // The response to a client of HTTP/1.0 ends with its connection as well, so that only a reset tells that it is truncated.
 #[rstest]
 fn a_truncated_response_to_a_client_of_http_1_0_ends_with_a_reset(
@@ -312,15 +316,48 @@
     #[values(Ending::Complete, Ending::Truncated, Ending::Reset)] ending: Ending,
 ) {
     let endpoint = endpoint(framing, ending, "\n");
-    let (_fleet, sidecar) = lone(&[&endpoint]);
+    let (_fleet, sidecar) = single_sidecar(&[&endpoint]);
     let mut client = sidecar.client();
-    let text = String::from_utf8(request(NOT_RESUMABLE, "", "")).unwrap().replace("HTTP/1.1", "HTTP/1.0");
-    client.write_all(text.as_bytes()).unwrap();
+    client.write_all(&http_1_0_request(NOT_RESUMABLE)).unwrap();
     let mut bytes = Vec::new();
     let end = client.read_to_end(&mut bytes);
     assert_eq!(end.is_ok(), ending == Ending::Complete, "{}", String::from_utf8_lossy(&bytes));
 }
 
+#[test]
+fn a_response_to_a_client_of_http_1_0_ends_with_a_reset_if_the_process_is_killed() {
+    let endpoint = Server::start(|_| {
+        let text = event(0, "\n");
+        match respond("text/event-stream", Framing::Connection, Ending::Truncated, &[&text]) {
+            Reply::BytesThenClose(bytes) => Reply::Bytes(bytes),
+            other => other,
+        }
+    });
+    let (_fleet, sidecar) = single_sidecar(&[&endpoint]);
+    let mut client = sidecar.client();
+    client.write_all(&http_1_0_request(NOT_RESUMABLE)).unwrap();
+    let mut bytes = Vec::new();
+    while !bytes.ends_with(b"\n\n") {
+        let mut byte = [0];
+        assert_eq!(client.read(&mut byte).unwrap(), 1);
+        bytes.push(byte[0]);
+    }
+    sidecar.signal("KILL");
+    assert!(client.read_to_end(&mut bytes).is_err());
+}
+
+// A failure of the router's own has a length, which the HTTP library adds.
+#[test]
+fn a_failure_for_a_client_of_http_1_0_is_complete() {
+    let endpoint = Server::start(|_| respond("text/plain", Framing::Chunked, Ending::Complete, &[]));
+    let (_fleet, sidecar) = single_sidecar(&[&endpoint]);
+    let mut client = sidecar.client();
+    client.write_all(&http_1_0_request("/none/1")).unwrap();
+    let mut bytes = Vec::new();
+    assert!(client.read_to_end(&mut bytes).is_ok());
+    assert_eq!(status(&String::from_utf8_lossy(&bytes)), 404);
+}
+
 #[test]
 fn an_endpoint_whose_streams_end_within_an_event_is_ejected_like_one_whose_connections_break() {
     for ending in [Ending::Truncated, Ending::Reset] {
--- a/crates/router/configuration/src/difference.rs
+++ b/crates/router/configuration/src/difference.rs
@@ -125,9 +125,7 @@
         self.items.push(ItemDifference { list: "limits", name: String::new(), change });
         self.upserts.insert("limits".to_owned(), after.clone());
     }
-}
 
-impl Difference {
     /// Reports a list of tenants that only one of the documents has, since requests need an API key only if there is one.
     fn compare_presence_of_tenants(&mut self, from: &Value, to: &Value) {
         let change = match (has_tenants(from), has_tenants(to)) {
--- a/crates/router/node/src/client_connections.rs
+++ b/crates/router/node/src/client_connections.rs
@@ -44,7 +44,7 @@
 /// State of a connection, shared by its socket, its requests and the timeout sweep.
 pub struct ClientConnection {
     phase: Cell<Phase>,
-    reset_due: Cell<bool>,
+    response_ends_with_connection: Cell<bool>,
     commands: Sender<ConnectionCommand>,
 }
 
@@ -71,14 +71,15 @@
         matches!(self.phase.get(), Phase::Busy)
     }
 
-    /// Requires the connection to be reset when it is closed, so that the client sees that its response is incomplete.
-    pub fn require_reset(&self) {
-        self.reset_due.set(true);
+    /// Records whether a response is incomplete that has neither a length nor chunks, so that its client would take any regular
+    /// end of the connection for the end of the response.
+    pub fn set_response_ends_with_connection(&self, ends_with_connection: bool) {
+        self.response_ends_with_connection.set(ends_with_connection);
     }
 
-    /// Returns whether the connection is to be reset when it is closed.
-    pub fn is_reset_due(&self) -> bool {
-        self.reset_due.get()
+    /// Returns what [`Self::set_response_ends_with_connection`] has recorded last.
+    pub fn response_ends_with_connection(&self) -> bool {
+        self.response_ends_with_connection.get()
     }
 
     fn is_expired(&self, now: Duration, timeouts: ConnectionTimeouts) -> bool {
@@ -113,7 +114,7 @@
         let (commands, received) = smol::channel::bounded(MAX_PENDING_COMMANDS);
         let connection = Rc::new(ClientConnection {
             phase: Cell::new(Phase::Idle(now)),
-            reset_due: Cell::new(false),
+            response_ends_with_connection: Cell::new(false),
             commands,
         });
         let id = self.next_id.get();
--- a/crates/router/node/src/client_listener.rs
+++ b/crates/router/node/src/client_listener.rs
@@ -7,7 +7,7 @@
 use crate::responses::{Body, BodyError};
 use crate::tasks::BackgroundTasks;
 use bytes::Bytes;
-use hyper::body::{Frame, Incoming, SizeHint};
+use hyper::body::{Body as _, Frame, Incoming, SizeHint};
 use hyper::header::{HeaderValue, CONNECTION, CONTENT_LENGTH};
 use hyper::service::service_fn;
 use hyper::{Request, Response, Version};
@@ -72,8 +72,12 @@
     let _ = stream.set_nodelay(true);
     let opened = context.clients.open(context.now());
     let connection = opened.connection;
-    let io =
-        FuturesIo::new(TrackedStream { stream, connection: connection.clone(), context: context.clone() });
+    let io = FuturesIo::new(TrackedStream {
+        stream,
+        connection: connection.clone(),
+        context: context.clone(),
+        resets: false,
+    });
     let snapshot = context.data_plane.configuration.snapshot();
     let max_header_bytes =
         snapshot.map_or(DEFAULT_MAX_HEADER_BYTES, |snapshot| snapshot.table.limits().max_header_bytes);
@@ -111,22 +115,37 @@
     request: Request<Incoming>,
 ) -> Result<Response<Body>, Infallible> {
     connection.request_started();
-    let has_chunks = request.version() != Version::HTTP_10;
+    let accepts_chunks = request.version() != Version::HTTP_10;
     let mut response = request::handle(&context, request).await;
     if context.shutdown.is_draining() {
         response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
     }
-    let ends_with_connection = !has_chunks && !response.headers().contains_key(CONTENT_LENGTH);
-    let track = |body| -> Body { Box::pin(TrackedBody { body, connection, context, ends_with_connection }) };
-    Ok(response.map(track))
+    let has_length =
+        response.headers().contains_key(CONTENT_LENGTH) || response.body().size_hint().exact().is_some();
+    connection.set_response_ends_with_connection(!accepts_chunks && !has_length);
+    Ok(response.map(|body| -> Body { Box::pin(TrackedBody { body, connection, context }) }))
 }
 
-/// A client socket that notifies its connection when bytes arrive, and is reset if a response has been broken off whose
-/// regular end would be that of the connection.
+/// A client socket that notifies its connection when bytes arrive. While a response is incomplete whose regular end is that of
+/// the connection, as with HTTP/1.0, any end of the socket resets it, also that of the process.
 struct TrackedStream {
     stream: TcpStream,
     connection: Rc<ClientConnection>,
     context: Rc<RequestContext>,
+    /// Whether the operating system resets the connection when the socket is closed.
+    resets: bool,
+}
+
+impl TrackedStream {
+    /// Has the operating system reset the connection at the end of the socket, or close it in order, as the response needs it.
+    fn update_reset(&mut self) {
+        let resets = self.connection.response_ends_with_connection();
+        if resets != self.resets {
+            self.resets = resets;
+            // If this fails, the connection has already ended.
+            let _ = SockRef::from(&self.stream).set_linger(resets.then_some(Duration::ZERO));
+        }
+    }
 }
 
 impl AsyncRead for TrackedStream {
@@ -145,6 +164,7 @@
 
 impl AsyncWrite for TrackedStream {
     fn poll_write(mut self: Pin<&mut Self>, context: &mut Context, buffer: &[u8]) -> Poll<io::Result<usize>> {
+        self.update_reset();
         Pin::new(&mut self.stream).poll_write(context, buffer)
     }
 
@@ -153,6 +173,7 @@
         context: &mut Context,
         buffers: &[io::IoSlice],
     ) -> Poll<io::Result<usize>> {
+        self.update_reset();
         Pin::new(&mut self.stream).poll_write_vectored(context, buffers)
     }
 
@@ -161,26 +182,16 @@
     }
 
     fn poll_close(mut self: Pin<&mut Self>, context: &mut Context) -> Poll<io::Result<()>> {
+        self.update_reset();
         Pin::new(&mut self.stream).poll_close(context)
     }
 }
 
-impl Drop for TrackedStream {
-    fn drop(&mut self) {
-        if self.connection.is_reset_due() {
-            // If this fails, the connection has already ended.
-            let _ = SockRef::from(&self.stream).set_linger(Some(Duration::ZERO));
-        }
-    }
-}
-
 /// A response body that notifies its connection once it has been written or abandoned.
 struct TrackedBody {
     body: Body,
     connection: Rc<ClientConnection>,
     context: Rc<RequestContext>,
-    /// Whether only the end of the connection tells the client where the body ends, as with HTTP/1.0.
-    ends_with_connection: bool,
 }
 
 impl hyper::body::Body for TrackedBody {
@@ -192,8 +203,8 @@
         context: &mut Context,
     ) -> Poll<Option<Result<Frame<Bytes>, BodyError>>> {
         let frame = self.body.as_mut().poll_frame(context);
-        if self.ends_with_connection && matches!(frame, Poll::Ready(Some(Err(_)))) {
-            self.connection.require_reset();
+        if matches!(frame, Poll::Ready(None)) {
+            self.connection.set_response_ends_with_connection(false);
         }
         frame
     }
