--- a/crates/passrelay/tests/fleet/changes_in_flight.rs
+++ b/crates/passrelay/tests/fleet/changes_in_flight.rs
@@ -3,7 +3,7 @@
 //! The fault (review/2): payments on an `unsafe` route ran twice when their route was removed while they ran and their answers
 //! were lost, because whether a request may be repeated was taken from the newest configuration, not from the one it was sent under.
 
-use super::{configuration, events, in_service, ok, request, status, PROGRAM};
+use super::{configuration, events, in_service, ok, request, status, PROGRAM, RETRY_BUDGET_SETTING};
 use passrelay_test_support::fleet::{read_all, Fleet, Sidecar};
 use passrelay_test_support::{response, wait_until, Message, Reply, Server};
 use rstest::rstest;
@@ -17,8 +17,6 @@
 const BEFORE: u64 = 3;
 const AFTER: u64 = 4;
 
-/// Retries per request that the budget allows; high enough that the budget never ends a test's request.
-const RETRY_BUDGET_SETTING: &str = "bounds.retry-budget-ratio=100";
 /// Part of the paths of requests that are answered at once. They fill the retry budget of their service.
 const WARM_UP: &str = "warm-up";
 
--- a/crates/passrelay/tests/fleet/exact_numbers.rs
+++ b/crates/passrelay/tests/fleet/exact_numbers.rs
@@ -3,10 +3,9 @@
 //! The fault (review/8): a change was stored as its document parsed and written anew, and the parser took a number of 16 digits for
 //! a neighbouring one; numbers beyond those of a double lost digits or were refused.
 
-use super::PROGRAM;
+use super::{run, PROGRAM};
 use passrelay_test_support::fleet::{Fleet, Sidecar};
 use passrelay_test_support::wait_until;
-use std::process::{Command, Output};
 
 const MACHINES: u8 = 4;
 const VOTERS: u8 = 3;
@@ -59,11 +58,6 @@
     }
 }
 
-fn config_command(sidecar: &Sidecar, words: &[&str]) -> Output {
-    let address = sidecar.control_address().to_string();
-    Command::new(PROGRAM).arg("config").args(words).args(["--at", &address]).output().unwrap()
-}
-
 // Guards against review/8: a weight of 16 digits reads back as another number.
 #[test]
 fn numbers_read_back_as_they_were_sent() {
@@ -86,13 +80,12 @@
     let newest = configuration(6, &[even, split, later]);
     assert_everywhere(&sidecars, 6, &newest);
 
-    let file = fleet.settings_path(1).with_extension("json");
-    std::fs::write(&file, &newest).unwrap();
-    let file = file.to_str().unwrap();
-    let read = config_command(&sidecars[2], &["get"]);
-    assert_eq!(String::from_utf8_lossy(&read.stdout).trim_end(), newest);
-    let difference = config_command(&sidecars[3], &["diff", file]);
-    assert_eq!((difference.status.code(), difference.stdout), (Some(0), Vec::new()));
+    let file = fleet.write_file("newest.json", &newest);
+    let at = |sidecar: &Sidecar| sidecar.control_address().to_string();
+    let read = run(&["config", "get", "--at", &at(&sidecars[2])]);
+    assert_eq!(read.1.trim_end(), newest);
+    let difference = run(&["config", "diff", &file, "--at", &at(&sidecars[3])]);
+    assert_eq!(difference, (Some(0), String::new()));
 
     drop(sidecars);
     let sidecars: Vec<Sidecar> = (1..=MACHINES).map(|machine| fleet.start(machine, false)).collect();
--- a/crates/passrelay/tests/fleet/main.rs
+++ b/crates/passrelay/tests/fleet/main.rs
@@ -17,6 +17,8 @@
 use std::net::SocketAddr;
 
 const PROGRAM: &str = env!("CARGO_BIN_EXE_passrelay");
+/// Retries per request that the budget allows; high enough that the budget never ends a test's request.
+const RETRY_BUDGET_SETTING: &str = "bounds.retry-budget-ratio=100";
 
 fn configuration(generation: u64) -> Value {
     let route = |name: &str, kind: &str, attempts: u64, resumable: bool| {
@@ -85,3 +87,9 @@
     text += if whole { "0\r\n\r\n" } else { "9\r\nid: 99\nda\r\n" };
     Reply::BytesThenClose(text.into_bytes())
 }
+
+/// Runs a command of the program. Returns its exit code and what it prints.
+fn run(words: &[&str]) -> (Option<i32>, String) {
+    let done = std::process::Command::new(PROGRAM).args(words).output().unwrap();
+    (done.status.code(), String::from_utf8_lossy(&done.stdout).into_owned())
+}
--- a/crates/passrelay/tests/fleet/operator_calls.rs
+++ b/crates/passrelay/tests/fleet/operator_calls.rs
@@ -1,6 +1,6 @@
 //! The calls of operators and the command line: changes of the configuration that are taken, refused and read back.
 
-use super::{configuration, ok, single_sidecar, PROGRAM};
+use super::{configuration, ok, run, single_sidecar, PROGRAM};
 use passrelay_test_support::fleet::{Fleet, Sidecar};
 use passrelay_test_support::{wait_until, Server};
 use serde_json::{json, Value};
@@ -77,11 +77,6 @@
     assert_eq!(read["routes"].as_array().unwrap().len(), 2_002);
 }
 
-fn run(words: &[&str]) -> (Option<i32>, String) {
-    let done = std::process::Command::new(PROGRAM).args(words).output().unwrap();
-    (done.status.code(), String::from_utf8_lossy(&done.stdout).into_owned())
-}
-
 #[test]
 fn the_configuration_of_the_loopback_fleet_has_no_fault() {
     let file = concat!(env!("CARGO_MANIFEST_DIR"), "/../../deploy/loopback/routes.json");
--- a/crates/passrelay/tests/fleet/stream_endings.rs
+++ b/crates/passrelay/tests/fleet/stream_endings.rs
@@ -3,7 +3,7 @@
 //! The fault (review/6): a stream without a length whose endpoint crashed within an event was passed on as complete, although
 //! another endpoint could have resumed it.
 
-use super::{configuration, in_service, request, single_sidecar, status, PROGRAM};
+use super::{configuration, in_service, request, single_sidecar, status, PROGRAM, RETRY_BUDGET_SETTING};
 use passrelay_test_support::fleet::{Fleet, Sidecar};
 use passrelay_test_support::{Message, Reply, Server};
 use rstest::rstest;
@@ -364,8 +364,7 @@
         let bad = endpoint(Framing::Connection, ending, "\n");
         let good = endpoint(Framing::Connection, Ending::Complete, "\n");
         let mut fleet = Fleet::new(PROGRAM, 1);
-        // The retry budget ends no request of this test.
-        fleet.more_settings.push("bounds.retry-budget-ratio=100".to_owned());
+        fleet.more_settings.push(RETRY_BUDGET_SETTING.to_owned());
         let (_fleet, sidecar) = in_service(fleet, &[bad.address, good.address], &configuration(3));
         for _ in 0..40 {
             let answer = received(&sidecar.exchange(&request(RESUMABLE, "", "")));
--- a/crates/router/node/src/coordinator_driver.rs
+++ b/crates/router/node/src/coordinator_driver.rs
@@ -211,7 +211,7 @@
         status["denials"] = data_plane.denials.proven.get().into();
         status["unproven_denials"] = data_plane.denials.unproven.get().into();
         status["repeats"] = data_plane.repeats.sent.get().into();
-        status["interrupted_responses"] = data_plane.interrupted_responses.to_json();
+        status["interrupted_responses"] = serde_json::json!(data_plane.interrupted_responses);
         status["withheld_repeats"] = data_plane.repeats.withheld.get().into();
         status.to_string()
     }
--- a/crates/router/node/src/interrupted_responses.rs
+++ b/crates/router/node/src/interrupted_responses.rs
@@ -1,49 +1,38 @@
 //! Counts the responses of endpoints that ended before they were complete, by how the end was noticed and what became of them.
 
 use serde::Serialize;
-use std::cell::RefCell;
+use std::cell::Cell;
 
 /// Interrupted responses since the start of the process, for operators.
-#[derive(Debug, Default)]
-pub struct InterruptedResponses {
-    counts: RefCell<Counts>,
-}
-
 #[derive(Debug, Default, Serialize)]
-struct Counts {
+pub struct InterruptedResponses {
     /// Responses whose connection broke, or ended before the declared length or the last chunk.
-    connection_broken: u64,
+    connection_broken: Cell<u64>,
     /// Event streams without a length whose connection ended regularly, but within an event.
-    ended_inside_event: u64,
+    ended_inside_event: Cell<u64>,
     /// Interruptions after which another endpoint resumed the stream.
-    resumed: u64,
+    resumed: Cell<u64>,
     /// Interruptions after which the response to the client was aborted.
-    aborted: u64,
+    aborted: Cell<u64>,
 }
 
 impl InterruptedResponses {
     /// Counts a response whose connection broke.
     pub fn record_connection_broken(&self) {
-        self.counts.borrow_mut().connection_broken += 1;
+        increment(&self.connection_broken);
     }
 
     /// Counts an event stream that ended within an event.
     pub fn record_ended_inside_event(&self) {
-        self.counts.borrow_mut().ended_inside_event += 1;
+        increment(&self.ended_inside_event);
     }
 
     /// Counts what became of an interrupted response.
     pub fn record_result(&self, is_resumed: bool) {
-        let mut counts = self.counts.borrow_mut();
-        if is_resumed {
-            counts.resumed += 1;
-        } else {
-            counts.aborted += 1;
-        }
+        increment(if is_resumed { &self.resumed } else { &self.aborted });
     }
+}
 
-    /// Returns the counts as JSON.
-    pub fn to_json(&self) -> serde_json::Value {
-        serde_json::json!(*self.counts.borrow())
-    }
+fn increment(count: &Cell<u64>) {
+    count.set(count.get() + 1);
 }
