--- a/crates/testing/test-support/src/fleet.rs
+++ b/crates/testing/test-support/src/fleet.rs
@@ -189,6 +189,21 @@
         format!("{}:{FRONT_PORT}", self.ip).parse().expect("invalid address of the machine")
     }
 
+    /// Returns the identifier of the process.
+    pub fn pid(&self) -> u32 {
+        self.child.id()
+    }
+
+    /// Returns the address of the readiness probe.
+    pub fn readiness_address(&self) -> SocketAddr {
+        format!("{}:{READINESS_PORT}", self.ip).parse().expect("invalid address of the machine")
+    }
+
+    /// Returns the address for messages between processes.
+    pub fn internal_address(&self) -> SocketAddr {
+        format!("{}:{INTERNAL_PORT}", self.ip).parse().expect("invalid address of the machine")
+    }
+
     /// Returns whether the process has exited, by itself or by a signal.
     pub fn has_exited(&mut self) -> bool {
         matches!(self.child.try_wait(), Ok(Some(_)))
--- a/crates/testing/test-support/src/lib.rs
+++ b/crates/testing/test-support/src/lib.rs
@@ -6,6 +6,7 @@
 mod message;
 mod process_state;
 mod relay;
+pub mod resource_usage;
 mod server;
 
 pub use caller::{request, Caller};
