Charge the bodies of clients' requests to one budget of memory, and bound the time for a whole body

Cause: limits.memory-mb was not read. Each body might be 4 MiB, was copied once more at its end and for every attempt, and each part that arrived restarted its time. A chunk of a byte kept the whole read buffer that it came in.

Change: MemoryBudget (no I/O) has five eighths of the machine's memory. A body is copied into segments, whose capacity is charged before they are allocated, until the last copy for sending is gone; the segments are sent without another copy, and released once the response cannot be resumed. The larger a body is, the more has to stay free when it grows, so small ones have room. Refused bodies get 503 and are not read on. A whole body has to arrive before the deadline, in 30 s at most. GET /status has `memory`, the log `memory_exhausted`.

The new test of a body that drips failed before (503 after 20 s, by the deadline of its client long past) and passes (408).

--- a/crates/passrelay/tests/fleet/account.rs
+++ b/crates/passrelay/tests/fleet/account.rs
@@ -5,7 +5,7 @@
 use passrelay_test_support::wait_until;
 use serde_json::Value;
 
-const KEYS: [&str; 19] = [
+const KEYS: [&str; 20] = [
     "answers_dropped",
     "denials",
     "endpoints",
@@ -17,6 +17,7 @@
     "interrupted_responses",
     "leads",
     "members",
+    "memory",
     "peers",
     "primary",
     "repeats",
--- a/crates/passrelay/tests/fleet/requests.rs
+++ b/crates/passrelay/tests/fleet/requests.rs
@@ -1,7 +1,7 @@
 //! Requests and streams: what reaches an endpoint, what comes back, and when a request is sent again.
 
 use super::{configuration, events, in_service, ok, request, single_sidecar, status, PROGRAM};
-use passrelay_test_support::fleet::Fleet;
+use passrelay_test_support::fleet::{read_all, Fleet};
 use passrelay_test_support::{response, Message, Reply, Server};
 use std::io::Write;
 use std::net::SocketAddr;
@@ -64,6 +64,34 @@
     assert!(endpoint.requests().is_empty());
 }
 
+// Guards against a body that is held for as long as a byte of it comes now and then.
+#[test]
+fn a_body_that_is_not_whole_at_the_deadline_is_refused() {
+    let endpoint = Server::start(|_| ok("x"));
+    let (_fleet, sidecar) = single_sidecar(&[&endpoint]);
+    let text = String::from_utf8(request("/open/1", "", &"b".repeat(200))).unwrap();
+    let bytes = text.replace("Deadline-Ms: 3000", "Deadline-Ms: 1000").into_bytes();
+    let (whole, slow) = bytes.split_at(bytes.len() - 200);
+    let mut client = sidecar.client();
+    client.write_all(whole).unwrap();
+    let mut writer = client.try_clone().unwrap();
+    let bytes = slow.to_vec();
+    let sending = std::thread::spawn(move || {
+        // A byte comes well before the time for a part of the body is over.
+        bytes
+            .iter()
+            .take_while(|byte| {
+                std::thread::sleep(Duration::from_millis(100));
+                writer.write_all(&[**byte]).is_ok()
+            })
+            .count()
+    });
+    let answer = read_all(&mut client);
+    assert_eq!(status(&answer), 408, "{answer}");
+    assert!(sending.join().unwrap() < 200);
+    assert!(endpoint.requests().is_empty());
+}
+
 #[test]
 fn a_body_in_chunks_arrives_whole() {
     let endpoint = Server::start(|_| ok("x"));
--- a/crates/router/node/src/client_listener.rs
+++ b/crates/router/node/src/client_listener.rs
@@ -53,7 +53,7 @@
     Ok(())
 }
 
-/// Closes timed-out client connections and idle connections to endpoints.
+/// Closes timed-out client connections and idle connections to endpoints, and logs charges that were refused.
 fn sweep(context: &RequestContext) {
     let snapshot = context.data_plane.configuration.snapshot();
     let timeouts = snapshot.map_or(DEFAULT_TIMEOUTS, |snapshot| {
@@ -66,6 +66,7 @@
     let now = context.now();
     context.clients.sweep(now, timeouts);
     context.upstream.sweep(now);
+    context.memory.log_refusals();
 }
 
 async fn serve_connection(context: Rc<RequestContext>, stream: TcpStream) {
--- a/crates/router/node/src/lib.rs
+++ b/crates/router/node/src/lib.rs
@@ -6,6 +6,7 @@
 //! | modules | responsibility |
 //! |---|---|
 //! | `clock`, `logging`, `tasks`, `settings`, `responses` | utilities used by all other modules |
+//! | `memory`, `stored_body` | what clients and peers make the process hold |
 //! | `transport`, `storage`, `listener`, `upstream`, `client_connections` | sockets and disk |
 //! | `configuration_snapshot`, `quota_client`, `load_reporter`, `data_plane` | state used to route requests |
 //! | `freshness`, `graceful_shutdown`, `readiness` | decide whether requests may be forwarded |
@@ -37,6 +38,7 @@
 mod listener;
 mod load_reporter;
 mod logging;
+mod memory;
 mod operator_calls;
 mod peer_persistence;
 mod process;
@@ -49,6 +51,7 @@
 mod settings;
 mod signals;
 mod storage;
+mod stored_body;
 mod tasks;
 mod transport;
 mod upstream;
--- a/crates/router/node/src/process.rs
+++ b/crates/router/node/src/process.rs
@@ -4,6 +4,7 @@
 //! This module contains no logic for requests, endpoints or replication.
 
 use crate::background_tasks;
+use crate::client_connections::ClientConnections;
 use crate::client_listener;
 use crate::clock::Clock;
 use crate::control_api::{self, ControlApi};
@@ -13,6 +14,7 @@
 use crate::freshness::Freshness;
 use crate::graceful_shutdown::GracefulShutdown;
 use crate::logging::log_event;
+use crate::memory::Memory;
 use crate::readiness::Readiness;
 use crate::request_context::RequestContext;
 use crate::settings::{CurrentSettings, NodeSettings, SettingsError};
@@ -20,6 +22,7 @@
 use crate::storage::{StartKind, Storage, StorageEvent};
 use crate::tasks::{BackgroundTasks, Spawner};
 use crate::transport::Transport;
+use crate::upstream::ConnectionPool;
 use async_signal::Signals;
 use passrelay_control_plane::{Coordinator, CoordinatorSettings};
 use passrelay_dissemination::{GossipSettings, Incarnation};
@@ -102,6 +105,7 @@
     let coordinator = Coordinator::new(Duration::ZERO, coordinator_settings(&settings));
     let data_plane = Rc::new(DataPlane::new(&settings.zone, settings.retry_budget_ratio, rand::random()));
     let (storage, storage_events) = start_storage(&settings)?.unzip();
+    let memory = Memory::new(settings.memory_bytes);
     let settings = Rc::new(CurrentSettings::new(settings));
     let freshness = Rc::new(Freshness::new(clock, settings.clone()));
     let shutdown = Rc::new(GracefulShutdown::new(clock));
@@ -111,6 +115,7 @@
         storage,
         data_plane: data_plane.clone(),
         freshness: freshness.clone(),
+        memory: memory.clone(),
     };
     let driver = Rc::new(CoordinatorDriver::new(clock, coordinator, targets));
     let control = Rc::new(ControlApi {
@@ -118,8 +123,18 @@
         readiness: readiness.clone(),
         driver: driver.clone(),
     });
-    let requests =
-        RequestContext::new(clock, spawner, data_plane, freshness, readiness, shutdown, driver.clone());
+    let requests = RequestContext {
+        clock,
+        spawner,
+        data_plane,
+        freshness,
+        readiness,
+        shutdown,
+        upstream: ConnectionPool::default(),
+        clients: ClientConnections::default(),
+        memory,
+        driver: driver.clone(),
+    };
     Ok(Process { settings, transport, driver, storage_events, requests: Rc::new(requests), control })
 }
 
--- a/crates/router/node/src/request/attempts.rs
+++ b/crates/router/node/src/request/attempts.rs
@@ -115,6 +115,11 @@
         }
     }
 
+    /// Releases the body, because the request is not sent again.
+    pub fn release_body(&self) {
+        self.inbound.body.take();
+    }
+
     /// Records that the relayed response broke off. The request counts as possibly executed, and only an endpoint that may
     /// continue a response of this origin is attempted from now on.
     pub fn record_broken_response(&mut self, origin: StreamOrigin) {
--- a/crates/router/node/src/request/inbound.rs
+++ b/crates/router/node/src/request/inbound.rs
@@ -2,12 +2,13 @@
 
 use super::headers::{DEADLINE, PREFIX_HASH, TOKEN_USAGE};
 use crate::responses::Failure;
-use bytes::Bytes;
+use crate::stored_body::StoredBody;
 use hyper::header::{HeaderName, HeaderValue, AUTHORIZATION, HOST};
 use hyper::http::request::Parts;
 use hyper::{HeaderMap, Method, Uri};
 use passrelay_configuration::Route;
 use passrelay_data_plane::prompt::Prompt;
+use std::cell::RefCell;
 use std::time::Duration;
 
 /// Timeout of a request that specifies none.
@@ -29,8 +30,8 @@
     pub key: Option<String>,
     /// Description of the prompt in the header fields.
     pub prompt: Prompt,
-    /// The complete body; empty until it has been read.
-    pub body: Bytes,
+    /// The complete body; empty until it has been read, and once it is not sent again.
+    pub body: RefCell<StoredBody>,
     /// When the head had been read, on the clock of the process.
     pub arrived: Duration,
     /// How long the client waits after `arrived`.
@@ -60,7 +61,7 @@
             prompt,
             method: parts.method,
             headers: parts.headers,
-            body: Bytes::new(),
+            body: RefCell::default(),
             arrived,
             timeout,
         })
--- a/crates/router/node/src/request/mod.rs
+++ b/crates/router/node/src/request/mod.rs
@@ -6,7 +6,7 @@
 //! | parse the head | `inbound` | 400 |
 //! | match route, authenticate, check freshness | `admission` | 401, 404, 503 |
 //! | check the graceful shutdown | this module | 503 |
-//! | read the body | `inbound_body` | 400, 408, 413 |
+//! | read the body | `inbound_body` | 400, 408, 413, 503 |
 //! | admit again, because reading may have taken long | `admission` | as above |
 //! | reserve quota | `quota` | 429, 503 |
 //! | select an endpoint, attempt, retry | `endpoint_selection`, `attempts`, by the rules in `retry_policy` | 502, 503, 504 |
@@ -75,13 +75,16 @@
     arrived: Duration,
 ) -> Result<Response<Body>, Failure> {
     let (parts, body) = request.into_parts();
-    let mut inbound = InboundRequest::parse(parts, arrived)?;
+    let inbound = InboundRequest::parse(parts, arrived)?;
     let admission = admission::admit(context, &inbound)?;
     if !context.shutdown.accepts(inbound.deadline(&admission.route)) {
         return Err(Failure::ShuttingDown);
     }
     let limits = ExecutionLimits::of(&admission.route);
-    inbound.body = inbound_body::read(admission.snapshot.table.limits(), body).await?;
+    let body_limits = admission.snapshot.table.limits();
+    let deadline = inbound.deadline(&admission.route);
+    let stored = inbound_body::read(context, body_limits, deadline, body).await?;
+    inbound.body.replace(stored);
     let inbound = Rc::new(inbound);
     let admission = admission::admit(context, &inbound)?;
     let reservation = quota::reserve(context, &inbound, &admission).await?;
--- a/crates/router/node/src/request/outbound.rs
+++ b/crates/router/node/src/request/outbound.rs
@@ -4,7 +4,6 @@
 use super::headers::{end_to_end, DEADLINE, LAST_EVENT_ID, PRIORITY, TARGET_INSTANCE, TENANT};
 use super::inbound::InboundRequest;
 use crate::upstream::UpstreamRequest;
-use http_body_util::Full;
 use hyper::header::{HeaderValue, AUTHORIZATION, CONTENT_LENGTH};
 use hyper::Request;
 use passrelay_data_plane::routing::KeyPolicy;
@@ -23,7 +22,7 @@
 /// Builds the request to an endpoint from the client's request: removes hop-by-hop fields and fields that only a
 /// sidecar may set, and adds the sidecar's fields.
 pub fn compose(inbound: &InboundRequest, admission: &Admission, attempt: &AttemptFields) -> UpstreamRequest {
-    let mut request = Request::new(Full::new(inbound.body.clone()));
+    let mut request = Request::new(inbound.body.borrow().to_outbound());
     *request.method_mut() = inbound.method.clone();
     *request.uri_mut() = inbound.uri.clone();
     let headers = request.headers_mut();
--- a/crates/router/node/src/request/relay_body.rs
+++ b/crates/router/node/src/request/relay_body.rs
@@ -34,6 +34,9 @@
         && parts.status == StatusCode::OK
         && !parts.headers.contains_key(CONTENT_LENGTH);
     let time_remaining = attempts.deadline().saturating_sub(attempts.context().now());
+    if !can_resume {
+        attempts.release_body();
+    }
     let is_empty = incoming.is_end_stream();
     let mut relay = BodyRelay {
         incoming,
--- a/crates/router/node/src/request_context.rs
+++ b/crates/router/node/src/request_context.rs
@@ -7,6 +7,7 @@
 use crate::data_plane::DataPlane;
 use crate::freshness::Freshness;
 use crate::graceful_shutdown::GracefulShutdown;
+use crate::memory::Memory;
 use crate::readiness::Readiness;
 use crate::tasks::Spawner;
 use crate::upstream::ConnectionPool;
@@ -31,33 +32,13 @@
     pub upstream: ConnectionPool,
     /// Open client connections.
     pub clients: ClientConnections,
-    driver: Rc<CoordinatorDriver>,
+    /// Memory budget, to which bodies of requests are charged.
+    pub memory: Memory,
+    /// Requests quota from its grantor.
+    pub driver: Rc<CoordinatorDriver>,
 }
 
 impl RequestContext {
-    /// Creates a context without connections.
-    pub fn new(
-        clock: Clock,
-        spawner: Spawner,
-        data_plane: Rc<DataPlane>,
-        freshness: Rc<Freshness>,
-        readiness: Rc<Readiness>,
-        shutdown: Rc<GracefulShutdown>,
-        driver: Rc<CoordinatorDriver>,
-    ) -> Self {
-        RequestContext {
-            clock,
-            spawner,
-            data_plane,
-            freshness,
-            readiness,
-            shutdown,
-            upstream: ConnectionPool::default(),
-            clients: ClientConnections::default(),
-            driver,
-        }
-    }
-
     /// Returns the time since the process started.
     pub fn now(&self) -> Duration {
         self.clock.now()
--- a/crates/router/node/src/responses.rs
+++ b/crates/router/node/src/responses.rs
@@ -64,6 +64,9 @@
     /// No part of the body arrived within the timeout.
     #[error("the request came too slowly")]
     BodyTimeout,
+    /// There is no memory for the request.
+    #[error("this sidecar has no room for the request now")]
+    MemoryExhausted,
     /// The tenant's quota is exhausted.
     #[error("the quota is used up")]
     OverQuota,
@@ -97,6 +100,7 @@
             Failure::BodyTooLong => (StatusCode::PAYLOAD_TOO_LARGE, None),
             Failure::BodyTimeout => (StatusCode::REQUEST_TIMEOUT, None),
             Failure::OverQuota => (StatusCode::TOO_MANY_REQUESTS, RETRY_LATER),
+            Failure::MemoryExhausted => (StatusCode::SERVICE_UNAVAILABLE, RETRY_LATER),
             Failure::NoEndpoint => (StatusCode::SERVICE_UNAVAILABLE, RETRY_SOON),
             Failure::ShuttingDown => (StatusCode::SERVICE_UNAVAILABLE, RETRY_AT_ONCE),
             Failure::NoResponse => (StatusCode::BAD_GATEWAY, None),
@@ -108,7 +112,11 @@
     fn leaves_body_unread(self) -> bool {
         matches!(
             self,
-            Failure::BodyTooLong | Failure::BodyTimeout | Failure::BadRequest | Failure::BadPrompt(_)
+            Failure::BodyTooLong
+                | Failure::BodyTimeout
+                | Failure::MemoryExhausted
+                | Failure::BadRequest
+                | Failure::BadPrompt(_)
         )
     }
 
--- a/crates/router/node/src/settings.rs
+++ b/crates/router/node/src/settings.rs
@@ -19,6 +19,10 @@
 
 /// The item of `contracts` that lets operators change the version of a service by rollout orders.
 const ROLLOUT_CONTRACT: &str = "rollout";
+/// Bytes in a unit of `limits.memory-mb`.
+const BYTES_PER_MB: u64 = 1_000_000;
+/// Default of `limits.memory-mb`.
+const DEFAULT_MEMORY_MB: u32 = 160;
 
 /// Error in the settings of a process.
 #[derive(Debug, Error)]
@@ -83,6 +87,8 @@
     pub internal_port: u16,
     /// Addresses of machines through which this process discovers the fleet; their ports are ignored.
     pub seeds: Vec<SocketAddrV4>,
+    /// Memory of the machine for this process, in bytes.
+    pub memory_bytes: u64,
     /// Whether the fleet as a whole starts for the first time.
     pub bootstrap: bool,
     /// Whether this machine is a voter, so that its loss counts against `tolerated_losses`.
@@ -166,6 +172,7 @@
             listen_control: self.value("listen.control", address)?,
             internal_port,
             seeds: self.list("seeds", "addresses separated by commas")?,
+            memory_bytes: self.positive("limits.memory-mb", DEFAULT_MEMORY_MB)?.saturating_mul(BYTES_PER_MB),
             bootstrap: self.flag("bootstrap")?,
             counts_for_quorum: self.flag("counts-for-quorum")?,
             data_dir: self.text("data-dir").filter(|text| !text.is_empty()).map(PathBuf::from),
@@ -233,6 +240,15 @@
         Ok(self.value(key, "true or false")?.unwrap_or(false))
     }
 
+    /// Returns a whole number greater than zero, `default` if the key is missing. A fraction is cut off.
+    fn positive(&self, key: &str, default: u32) -> Result<u64, SettingsError> {
+        let number = self.number(key, f64::from(default))?;
+        if number < 1.0 {
+            return Err(self.invalid_value(key, &number.to_string(), "a number from 1 up"));
+        }
+        Ok(number as u64)
+    }
+
     /// Returns a finite, non-negative number, `default` if the key is missing.
     fn number(&self, key: &str, default: f64) -> Result<f64, SettingsError> {
         let expected = "a number from 0 up";
--- a/crates/router/node/src/upstream.rs
+++ b/crates/router/node/src/upstream.rs
@@ -1,9 +1,8 @@
 //! Connections to endpoints: opened on demand and reused while the endpoint keeps them open.
 
 use crate::logging::{log_event, Quoted};
+use crate::stored_body::OutboundBody;
 use crate::tasks::Spawner;
-use bytes::Bytes;
-use http_body_util::Full;
 use hyper::body::Incoming;
 use hyper::client::conn::http1::{Builder, SendRequest};
 use hyper::{Request, Response};
@@ -32,7 +31,7 @@
 const MAX_IDLE_PER_ENDPOINT: usize = 32;
 
 /// A request to an endpoint.
-pub type UpstreamRequest = Request<Full<Bytes>>;
+pub type UpstreamRequest = Request<OutboundBody>;
 
 /// Error of a request that received no response.
 #[derive(Debug, Error)]
@@ -47,7 +46,7 @@
 
 /// A connection that can carry one request at a time.
 pub struct Connection {
-    sender: SendRequest<Full<Bytes>>,
+    sender: SendRequest<OutboundBody>,
     address: SocketAddrV4,
     idle_timeout: Duration,
     /// Whether the connection has carried a request before.
