Limit the connections of each port, and close idle and slow ones for new ones

What callers saw: with 1,200 connections that send nothing, or a head that never ends, at any port, a process had 1,210 to 1,217 descriptors of 600 open; beyond its real limit it can accept nobody and open nothing.

Cause: limits.max-fds was not read. Connections of clients ended only by their timeout, those of the control port after 60 s, and those of other processes after 3 s; the pool of connections to endpoints had a limit for each endpoint but none for all.

Change: SocketLimits (no I/O) divides the descriptors among clients, endpoints, control and other processes; clients are also limited by memory, half of the budget. Connections are charged by phase. At its limit a port closes the connection that has been idle longest, then one whose request has been arriving for over 250 ms; one whose request is complete never. Without one, the new connection is closed unread, which tells its client that nothing ran. The control port gets the timeouts of the clients' port, and heads of 16 KiB at most there. GET /status has `connections`, the log `connections_turned_away`. http_connection and listener serve both ports with the same code.

--- a/crates/passrelay/tests/fleet/account.rs
+++ b/crates/passrelay/tests/fleet/account.rs
@@ -5,8 +5,9 @@
 use passrelay_test_support::wait_until;
 use serde_json::Value;
 
-const KEYS: [&str; 20] = [
+const KEYS: [&str; 21] = [
     "answers_dropped",
+    "connections",
     "denials",
     "endpoints",
     "endpoints_by_version",
--- a/crates/router/data-plane/src/lib.rs
+++ b/crates/router/data-plane/src/lib.rs
@@ -7,7 +7,7 @@
 //! 5. [`balancer`] selects the endpoint by load, health, zone and the [`prompt`].
 //! 6. [`execution_limits`] and [`retry_budget`] limit how often a request is sent again after a failed attempt, and
 //!    [`stream_origin`] and [`event_stream`] decide whether, and after which event, a stream that broke off continues.
-//! 7. [`memory_budget`] limits what clients and peers can make the process hold.
+//! 7. [`memory_budget`] and [`socket_limits`] limit what clients and peers can make the process hold.
 //!
 //! This crate does no I/O, reads no clock and is single-threaded: the caller passes events in, with `now` as
 //! the time since the process started, and carries out the decisions. Sockets, deadlines and retries are
@@ -23,5 +23,6 @@
 pub mod retry_budget;
 pub mod rollout_shares;
 pub mod routing;
+pub mod socket_limits;
 pub mod stream_origin;
 pub mod traffic_split;
--- /dev/null
+++ b/crates/router/data-plane/src/socket_limits/tests.rs
@@ -0,0 +1,20 @@
+use super::*;
+use rstest::rstest;
+
+#[rstest]
+#[case(4_100)]
+#[case(1_024)]
+#[case(600)]
+#[case(256)]
+fn all_sockets_together_stay_below_the_descriptors(#[case] max_descriptors: usize) {
+    let limits = SocketLimits::new(max_descriptors);
+    let sockets = limits.clients + limits.upstream + limits.control + limits.peers;
+    assert!(sockets < max_descriptors, "{limits:?}");
+}
+
+#[test]
+fn descriptors_for_files_are_kept() {
+    let limits = SocketLimits::new(4_100);
+    let sockets = limits.clients + limits.upstream + limits.control + limits.peers;
+    assert!(sockets + KEPT_DESCRIPTORS <= 4_100, "{limits:?}");
+}
--- a/crates/router/node/src/background_tasks.rs
+++ b/crates/router/node/src/background_tasks.rs
@@ -2,14 +2,17 @@
 
 use crate::coordinator_driver::CoordinatorDriver;
 use crate::endpoint_persistence::ENDPOINT_PERSISTENCE_INTERVAL;
+use crate::inbound_connections::OpenedConnection;
+use crate::listener::Port;
 use crate::logging::log_event;
 use crate::peer_persistence::PEER_PERSISTENCE_INTERVAL;
 use crate::settings::CurrentSettings;
 use crate::storage::{StorageEvent, StoreContents};
-use crate::tasks::{BackgroundTasks, Spawner};
-use crate::transport::{receive_frame, Transport};
+use crate::tasks::BackgroundTasks;
+use crate::transport::{receive_frame, ReceivedMessage, Transport};
 use passrelay_control_plane::replication::{Member, Mutations, ReplicaSettings};
 use smol::channel::Receiver;
+use smol::net::TcpStream;
 use smol::Timer;
 use std::rc::Rc;
 use std::time::Duration;
@@ -98,27 +101,35 @@
             receiver.receive(datagrams.receive().await);
         }
     });
-    let receiver = driver.clone();
-    let connections = transport.clone();
-    let spawner = tasks.spawner();
-    tasks.spawn("frame_listener", async move {
-        accept_frames(receiver, connections, spawner).await;
-    });
 }
 
 /// Accepts connections that each carry one large frame.
-async fn accept_frames(driver: Rc<CoordinatorDriver>, transport: Rc<Transport>, spawner: Spawner) {
-    loop {
-        let stream = transport.accept().await;
-        let receiver = driver.clone();
-        let counter = transport.clone();
-        spawner.spawn_bounded(async move {
-            match receive_frame(stream).await {
-                Some(message) => receiver.receive(message),
-                None => counter.count_dropped(),
+pub fn start_frame_listener(
+    tasks: &BackgroundTasks,
+    driver: &Rc<CoordinatorDriver>,
+    transport: &Rc<Transport>,
+    port: Port,
+) {
+    let (driver, transport) = (driver.clone(), transport.clone());
+    let serve = move |stream, opened| {
+        let (driver, transport) = (driver.clone(), transport.clone());
+        async move {
+            match receive_unless_evicted(stream, opened).await {
+                Some(message) => driver.receive(message),
+                None => transport.count_dropped(),
             }
-        });
-    }
+        }
+    };
+    tasks.spawn("frame_listener", port.accept_all(tasks.spawner(), serve));
+}
+
+/// Receives the frame of a connection, unless the connection has to make room for another one.
+async fn receive_unless_evicted(stream: TcpStream, opened: OpenedConnection) -> Option<ReceivedMessage> {
+    let evicted = async {
+        let _ = opened.commands.recv().await;
+        None
+    };
+    smol::future::or(receive_frame(stream), evicted).await
 }
 
 /// Attaches the replica once the store is open; from then on this machine takes part in replication.
--- a/crates/router/node/src/control_api.rs
+++ b/crates/router/node/src/control_api.rs
@@ -1,28 +1,28 @@
 //! The HTTP API for endpoints and operators: registration, configuration, rollouts and status, and the
 //! readiness probe.
 
+use crate::clock::Clock;
 use crate::coordinator_driver::CoordinatorDriver;
 use crate::endpoint_registration::EndpointRegistration;
-use crate::listener::accept_all;
+use crate::http_connection::HttpConnection;
+use crate::inbound_connections::{ConnectionTimeouts, InboundConnections, OpenedConnection};
+use crate::listener::Port;
 use crate::readiness::Readiness;
 use crate::responses::{json, Body};
 use crate::settings::CurrentSettings;
 use crate::tasks::BackgroundTasks;
 use http_body_util::{BodyExt, Limited};
 use hyper::body::Incoming;
-use hyper::service::service_fn;
 use hyper::{Method, Request, Response, StatusCode};
 use passrelay_configuration::RolloutOrder;
 use passrelay_control_plane::configuration_change::{ChangeKind, ConfigurationChange};
 use passrelay_control_plane::OperatorRequest;
 use passrelay_dissemination::{EndpointRecord, EndpointState, Heartbeat};
 use serde_json::Value;
-use smol::net::{TcpListener, TcpStream};
+use smol::net::TcpStream;
 use smol::Timer;
-use smol_hyper::rt::FuturesIo;
-use std::convert::Infallible;
 use std::future::Future;
-use std::net::{SocketAddr, SocketAddrV4};
+use std::net::SocketAddrV4;
 use std::pin::pin;
 use std::rc::Rc;
 use std::time::Duration;
@@ -33,6 +33,13 @@
 const MAX_VERSION_BYTES: usize = 256;
 /// Maximum length of a configuration change's body, in bytes.
 const MAX_CONFIGURATION_CHANGE_BYTES: usize = 16 << 20;
+/// Maximum size of a call's head, in bytes.
+const MAX_HEADER_BYTES: usize = 16 * 1024;
+/// Interval of the check for connections whose timeout has expired.
+const SWEEP_INTERVAL: Duration = Duration::from_secs(1);
+/// How long a connection may be silent between two calls and within the head of one.
+const CONNECTION_TIMEOUTS: ConnectionTimeouts =
+    ConnectionTimeouts { header: Duration::from_secs(10), idle: CONNECTION_LIFETIME };
 /// Time after which a connection accepts no further call.
 const CONNECTION_LIFETIME: Duration = Duration::from_secs(60);
 /// Time that a call in flight at the end of its connection's lifetime has to complete.
@@ -48,6 +55,10 @@
     pub readiness: Rc<Readiness>,
     /// Processes calls of operators.
     pub driver: Rc<CoordinatorDriver>,
+    /// Open connections of both ports.
+    pub connections: Rc<InboundConnections>,
+    /// Clock of the process.
+    pub clock: Clock,
 }
 
 /// Opens the ports for readiness probes and control, as far as they are configured. Both serve the same API.
@@ -65,28 +76,29 @@
         (settings.listen_readiness, settings.listen_control)
     };
     for address in readiness.into_iter().chain(control) {
-        let listener = TcpListener::bind(SocketAddr::V4(address)).await?;
+        let port = Port::open("control", address, api.connections.clone(), api.clock).await?;
         let api = api.clone();
-        let serve = move |stream| serve_connection(api.clone(), stream);
-        tasks.spawn("control_listener", accept_all(tasks.spawner(), listener, "control", serve));
+        let serve = move |stream, opened| serve_connection(api.clone(), stream, opened);
+        tasks.spawn("control_listener", port.accept_all(tasks.spawner(), serve));
     }
+    let sweeping = api.clone();
+    tasks.spawn_periodic(
+        "control_sweep",
+        || SWEEP_INTERVAL,
+        move || sweeping.connections.sweep(sweeping.clock.now(), CONNECTION_TIMEOUTS),
+    );
     Ok(())
 }
 
-async fn serve_connection(api: Rc<ControlApi>, stream: TcpStream) {
-    let _ = stream.set_nodelay(true);
-    let handler = service_fn(move |request| {
-        let api = api.clone();
-        async move { Ok::<_, Infallible>(respond(&api, request).await) }
-    });
-    let connection =
-        hyper::server::conn::http1::Builder::new().serve_connection(FuturesIo::new(stream), handler);
-    let mut connection = pin!(connection);
-    if completes_within(CONNECTION_LIFETIME, connection.as_mut()).await {
+async fn serve_connection(api: Rc<ControlApi>, stream: TcpStream, opened: OpenedConnection) {
+    let connection = opened.connection.clone();
+    let http = HttpConnection { stream, opened, clock: api.clock, max_header_bytes: MAX_HEADER_BYTES };
+    let mut serving = pin!(http.serve(|_, request| respond(api.clone(), request)));
+    if completes_within(CONNECTION_LIFETIME, serving.as_mut()).await {
         return;
     }
-    connection.as_mut().graceful_shutdown();
-    completes_within(LAST_CALL_TIMEOUT, connection).await;
+    connection.finish();
+    completes_within(LAST_CALL_TIMEOUT, serving).await;
 }
 
 /// Returns whether a future completes within `time`.
@@ -102,7 +114,8 @@
     smol::future::or(completed, timed_out).await
 }
 
-async fn respond(api: &ControlApi, request: Request<Incoming>) -> Response<Body> {
+async fn respond(api: Rc<ControlApi>, request: Request<Incoming>) -> Response<Body> {
+    let api = api.as_ref();
     let path = request.uri().path().to_owned();
     let method = request.method().clone();
     match (method, path.as_str()) {
--- a/crates/router/node/src/coordinator_driver.rs
+++ b/crates/router/node/src/coordinator_driver.rs
@@ -13,9 +13,9 @@
 use crate::held_back_versions::HeldBackVersions;
 use crate::load_reporter::LoadReporter;
 use crate::logging::log_event;
-use crate::memory::Memory;
 use crate::operator_calls::PendingOperatorCalls;
 use crate::peer_persistence::PeerPersistence;
+use crate::resources::Resources;
 use crate::storage::Storage;
 use crate::transport::{ReceivedMessage, Transport};
 use passrelay_control_plane::rollout::RolloutMessage;
@@ -45,8 +45,8 @@
     pub data_plane: Rc<DataPlane>,
     /// Receives the time at which the configuration was last known to be current.
     pub freshness: Rc<Freshness>,
-    /// Memory held for clients and peers.
-    pub memory: Memory,
+    /// Memory and connections of the process.
+    pub resources: Rc<Resources>,
 }
 
 /// The coordinator with its pending calls and announcements.
@@ -208,7 +208,8 @@
     pub fn status(&self) -> String {
         let status = self.coordinator.borrow().status(self.clock.now());
         let mut status = serde_json::to_value(&status).unwrap_or_default();
-        status["memory"] = self.targets.memory.status();
+        status["memory"] = self.targets.resources.memory.status();
+        status["connections"] = self.targets.resources.connections_status();
         status["frames_dropped"] = self.targets.transport.dropped_frames().into();
         let data_plane = &self.targets.data_plane;
         status["requests_sent"] = serde_json::json!(data_plane.balancer.borrow().request_counts());
--- a/crates/router/node/src/lib.rs
+++ b/crates/router/node/src/lib.rs
@@ -6,8 +6,8 @@
 //! | modules | responsibility |
 //! |---|---|
 //! | `clock`, `logging`, `tasks`, `settings`, `responses` | utilities used by all other modules |
-//! | `memory`, `stored_body` | what clients and peers make the process hold |
-//! | `transport`, `storage`, `listener`, `upstream`, `client_connections` | sockets and disk |
+//! | `memory`, `stored_body`, `inbound_connections` | what clients and peers make the process hold |
+//! | `transport`, `storage`, `listener`, `http_connection`, `upstream`, `resources` | sockets and disk |
 //! | `configuration_snapshot`, `quota_client`, `load_reporter`, `data_plane` | state used to route requests |
 //! | `freshness`, `graceful_shutdown`, `readiness` | decide whether requests may be forwarded |
 //! | `operator_calls`, `endpoint_announcements`, `endpoint_persistence` | calls, announcements and writes pending at the coordinator |
@@ -19,7 +19,6 @@
 //! `control_client` is the client side of `control_api`, used by the command line.
 
 mod background_tasks;
-mod client_connections;
 mod client_listener;
 mod clock;
 mod configuration_snapshot;
@@ -34,6 +33,8 @@
 mod freshness;
 mod graceful_shutdown;
 mod held_back_versions;
+mod http_connection;
+mod inbound_connections;
 mod interrupted_responses;
 mod listener;
 mod load_reporter;
@@ -47,6 +48,7 @@
 mod repeats;
 mod request;
 mod request_context;
+mod resources;
 mod responses;
 mod settings;
 mod signals;
--- a/crates/router/node/src/listener.rs
+++ b/crates/router/node/src/listener.rs
@@ -1,31 +1,64 @@
-//! Accept loop shared by all ports that serve HTTP.
+//! The ports of the process and the accept loop that they share.
 
+use crate::clock::Clock;
+use crate::inbound_connections::{InboundConnections, OpenedConnection};
 use crate::logging::{log_event, Quoted};
 use crate::tasks::Spawner;
 use smol::net::{TcpListener, TcpStream};
 use smol::Timer;
 use std::future::Future;
+use std::io;
+use std::net::{SocketAddr, SocketAddrV4};
+use std::rc::Rc;
 use std::time::Duration;
 
 /// Delay after a failed accept, for example because file descriptors are exhausted.
 const ACCEPT_RETRY_INTERVAL: Duration = Duration::from_millis(50);
 
-/// Accepts connections indefinitely and serves each in its own task, which ends with the connection. `name`
-/// identifies the listener in the log.
-pub async fn accept_all<F>(
-    spawner: Spawner,
-    listener: TcpListener,
+/// A port on which connections are accepted.
+pub struct Port {
+    /// Name in the log.
     name: &'static str,
-    serve: impl Fn(TcpStream) -> F,
-) where
-    F: Future<Output = ()> + 'static,
-{
-    loop {
-        match listener.accept().await {
-            Ok((stream, _)) => spawner.spawn_bounded(serve(stream)),
-            Err(error) => {
-                log_event!(warn, "accept_failed", listener = name, problem = Quoted(&error));
-                Timer::after(ACCEPT_RETRY_INTERVAL).await;
+    listener: TcpListener,
+    connections: Rc<InboundConnections>,
+    clock: Clock,
+}
+
+impl Port {
+    /// Opens a port. `connections` limits the number of its connections.
+    ///
+    /// # Errors
+    ///
+    /// Returns the operating system's error if the port cannot be opened.
+    pub async fn open(
+        name: &'static str,
+        address: SocketAddrV4,
+        connections: Rc<InboundConnections>,
+        clock: Clock,
+    ) -> io::Result<Port> {
+        let listener = TcpListener::bind(SocketAddr::V4(address)).await?;
+        Ok(Port { name, listener, connections, clock })
+    }
+
+    /// Accepts connections indefinitely and serves each in its own task, which ends with the connection. A connection for which
+    /// there is no room is closed unread.
+    pub async fn accept_all<F>(self, spawner: Spawner, serve: impl Fn(TcpStream, OpenedConnection) -> F)
+    where
+        F: Future<Output = ()> + 'static,
+    {
+        loop {
+            match self.listener.accept().await {
+                Ok((stream, _)) => {
+                    if let Some(opened) = self.connections.open(self.clock.now()) {
+                        spawner.spawn_bounded(serve(stream, opened));
+                    }
+                    // A connection that has to make room is closed by its own task.
+                    smol::future::yield_now().await;
+                }
+                Err(error) => {
+                    log_event!(warn, "accept_failed", listener = self.name, problem = Quoted(&error));
+                    Timer::after(ACCEPT_RETRY_INTERVAL).await;
+                }
             }
         }
     }
--- a/crates/router/node/src/memory.rs
+++ b/crates/router/node/src/memory.rs
@@ -27,6 +27,11 @@
         MemoryCharge { budget: self.budget.clone(), memory_use, bytes: 0 }
     }
 
+    /// Returns how many connections of clients the budget has room for.
+    pub fn max_client_connections(&self) -> usize {
+        self.budget.borrow().max_client_connections()
+    }
+
     /// Returns the number of refused charges since the start of the process.
     pub fn refusals(&self) -> u64 {
         let budget = self.budget.borrow();
@@ -73,6 +78,14 @@
         self.bytes += additional;
         Ok(())
     }
+
+    /// Changes the charged bytes to `bytes`, whether or not the budget has room.
+    pub fn set(&mut self, bytes: u64) {
+        let mut budget = self.budget.borrow_mut();
+        budget.release(self.memory_use, self.bytes);
+        budget.charge_unconditionally(self.memory_use, bytes);
+        self.bytes = bytes;
+    }
 }
 
 impl Drop for MemoryCharge {
--- a/crates/router/node/src/process.rs
+++ b/crates/router/node/src/process.rs
@@ -4,7 +4,6 @@
 //! This module contains no logic for requests, endpoints or replication.
 
 use crate::background_tasks;
-use crate::client_connections::ClientConnections;
 use crate::client_listener;
 use crate::clock::Clock;
 use crate::control_api::{self, ControlApi};
@@ -13,16 +12,16 @@
 use crate::endpoint_registration::EndpointRegistration;
 use crate::freshness::Freshness;
 use crate::graceful_shutdown::GracefulShutdown;
+use crate::listener::Port;
 use crate::logging::log_event;
-use crate::memory::Memory;
 use crate::readiness::Readiness;
 use crate::request_context::RequestContext;
+use crate::resources::Resources;
 use crate::settings::{CurrentSettings, NodeSettings, SettingsError};
 use crate::signals;
 use crate::storage::{StartKind, Storage, StorageEvent};
 use crate::tasks::{BackgroundTasks, Spawner};
 use crate::transport::Transport;
-use crate::upstream::ConnectionPool;
 use async_signal::Signals;
 use passrelay_control_plane::{Coordinator, CoordinatorSettings};
 use passrelay_dissemination::{GossipSettings, Incarnation};
@@ -77,12 +76,13 @@
 }
 
 async fn serve(settings: NodeSettings, signals: Signals, spawner: Spawner) -> Result<(), NodeError> {
-    let process = build(settings, spawner).await?;
+    let mut process = build(settings, spawner).await?;
     let tasks = BackgroundTasks::new(spawner);
-    if let Some(events) = process.storage_events {
+    if let Some(events) = process.storage_events.take() {
         background_tasks::start_storage_events(&tasks, &process.driver, &process.settings, events);
     }
     background_tasks::start(&tasks, &process.driver, &process.transport);
+    start_frame_listener(&tasks, &process).await.map_err(system_error("internal port"))?;
     control_api::start(&tasks, &process.control, &process.settings)
         .await
         .map_err(system_error("control port"))?;
@@ -96,6 +96,15 @@
         .map_err(system_error("signal handlers"))
 }
 
+/// Opens the port on which other processes send large frames, and starts serving it.
+async fn start_frame_listener(tasks: &BackgroundTasks, process: &Process) -> std::io::Result<()> {
+    let address = process.settings.borrow().internal_address();
+    let resources = &process.requests.resources;
+    let port = Port::open("internal", address, resources.peers.clone(), process.requests.clock).await?;
+    background_tasks::start_frame_listener(tasks, &process.driver, &process.transport, port);
+    Ok(())
+}
+
 /// Builds all components, including the sockets for internal messages and the storage thread.
 async fn build(settings: NodeSettings, spawner: Spawner) -> Result<Process, NodeError> {
     let clock = Clock::start();
@@ -105,7 +114,7 @@
     let coordinator = Coordinator::new(Duration::ZERO, coordinator_settings(&settings));
     let data_plane = Rc::new(DataPlane::new(&settings.zone, settings.retry_budget_ratio, rand::random()));
     let (storage, storage_events) = start_storage(&settings)?.unzip();
-    let memory = Memory::new(settings.memory_bytes);
+    let resources = Rc::new(Resources::new(settings.memory_bytes, settings.max_descriptors));
     let settings = Rc::new(CurrentSettings::new(settings));
     let freshness = Rc::new(Freshness::new(clock, settings.clone()));
     let shutdown = Rc::new(GracefulShutdown::new(clock));
@@ -115,13 +124,15 @@
         storage,
         data_plane: data_plane.clone(),
         freshness: freshness.clone(),
-        memory: memory.clone(),
+        resources: resources.clone(),
     };
     let driver = Rc::new(CoordinatorDriver::new(clock, coordinator, targets));
     let control = Rc::new(ControlApi {
         registration: EndpointRegistration::new(driver.clone()),
         readiness: readiness.clone(),
         driver: driver.clone(),
+        connections: resources.control.clone(),
+        clock,
     });
     let requests = RequestContext {
         clock,
@@ -130,9 +141,7 @@
         freshness,
         readiness,
         shutdown,
-        upstream: ConnectionPool::default(),
-        clients: ClientConnections::default(),
-        memory,
+        resources,
         driver: driver.clone(),
     };
     Ok(Process { settings, transport, driver, storage_events, requests: Rc::new(requests), control })
--- a/crates/router/node/src/request/attempts.rs
+++ b/crates/router/node/src/request/attempts.rs
@@ -213,6 +213,7 @@
         let context = self.context.clone();
         let SelectedEndpoint { pick, version, choice } =
             self.select_endpoint(admission, service).ok_or(self.history.exhausted_failure())?;
+        self.ensure_room(&pick)?;
         self.history.attempts += 1;
         let Some(mut connection) = connect(&context, &pick).await else {
             context.data_plane.balancer.borrow_mut().connect_failed(context.now(), &pick.id);
@@ -225,13 +226,13 @@
             && (choice == VersionChoice::InService
                 || context.data_plane.rollout_shares.borrow().may_send(context.now(), service));
         if !may_send {
-            context.upstream.put(context.now(), connection);
+            context.resources.upstream.put(context.now(), connection);
             return Ok(AttemptOutcome::NotExecuted);
         }
         // Every request sent to an endpoint after the first one is charged to the budget that all sidecars share.
         let is_retry = self.history.next_is_retry();
         if is_retry && !context.data_plane.retry_budget.borrow_mut().withdraw(service) {
-            context.upstream.put(context.now(), connection);
+            context.resources.upstream.put(context.now(), connection);
             return Err(self.history.exhausted_failure());
         }
         if self.history.may_have_executed() {
@@ -264,6 +265,12 @@
         Ok(self.classify_result(result, connection, call, origin))
     }
 
+    /// Checks that a connection to the endpoint can be had.
+    fn ensure_room(&self, pick: &Pick) -> Result<(), Failure> {
+        let has_room = self.context.resources.upstream.has_room_for(pick.address);
+        has_room.then_some(()).ok_or_else(|| self.history.admission_failure(Failure::MemoryExhausted))
+    }
+
     fn select_endpoint(&self, admission: &Admission, service: &str) -> Option<SelectedEndpoint> {
         let selection = EndpointSelection {
             context: &self.context,
@@ -337,9 +344,9 @@
 
 /// Returns an idle connection to the picked endpoint, or opens one. `None` if it cannot be opened.
 async fn connect(context: &RequestContext, pick: &Pick) -> Option<Connection> {
-    match context.upstream.take(context.now(), pick.address) {
+    match context.resources.upstream.take(context.now(), pick.address) {
         Some(connection) => Some(connection),
-        None => context.upstream.connect(context.spawner, pick.address).await.ok(),
+        None => context.resources.upstream.connect(context.spawner, pick.address).await.ok(),
     }
 }
 
@@ -351,6 +358,6 @@
         false
     };
     if smol::future::or(read, timeout).await {
-        context.upstream.put(context.now(), connection);
+        context.resources.upstream.put(context.now(), connection);
     }
 }
--- a/crates/router/node/src/request/inbound_body.rs
+++ b/crates/router/node/src/request/inbound_body.rs
@@ -1,5 +1,6 @@
 //! Reads a request's body completely, because a retry has to be able to send it again.
 
+use crate::inbound_connections::InboundConnection;
 use crate::request_context::RequestContext;
 use crate::responses::Failure;
 use crate::stored_body::{BodyLimits, BodyReadError, StoredBody};
@@ -20,6 +21,7 @@
 /// [`Failure::BadRequest`] if the client disconnects.
 pub async fn read(
     context: &RequestContext,
+    connection: &InboundConnection,
     limits: &Limits,
     deadline: Duration,
     body: Incoming,
@@ -32,8 +34,11 @@
     if body.is_end_stream() {
         return Ok(StoredBody::default());
     }
-    let charge = context.memory.charge(MemoryUse::RequestBodies);
-    StoredBody::read(limits, charge, body).await.map_err(failure)
+    let charge = context.resources.memory.charge(MemoryUse::RequestBodies);
+    connection.body_started(context.now());
+    let read = StoredBody::read(limits, charge, body).await;
+    connection.body_finished();
+    read.map_err(failure)
 }
 
 fn failure(problem: BodyReadError) -> Failure {
--- a/crates/router/node/src/request/mod.rs
+++ b/crates/router/node/src/request/mod.rs
@@ -28,6 +28,7 @@
 mod relay_body;
 mod retry_policy;
 
+use crate::inbound_connections::InboundConnection;
 use crate::request_context::RequestContext;
 use crate::responses::{Body, Failure};
 use attempts::Attempts;
@@ -48,10 +49,14 @@
 const STARTUP_POLL_INTERVAL: Duration = Duration::from_millis(15);
 
 /// Serves a request. The response reports any failure.
-pub async fn handle(context: &Rc<RequestContext>, request: Request<Incoming>) -> Response<Body> {
+pub async fn handle(
+    context: &Rc<RequestContext>,
+    connection: &InboundConnection,
+    request: Request<Incoming>,
+) -> Response<Body> {
     let arrived = context.now();
     wait_for_startup(context, &request).await;
-    match forward(context, request, arrived).await {
+    match forward(context, connection, request, arrived).await {
         Ok(response) => response,
         Err(failure) => failure.response(),
     }
@@ -71,6 +76,7 @@
 
 async fn forward(
     context: &Rc<RequestContext>,
+    connection: &InboundConnection,
     request: Request<Incoming>,
     arrived: Duration,
 ) -> Result<Response<Body>, Failure> {
@@ -83,7 +89,7 @@
     let limits = ExecutionLimits::of(&admission.route);
     let body_limits = admission.snapshot.table.limits();
     let deadline = inbound.deadline(&admission.route);
-    let stored = inbound_body::read(context, body_limits, deadline, body).await?;
+    let stored = inbound_body::read(context, connection, body_limits, deadline, body).await?;
     inbound.body.replace(stored);
     let inbound = Rc::new(inbound);
     let admission = admission::admit(context, &inbound)?;
--- a/crates/router/node/src/request/relay_body.rs
+++ b/crates/router/node/src/request/relay_body.rs
@@ -155,7 +155,7 @@
         self.call.end(RequestOutcome::Completed);
         if let Some(connection) = self.connection.take() {
             let context = self.attempts.context();
-            context.upstream.put(context.now(), connection);
+            context.resources.upstream.put(context.now(), connection);
         }
     }
 
--- a/crates/router/node/src/request_context.rs
+++ b/crates/router/node/src/request_context.rs
@@ -1,16 +1,14 @@
 //! The parts of the process that the request path may use. It has no access to settings, storage or the
 //! coordinator.
 
-use crate::client_connections::ClientConnections;
 use crate::clock::Clock;
 use crate::coordinator_driver::CoordinatorDriver;
 use crate::data_plane::DataPlane;
 use crate::freshness::Freshness;
 use crate::graceful_shutdown::GracefulShutdown;
-use crate::memory::Memory;
 use crate::readiness::Readiness;
+use crate::resources::Resources;
 use crate::tasks::Spawner;
-use crate::upstream::ConnectionPool;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -28,12 +26,8 @@
     pub readiness: Rc<Readiness>,
     /// Decides which requests are accepted during a graceful shutdown.
     pub shutdown: Rc<GracefulShutdown>,
-    /// Pool of connections to endpoints.
-    pub upstream: ConnectionPool,
-    /// Open client connections.
-    pub clients: ClientConnections,
-    /// Memory budget, to which bodies of requests are charged.
-    pub memory: Memory,
+    /// Memory and connections, with their limits.
+    pub resources: Rc<Resources>,
     /// Requests quota from its grantor.
     pub driver: Rc<CoordinatorDriver>,
 }
--- a/crates/router/node/src/responses.rs
+++ b/crates/router/node/src/responses.rs
@@ -64,7 +64,7 @@
     /// No part of the body arrived within the timeout.
     #[error("the request came too slowly")]
     BodyTimeout,
-    /// There is no memory for the request.
+    /// There is no memory, or no connection to an endpoint, for a further request.
     #[error("this sidecar has no room for the request now")]
     MemoryExhausted,
     /// The tenant's quota is exhausted.
--- a/crates/router/node/src/settings.rs
+++ b/crates/router/node/src/settings.rs
@@ -23,6 +23,8 @@
 const BYTES_PER_MB: u64 = 1_000_000;
 /// Default of `limits.memory-mb`.
 const DEFAULT_MEMORY_MB: u32 = 160;
+/// Default of `limits.max-fds`.
+const DEFAULT_MAX_DESCRIPTORS: u32 = 4_100;
 
 /// Error in the settings of a process.
 #[derive(Debug, Error)]
@@ -89,6 +91,8 @@
     pub seeds: Vec<SocketAddrV4>,
     /// Memory of the machine for this process, in bytes.
     pub memory_bytes: u64,
+    /// Maximum number of descriptors that this process may have open.
+    pub max_descriptors: usize,
     /// Whether the fleet as a whole starts for the first time.
     pub bootstrap: bool,
     /// Whether this machine is a voter, so that its loss counts against `tolerated_losses`.
@@ -173,6 +177,8 @@
             internal_port,
             seeds: self.list("seeds", "addresses separated by commas")?,
             memory_bytes: self.positive("limits.memory-mb", DEFAULT_MEMORY_MB)?.saturating_mul(BYTES_PER_MB),
+            max_descriptors: usize::try_from(self.positive("limits.max-fds", DEFAULT_MAX_DESCRIPTORS)?)
+                .unwrap_or(usize::MAX),
             bootstrap: self.flag("bootstrap")?,
             counts_for_quorum: self.flag("counts-for-quorum")?,
             data_dir: self.text("data-dir").filter(|text| !text.is_empty()).map(PathBuf::from),
--- a/crates/router/node/src/signals.rs
+++ b/crates/router/node/src/signals.rs
@@ -63,13 +63,13 @@
 }
 
 async fn shut_down(requests: &RequestContext, grace_period: Duration) {
-    log_event!(info, "draining", clients = requests.clients.len());
+    log_event!(info, "draining", clients = requests.resources.clients.len());
     let schedule = ShutdownSchedule::new(requests.now(), grace_period);
     requests.shutdown.begin(schedule);
     Timer::after(KEEP_ALIVE_PERIOD.min(grace_period / 2)).await;
-    requests.clients.finish_all();
-    while requests.now() < schedule.ends_at() && !requests.clients.is_empty() {
+    requests.resources.clients.finish_all();
+    while requests.now() < schedule.ends_at() && !requests.resources.clients.is_empty() {
         Timer::after(SHUTDOWN_POLL_INTERVAL).await;
     }
-    log_event!(info, "ended", clients = requests.clients.len());
+    log_event!(info, "ended", clients = requests.resources.clients.len());
 }
--- a/crates/router/node/src/transport/mod.rs
+++ b/crates/router/node/src/transport/mod.rs
@@ -11,7 +11,7 @@
 use frame::{FrameError, LENGTH_BYTES, MAX_FRAME_BYTES};
 use passrelay_control_plane::Envelope;
 use smol::io::{AsyncReadExt, AsyncWriteExt};
-use smol::net::{TcpListener, TcpStream, UdpSocket};
+use smol::net::{TcpStream, UdpSocket};
 use smol::Timer;
 use std::cell::Cell;
 use std::net::{SocketAddr, SocketAddrV4};
@@ -23,29 +23,25 @@
 const RECEIVE_BUFFER_BYTES: usize = 64 * 1024;
 /// Timeout for sending or receiving a large frame, including opening the connection.
 const FRAME_TIMEOUT: Duration = Duration::from_secs(3);
-/// Delay after a failed accept, for example because file descriptors are exhausted.
-const ACCEPT_RETRY_INTERVAL: Duration = Duration::from_millis(50);
 
 /// The sockets for messages between processes.
 pub struct Transport {
     own_address: SocketAddrV4,
     spawner: Spawner,
     datagrams: UdpSocket,
-    listener: TcpListener,
     /// Number of received frames that were dropped.
     dropped_frames: Cell<u64>,
 }
 
 impl Transport {
-    /// Opens the sockets, one for datagrams and one for connections, on the same port.
+    /// Opens the socket for datagrams. The port for connections is opened separately.
     ///
     /// # Errors
     ///
-    /// Returns the operating system's error if a socket cannot be bound.
+    /// Returns the operating system's error if the socket cannot be bound.
     pub async fn open(own_address: SocketAddrV4, spawner: Spawner) -> std::io::Result<Self> {
         let datagrams = UdpSocket::bind(own_address).await?;
-        let listener = TcpListener::bind(own_address).await?;
-        Ok(Transport { own_address, spawner, datagrams, listener, dropped_frames: Cell::new(0) })
+        Ok(Transport { own_address, spawner, datagrams, dropped_frames: Cell::new(0) })
     }
 
     /// Returns the number of received frames that were dropped because they had another protocol version or were too
@@ -94,19 +90,6 @@
             }
         }
     }
-
-    /// Waits for the next connection, which carries a large frame.
-    pub async fn accept(&self) -> TcpStream {
-        loop {
-            match self.listener.accept().await {
-                Ok((stream, _)) => return stream,
-                Err(error) => {
-                    log_event!(warn, "accept_failed", listener = "internal", problem = Quoted(&error));
-                    Timer::after(ACCEPT_RETRY_INTERVAL).await;
-                }
-            }
-        }
-    }
 }
 
 /// Receives the single frame that a connection carries. Returns `None` if the frame is dropped; the caller counts it.
--- a/crates/router/node/src/upstream.rs
+++ b/crates/router/node/src/upstream.rs
@@ -6,12 +6,14 @@
 use hyper::body::Incoming;
 use hyper::client::conn::http1::{Builder, SendRequest};
 use hyper::{Request, Response};
+use serde_json::{json, Value};
 use smol::net::TcpStream;
 use smol::Timer;
 use smol_hyper::rt::FuturesIo;
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
 use std::net::{SocketAddr, SocketAddrV4};
+use std::rc::Rc;
 use std::time::Duration;
 use thiserror::Error;
 
@@ -103,12 +105,40 @@
 }
 
 /// Pool of idle connections, by address of the endpoint.
-#[derive(Default)]
 pub struct ConnectionPool {
     idle: RefCell<HashMap<SocketAddrV4, Vec<IdleConnection>>>,
+    /// Number of open connections, idle or not.
+    open: Rc<Cell<usize>>,
+    max_connections: usize,
 }
 
 impl ConnectionPool {
+    /// Creates an empty pool. Together with the connections in use there are at most `max_connections`.
+    pub fn new(max_connections: usize) -> Self {
+        ConnectionPool { idle: RefCell::default(), open: Rc::default(), max_connections }
+    }
+
+    /// Returns the numbers of connections as JSON, for operators.
+    pub fn status(&self) -> Value {
+        json!({ "open": self.open.get(), "limit": self.max_connections })
+    }
+
+    /// Returns whether a connection to `address` is idle or one can be opened, for which another idle one may be dropped.
+    pub fn has_room_for(&self, address: SocketAddrV4) -> bool {
+        if self.open.get() < self.max_connections {
+            return true;
+        }
+        let mut by_address = self.idle.borrow_mut();
+        if by_address.get(&address).is_some_and(|idle| !idle.is_empty()) {
+            return true;
+        }
+        let since = |idle: &Vec<IdleConnection>| idle.first().map(|connection| connection.idle_since);
+        let longest = by_address.values_mut().filter(|idle| !idle.is_empty()).min_by_key(|idle| since(idle));
+        let Some(idle) = longest else { return false };
+        idle.remove(0);
+        true
+    }
+
     /// Takes the most recently used idle connection to an address that can carry a request, if there is one.
     pub fn take(&self, now: Duration, address: SocketAddrV4) -> Option<Connection> {
         let mut by_address = self.idle.borrow_mut();
@@ -159,7 +189,9 @@
         let stream: std::io::Result<TcpStream> = smol::future::or(connect, timeout).await;
         let (sender, connection) =
             Builder::new().handshake(FuturesIo::new(stream?)).await.map_err(std::io::Error::other)?;
+        let counted = OpenConnection::count(&self.open);
         spawner.spawn_bounded(async move {
+            let _counted = counted;
             if let Err(error) = connection.await {
                 log_event!(debug, "upstream_broke", address = address, problem = Quoted(&error));
             }
@@ -167,3 +199,21 @@
         Ok(Connection { sender, address, idle_timeout: DEFAULT_IDLE_TIMEOUT, is_reused: false })
     }
 }
+
+/// Counts an open connection until it is dropped.
+struct OpenConnection {
+    open: Rc<Cell<usize>>,
+}
+
+impl OpenConnection {
+    fn count(open: &Rc<Cell<usize>>) -> Self {
+        open.set(open.get() + 1);
+        OpenConnection { open: open.clone() }
+    }
+}
+
+impl Drop for OpenConnection {
+    fn drop(&mut self) {
+        self.open.set(self.open.get() - 1);
+    }
+}
