Limit the bytes that wait unread in sockets and in the buffers of responses

What callers saw: 100 clients that read no answer of 8 MiB made a process hold 199 to 271 MB of 80, of which 100 to 140 MB were unread bytes of endpoints; 100 clients that send further requests before their answer held 28 MB of 24.

Cause: the operating system let the receive buffer of a socket grow up to several MB, and the HTTP library its read buffer to 400 KB a response; neither was charged. Bytes that have arrived unread count as memory of the machine.

Change: receive buffers of all ports and of connections to endpoints are set to 32 KiB, and buffers of responses to 32 KiB. A request in progress at an endpoint is charged 64 KiB from its first attempt on; without room it gets 503.

--- a/crates/router/node/src/listener.rs
+++ b/crates/router/node/src/listener.rs
@@ -4,11 +4,14 @@
 use crate::inbound_connections::{InboundConnections, OpenedConnection};
 use crate::logging::{log_event, Quoted};
 use crate::tasks::Spawner;
+use passrelay_data_plane::memory_budget::RECEIVE_BUFFER_BYTES;
 use smol::net::{TcpListener, TcpStream};
 use smol::Timer;
+use socket2::SockRef;
 use std::future::Future;
 use std::io;
 use std::net::{SocketAddr, SocketAddrV4};
+use std::os::fd::AsFd;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -37,6 +40,7 @@
         clock: Clock,
     ) -> io::Result<Port> {
         let listener = TcpListener::bind(SocketAddr::V4(address)).await?;
+        limit_receive_buffer(&listener);
         Ok(Port { name, listener, connections, clock })
     }
 
@@ -63,3 +67,9 @@
         }
     }
 }
+
+/// Limits the unread bytes of a socket, or of the connections that a listener accepts. They count as memory of the machine.
+pub fn limit_receive_buffer(socket: &impl AsFd) {
+    // Where the operating system refuses this, its own limit applies.
+    let _ = SockRef::from(socket).set_recv_buffer_size(RECEIVE_BUFFER_BYTES as usize);
+}
--- a/crates/router/node/src/memory.rs
+++ b/crates/router/node/src/memory.rs
@@ -79,6 +79,11 @@
         Ok(())
     }
 
+    /// Returns the charged bytes.
+    pub fn bytes(&self) -> u64 {
+        self.bytes
+    }
+
     /// Changes the charged bytes to `bytes`, whether or not the budget has room.
     pub fn set(&mut self, bytes: u64) {
         let mut budget = self.budget.borrow_mut();
--- a/crates/router/node/src/request/attempts.rs
+++ b/crates/router/node/src/request/attempts.rs
@@ -11,6 +11,7 @@
 use super::outbound::{self, AttemptFields};
 use super::quota::{self, QuotaReservation};
 use super::retry_policy::{AttemptConditions, AttemptHistory};
+use crate::memory::MemoryCharge;
 use crate::request_context::RequestContext;
 use crate::responses::Failure;
 use crate::upstream::{Connection, SendError};
@@ -20,6 +21,7 @@
 use hyper::{Response, StatusCode};
 use passrelay_data_plane::balancer::{LoadReport, Pick, RequestOutcome};
 use passrelay_data_plane::execution_limits::ExecutionLimits;
+use passrelay_data_plane::memory_budget::{MemoryUse, UPSTREAM_CALL_BYTES};
 use passrelay_data_plane::rollout_shares::RequestFeatures;
 use passrelay_data_plane::stream_origin::StreamOrigin;
 use smol::Timer;
@@ -69,6 +71,8 @@
     limits: ExecutionLimits,
     /// Tokens charged to the request's tenant.
     reservation: Option<QuotaReservation>,
+    /// Memory for the response that is being relayed.
+    memory: MemoryCharge,
     /// Origin of the response that is being relayed and has broken off; `None` before the first response.
     resumed: Option<StreamOrigin>,
 }
@@ -83,8 +87,10 @@
         limits: ExecutionLimits,
         reservation: Option<QuotaReservation>,
     ) -> Self {
+        let memory = context.resources.memory.charge(MemoryUse::UpstreamCalls);
         Attempts {
             context,
+            memory,
             inbound,
             deadline,
             attempted: Vec::new(),
@@ -265,9 +271,10 @@
         Ok(self.classify_result(result, connection, call, origin))
     }
 
-    /// Checks that a connection to the endpoint can be had.
-    fn ensure_room(&self, pick: &Pick) -> Result<(), Failure> {
-        let has_room = self.context.resources.upstream.has_room_for(pick.address);
+    /// Charges the memory for a response, and checks that a connection to the endpoint can be had.
+    fn ensure_room(&mut self, pick: &Pick) -> Result<(), Failure> {
+        let is_charged = self.memory.bytes() > 0 || self.memory.grow(UPSTREAM_CALL_BYTES).is_ok();
+        let has_room = is_charged && self.context.resources.upstream.has_room_for(pick.address);
         has_room.then_some(()).ok_or_else(|| self.history.admission_failure(Failure::MemoryExhausted))
     }
 
--- a/crates/router/node/src/upstream.rs
+++ b/crates/router/node/src/upstream.rs
@@ -1,5 +1,6 @@
 //! Connections to endpoints: opened on demand and reused while the endpoint keeps them open.
 
+use crate::listener::limit_receive_buffer;
 use crate::logging::{log_event, Quoted};
 use crate::stored_body::OutboundBody;
 use crate::tasks::Spawner;
@@ -29,6 +30,8 @@
 /// Time before the end of the `Keep-Alive` timeout from which on a connection is not reused, in seconds: the
 /// endpoint may close it while the request is in flight.
 const IDLE_MARGIN_S: f64 = 0.3;
+/// Maximum size of the buffers of a connection, for the response and for the request, in bytes.
+const MAX_BUFFER_BYTES: usize = 32 * 1024;
 /// Maximum number of idle connections to one endpoint.
 const MAX_IDLE_PER_ENDPOINT: usize = 32;
 
@@ -180,6 +183,7 @@
         let connect = async {
             let stream = TcpStream::connect(SocketAddr::V4(address)).await?;
             stream.set_nodelay(true)?;
+            limit_receive_buffer(&stream);
             Ok(stream)
         };
         let timeout = async {
@@ -187,8 +191,11 @@
             Err(std::io::ErrorKind::TimedOut.into())
         };
         let stream: std::io::Result<TcpStream> = smol::future::or(connect, timeout).await;
-        let (sender, connection) =
-            Builder::new().handshake(FuturesIo::new(stream?)).await.map_err(std::io::Error::other)?;
+        let (sender, connection) = Builder::new()
+            .max_buf_size(MAX_BUFFER_BYTES)
+            .handshake(FuturesIo::new(stream?))
+            .await
+            .map_err(std::io::Error::other)?;
         let counted = OpenConnection::count(&self.open);
         spawner.spawn_bounded(async move {
             let _counted = counted;
