Charge the bodies at the control port to the memory budget

What callers saw: 30 unfinished configurations of 15 MB, at the port for control or for readiness, made a process hold 523 MB of 80, and 30 of 4 MB with many small values 215 MB; the ordinary request then got 503.

Cause: both ports read configurations of up to 16 MiB before anybody is known, without limit on their number or time, and a parsed document takes many times its length.

Change: bodies there are read as clients' are, charged to a quarter of the budget that clients never take, whole within 15 s; a configuration is also charged what its parsed form may take (96 bytes a value) until it is answered. Without room the answer is 503, which lets operators and endpoints go to another sidecar, and the connection closes.

--- a/crates/router/node/src/control_api.rs
+++ b/crates/router/node/src/control_api.rs
@@ -5,18 +5,23 @@
 use crate::coordinator_driver::CoordinatorDriver;
 use crate::endpoint_registration::EndpointRegistration;
 use crate::http_connection::HttpConnection;
-use crate::inbound_connections::{ConnectionTimeouts, InboundConnections, OpenedConnection};
+use crate::inbound_connections::{
+    ConnectionTimeouts, InboundConnection, InboundConnections, OpenedConnection,
+};
 use crate::listener::Port;
+use crate::memory::{Memory, MemoryCharge};
 use crate::readiness::Readiness;
 use crate::responses::{json, Body};
 use crate::settings::CurrentSettings;
+use crate::stored_body::{BodyLimits, BodyReadError, StoredBody};
 use crate::tasks::BackgroundTasks;
-use http_body_util::{BodyExt, Limited};
 use hyper::body::Incoming;
+use hyper::header::{HeaderValue, CONNECTION};
 use hyper::{Method, Request, Response, StatusCode};
 use passrelay_configuration::RolloutOrder;
 use passrelay_control_plane::configuration_change::{ChangeKind, ConfigurationChange};
 use passrelay_control_plane::OperatorRequest;
+use passrelay_data_plane::memory_budget::MemoryUse;
 use passrelay_dissemination::{EndpointRecord, EndpointState, Heartbeat};
 use serde_json::Value;
 use smol::net::TcpStream;
@@ -35,6 +40,10 @@
 const MAX_CONFIGURATION_CHANGE_BYTES: usize = 16 << 20;
 /// Maximum size of a call's head, in bytes.
 const MAX_HEADER_BYTES: usize = 16 * 1024;
+/// Maximum time for the whole body of a call.
+const BODY_TIMEOUT: Duration = Duration::from_secs(15);
+/// Memory of a parsed JSON value with its key, in bytes.
+const PARSED_VALUE_BYTES: usize = 96;
 /// Interval of the check for connections whose timeout has expired.
 const SWEEP_INTERVAL: Duration = Duration::from_secs(1);
 /// How long a connection may be silent between two calls and within the head of one.
@@ -57,6 +66,8 @@
     pub driver: Rc<CoordinatorDriver>,
     /// Open connections of both ports.
     pub connections: Rc<InboundConnections>,
+    /// Memory budget, to which bodies are charged.
+    pub memory: Memory,
     /// Clock of the process.
     pub clock: Clock,
 }
@@ -93,7 +104,7 @@
 async fn serve_connection(api: Rc<ControlApi>, stream: TcpStream, opened: OpenedConnection) {
     let connection = opened.connection.clone();
     let http = HttpConnection { stream, opened, clock: api.clock, max_header_bytes: MAX_HEADER_BYTES };
-    let mut serving = pin!(http.serve(|_, request| respond(api.clone(), request)));
+    let mut serving = pin!(http.serve(|connection, request| respond(api.clone(), connection, request)));
     if completes_within(CONNECTION_LIFETIME, serving.as_mut()).await {
         return;
     }
@@ -114,37 +125,70 @@
     smol::future::or(completed, timed_out).await
 }
 
-async fn respond(api: Rc<ControlApi>, request: Request<Incoming>) -> Response<Body> {
-    let api = api.as_ref();
+/// A call to the control API.
+struct Call {
+    api: Rc<ControlApi>,
+    connection: Rc<InboundConnection>,
+    request: Request<Incoming>,
+}
+
+impl Call {
+    /// Reads the body of the call, up to `max_length` bytes. The returned charge is for the body.
+    async fn read_body(self, max_length: usize) -> Result<(Vec<u8>, MemoryCharge), BodyReadError> {
+        let limits = BodyLimits { max_length, part_timeout: BODY_TIMEOUT, total_timeout: BODY_TIMEOUT };
+        let charge = || self.api.memory.charge(MemoryUse::ControlBodies);
+        self.connection.body_started(self.api.clock.now());
+        let read = StoredBody::read(limits, charge(), self.request.into_body()).await;
+        self.connection.body_finished();
+        Ok(read?.into_contiguous(charge())?)
+    }
+}
+
+/// Returns the response to a call whose body was not read. `too_long` is the status if it is too long.
+fn unread_body(problem: BodyReadError, too_long: StatusCode) -> Response<Body> {
+    let status = match problem {
+        BodyReadError::TooLong => too_long,
+        BodyReadError::Disconnected => StatusCode::BAD_REQUEST,
+        BodyReadError::TimedOut => StatusCode::REQUEST_TIMEOUT,
+        BodyReadError::MemoryExhausted(_) => StatusCode::SERVICE_UNAVAILABLE,
+    };
+    let mut response = error(status, &problem.to_string());
+    response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
+    response
+}
+
+async fn respond(
+    api: Rc<ControlApi>,
+    connection: Rc<InboundConnection>,
+    request: Request<Incoming>,
+) -> Response<Body> {
     let path = request.uri().path().to_owned();
     let method = request.method().clone();
+    let call = Call { api: api.clone(), connection, request };
+    let api = &api;
     match (method, path.as_str()) {
         (Method::GET, "/ready") => readiness(api),
         (Method::GET, "/status") => json(StatusCode::OK, api.driver.status()),
         (Method::GET, "/config") => run_operator_call(api, OperatorRequest::Read).await,
-        (Method::PUT, "/config") => change_configuration(api, ChangeKind::Replace, request).await,
-        (Method::PATCH, "/config") => change_configuration(api, ChangeKind::Patch, request).await,
+        (Method::PUT, "/config") => change_configuration(call, ChangeKind::Replace).await,
+        (Method::PATCH, "/config") => change_configuration(call, ChangeKind::Patch).await,
         (method, path) => match path.strip_prefix("/instances/") {
-            Some(id) if method == Method::PUT => heartbeat(api, id, request).await,
+            Some(id) if method == Method::PUT => heartbeat(call, id).await,
             Some(id) if method == Method::DELETE => acknowledgement(api.registration.deregister(id).await),
             Some(_) => error(StatusCode::METHOD_NOT_ALLOWED, "PUT or DELETE"),
-            None => rollouts(api, method, path, request).await,
+            None => rollouts(call, method, path).await,
         },
     }
 }
 
-async fn rollouts(
-    api: &ControlApi,
-    method: Method,
-    path: &str,
-    request: Request<Incoming>,
-) -> Response<Body> {
+async fn rollouts(call: Call, method: Method, path: &str) -> Response<Body> {
     match (method, path) {
-        (Method::POST, "/rollouts") => order_rollout(api, request).await,
+        (Method::POST, "/rollouts") => order_rollout(call).await,
         (_, "/rollouts") => error(StatusCode::METHOD_NOT_ALLOWED, "POST"),
         (method, path) => match path.strip_prefix("/rollouts/") {
             Some(service) if method == Method::GET => {
-                run_operator_call(api, OperatorRequest::ReadRollout { service: service.to_owned() }).await
+                let read = OperatorRequest::ReadRollout { service: service.to_owned() };
+                run_operator_call(&call.api, read).await
             }
             Some(_) => error(StatusCode::METHOD_NOT_ALLOWED, "GET"),
             None => error(StatusCode::NOT_FOUND, "unknown path"),
@@ -156,12 +200,14 @@
     json(status, serde_json::json!({ "error": problem }).to_string())
 }
 
-async fn order_rollout(api: &ControlApi, request: Request<Incoming>) -> Response<Body> {
-    let Ok(body) = Limited::new(request.into_body(), MAX_ROLLOUT_ORDER_BYTES).collect().await else {
-        return error(StatusCode::PAYLOAD_TOO_LARGE, "the order is too long, or was cut off");
+async fn order_rollout(call: Call) -> Response<Body> {
+    let api = call.api.clone();
+    let body = match call.read_body(MAX_ROLLOUT_ORDER_BYTES).await {
+        Ok((body, _)) => body,
+        Err(problem) => return unread_body(problem, StatusCode::PAYLOAD_TOO_LARGE),
     };
-    match RolloutOrder::read(&body.to_bytes()) {
-        Ok(order) => run_operator_call(api, OperatorRequest::OrderRollout(order)).await,
+    match RolloutOrder::read(&body) {
+        Ok(order) => run_operator_call(&api, OperatorRequest::OrderRollout(order)).await,
         Err(problem) => error(StatusCode::BAD_REQUEST, &problem.to_string()),
     }
 }
@@ -193,33 +239,43 @@
     }
 }
 
-async fn change_configuration(
-    api: &ControlApi,
-    kind: ChangeKind,
-    request: Request<Incoming>,
-) -> Response<Body> {
-    let base = request.headers().get("if-match").and_then(|value| value.to_str().ok());
+async fn change_configuration(call: Call, kind: ChangeKind) -> Response<Body> {
+    let base = call.request.headers().get("if-match").and_then(|value| value.to_str().ok());
     let base = base.and_then(|text| text.trim().trim_matches('"').parse::<u64>().ok());
     let Some(base) = base else {
         return error(StatusCode::BAD_REQUEST, "If-Match: should be the generation that the order builds on");
     };
-    let Ok(body) = Limited::new(request.into_body(), MAX_CONFIGURATION_CHANGE_BYTES).collect().await else {
-        return error(StatusCode::PAYLOAD_TOO_LARGE, "the order is too long, or was cut off");
+    let api = call.api.clone();
+    let (body, mut charge) = match call.read_body(MAX_CONFIGURATION_CHANGE_BYTES).await {
+        Ok(read) => read,
+        Err(problem) => return unread_body(problem, StatusCode::PAYLOAD_TOO_LARGE),
     };
-    match String::from_utf8(body.to_bytes().into()) {
+    if let Err(exhausted) = charge.grow(parsed_bytes(&body)) {
+        return error(StatusCode::SERVICE_UNAVAILABLE, &exhausted.to_string());
+    }
+    match String::from_utf8(body) {
         Ok(text) => {
             let change = ConfigurationChange { kind, base, body: text.into() };
-            run_operator_call(api, OperatorRequest::Change(change)).await
+            run_operator_call(&api, OperatorRequest::Change(change)).await
         }
         Err(_) => error(StatusCode::BAD_REQUEST, "document: cannot be read as JSON: not UTF-8"),
     }
 }
 
-async fn heartbeat(api: &ControlApi, id: &str, request: Request<Incoming>) -> Response<Body> {
-    let Ok(body) = Limited::new(request.into_body(), MAX_HEARTBEAT_BYTES).collect().await else {
-        return error(StatusCode::BAD_REQUEST, "the heartbeat is too long, or was cut off");
+/// Returns an upper estimate of the bytes that the parsed form of a JSON document takes. Every value but the outermost, with its
+/// key, follows one of the counted characters.
+fn parsed_bytes(document: &[u8]) -> u64 {
+    let values = document.iter().filter(|byte| matches!(byte, b',' | b'[' | b'{')).count();
+    (values * PARSED_VALUE_BYTES + document.len()) as u64
+}
+
+async fn heartbeat(call: Call, id: &str) -> Response<Body> {
+    let api = call.api.clone();
+    let body = match call.read_body(MAX_HEARTBEAT_BYTES).await {
+        Ok((body, _)) => body,
+        Err(problem) => return unread_body(problem, StatusCode::BAD_REQUEST),
     };
-    let body: Option<Value> = serde_json::from_slice(&body.to_bytes()).ok();
+    let body: Option<Value> = serde_json::from_slice(&body).ok();
     match body.and_then(|body| parse_heartbeat(id, &body)) {
         Some(heartbeat) => acknowledgement(api.registration.heartbeat(&heartbeat).await),
         None => error(
--- a/crates/router/node/src/process.rs
+++ b/crates/router/node/src/process.rs
@@ -132,6 +132,7 @@
         readiness: readiness.clone(),
         driver: driver.clone(),
         connections: resources.control.clone(),
+        memory: resources.memory.clone(),
         clock,
     });
     let requests = RequestContext {
--- a/crates/router/node/src/stored_body.rs
+++ b/crates/router/node/src/stored_body.rs
@@ -92,6 +92,19 @@
             _charge: self.charge.clone(),
         }
     }
+
+    /// Returns the body in one piece, with a charge for it.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`MemoryExhausted`] if the budget has no room for the copy that this takes.
+    pub fn into_contiguous(
+        self,
+        mut copy_charge: MemoryCharge,
+    ) -> Result<(Vec<u8>, MemoryCharge), MemoryExhausted> {
+        copy_charge.grow(self.length as u64)?;
+        Ok((self.segments.concat(), copy_charge))
+    }
 }
 
 async fn read_parts(
