Charge messages between processes that come over a connection to the memory budget

What callers saw: 30 connections to the internal port that announce 20 MB and stop short of their end made a process hold 851 to 1,020 MB of 80.

Cause: the port reads before it knows who sends, up to 24 MiB a connection in a buffer that doubles; a frame's declared length was allocated for its decompressed form.

Without room the frame is dropped and counted, as any that is lost; its sender repeats.

--- a/crates/router/node/src/background_tasks.rs
+++ b/crates/router/node/src/background_tasks.rs
@@ -5,12 +5,14 @@
 use crate::inbound_connections::OpenedConnection;
 use crate::listener::Port;
 use crate::logging::log_event;
+use crate::memory::{Memory, MemoryCharge};
 use crate::peer_persistence::PEER_PERSISTENCE_INTERVAL;
 use crate::settings::CurrentSettings;
 use crate::storage::{StorageEvent, StoreContents};
 use crate::tasks::BackgroundTasks;
 use crate::transport::{receive_frame, ReceivedMessage, Transport};
 use passrelay_control_plane::replication::{Member, Mutations, ReplicaSettings};
+use passrelay_data_plane::memory_budget::MemoryUse;
 use smol::channel::Receiver;
 use smol::net::TcpStream;
 use smol::Timer;
@@ -103,18 +105,20 @@
     });
 }
 
-/// Accepts connections that each carry one large frame.
+/// Accepts connections that each carry one large frame, which is charged to `memory`.
 pub fn start_frame_listener(
     tasks: &BackgroundTasks,
     driver: &Rc<CoordinatorDriver>,
     transport: &Rc<Transport>,
     port: Port,
+    memory: Memory,
 ) {
     let (driver, transport) = (driver.clone(), transport.clone());
     let serve = move |stream, opened| {
         let (driver, transport) = (driver.clone(), transport.clone());
+        let charge = memory.charge(MemoryUse::PeerMessages);
         async move {
-            match receive_unless_evicted(stream, opened).await {
+            match receive_unless_evicted(stream, opened, charge).await {
                 Some(message) => driver.receive(message),
                 None => transport.count_dropped(),
             }
@@ -124,12 +128,16 @@
 }
 
 /// Receives the frame of a connection, unless the connection has to make room for another one.
-async fn receive_unless_evicted(stream: TcpStream, opened: OpenedConnection) -> Option<ReceivedMessage> {
+async fn receive_unless_evicted(
+    stream: TcpStream,
+    opened: OpenedConnection,
+    charge: MemoryCharge,
+) -> Option<ReceivedMessage> {
     let evicted = async {
         let _ = opened.commands.recv().await;
         None
     };
-    smol::future::or(receive_frame(stream), evicted).await
+    smol::future::or(receive_frame(stream, charge), evicted).await
 }
 
 /// Attaches the replica once the store is open; from then on this machine takes part in replication.
--- a/crates/router/node/src/process.rs
+++ b/crates/router/node/src/process.rs
@@ -101,7 +101,13 @@
     let address = process.settings.borrow().internal_address();
     let resources = &process.requests.resources;
     let port = Port::open("internal", address, resources.peers.clone(), process.requests.clock).await?;
-    background_tasks::start_frame_listener(tasks, &process.driver, &process.transport, port);
+    background_tasks::start_frame_listener(
+        tasks,
+        &process.driver,
+        &process.transport,
+        port,
+        resources.memory.clone(),
+    );
     Ok(())
 }
 
--- a/crates/router/node/src/transport/frame.rs
+++ b/crates/router/node/src/transport/frame.rs
@@ -5,6 +5,7 @@
 //! little endian), and sent over a connection after its compressed length (four bytes, big endian).
 
 use passrelay_control_plane::Envelope;
+use passrelay_data_plane::memory_budget::MemoryExhausted;
 use serde::{Deserialize, Serialize};
 use std::net::SocketAddrV4;
 use thiserror::Error;
@@ -31,6 +32,9 @@
     /// The declared length, compressed or uncompressed, exceeds [`MAX_FRAME_BYTES`].
     #[error("the frame has {0} bytes, the limit is {MAX_FRAME_BYTES}")]
     TooLong(usize),
+    /// The memory budget has no room for the frame.
+    #[error("{0}")]
+    MemoryExhausted(#[from] MemoryExhausted),
     /// The connection broke, or the frame did not arrive in time.
     #[error("{0}")]
     Connection(#[from] std::io::Error),
@@ -71,6 +75,12 @@
     lz4_flex::compress_prepend_size(frame)
 }
 
+/// Returns the length that a compressed frame declares for its uncompressed form, in bytes.
+pub fn decompressed_length(bytes: &[u8]) -> usize {
+    let length_prefix = bytes.first_chunk::<LENGTH_BYTES>();
+    length_prefix.map_or(0, |prefix| u32::from_le_bytes(*prefix) as usize)
+}
+
 /// Decompresses a frame.
 ///
 /// # Errors
@@ -78,8 +88,7 @@
 /// Returns [`FrameError::TooLong`] if the declared length exceeds the limit, before allocating memory for it, and
 /// [`FrameError::Undecompressable`] if decompression fails.
 pub fn decompress(bytes: &[u8]) -> Result<Vec<u8>, FrameError> {
-    let length_prefix = bytes.first_chunk::<LENGTH_BYTES>();
-    let declared_length = length_prefix.map_or(0, |prefix| u32::from_le_bytes(*prefix) as usize);
+    let declared_length = decompressed_length(bytes);
     if declared_length > MAX_FRAME_BYTES {
         return Err(FrameError::TooLong(declared_length));
     }
--- a/crates/router/node/src/transport/mod.rs
+++ b/crates/router/node/src/transport/mod.rs
@@ -6,6 +6,7 @@
 mod frame;
 
 use crate::logging::{log_event, Quoted};
+use crate::memory::MemoryCharge;
 use crate::tasks::Spawner;
 pub use frame::ReceivedMessage;
 use frame::{FrameError, LENGTH_BYTES, MAX_FRAME_BYTES};
@@ -21,6 +22,8 @@
 const MAX_DATAGRAM_BYTES: usize = 1_300;
 /// Size of the receive buffer in bytes; fits any datagram that UDP can carry.
 const RECEIVE_BUFFER_BYTES: usize = 64 * 1024;
+/// Bytes of a frame for which memory is allocated at first.
+const FIRST_READ_BYTES: usize = 16 * 1024;
 /// Timeout for sending or receiving a large frame, including opening the connection.
 const FRAME_TIMEOUT: Duration = Duration::from_secs(3);
 
@@ -92,8 +95,9 @@
     }
 }
 
-/// Receives the single frame that a connection carries. Returns `None` if the frame is dropped; the caller counts it.
-pub async fn receive_frame(mut stream: TcpStream) -> Option<ReceivedMessage> {
+/// Receives the single frame that a connection carries, and charges it to `charge`. Returns `None` if the frame is dropped; the
+/// caller counts it.
+pub async fn receive_frame(mut stream: TcpStream, mut charge: MemoryCharge) -> Option<ReceivedMessage> {
     let read = async {
         let mut length = [0; LENGTH_BYTES];
         stream.read_exact(&mut length).await?;
@@ -101,8 +105,8 @@
         if declared_length > MAX_FRAME_BYTES {
             return Err(FrameError::TooLong(declared_length));
         }
-        let mut bytes = Vec::new();
-        (&mut stream).take(declared_length as u64).read_to_end(&mut bytes).await?;
+        let bytes = read_exactly(&mut stream, declared_length, &mut charge).await?;
+        charge.grow(frame::decompressed_length(&bytes) as u64)?;
         frame::decode(&frame::decompress(&bytes)?)
     };
     let timeout = async {
@@ -118,6 +122,24 @@
     }
 }
 
+/// Reads `length` bytes. The buffer grows with what has arrived, and its growth is charged.
+async fn read_exactly(
+    stream: &mut TcpStream,
+    length: usize,
+    charge: &mut MemoryCharge,
+) -> Result<Vec<u8>, FrameError> {
+    let mut bytes = Vec::new();
+    while bytes.len() < length {
+        let capacity = (2 * bytes.len()).clamp(FIRST_READ_BYTES, MAX_FRAME_BYTES).min(length);
+        charge.grow((capacity - bytes.len()) as u64)?;
+        let received = bytes.len();
+        bytes.reserve_exact(capacity - received);
+        bytes.resize(capacity, 0);
+        stream.read_exact(&mut bytes[received..]).await?;
+    }
+    Ok(bytes)
+}
+
 /// Sends a compressed frame over a new connection.
 async fn send_compressed(to: SocketAddrV4, bytes: Vec<u8>) {
     let write = async {
