Limit the bytes that wait unread in the sockets of the sidecar in service

What callers saw: 60 clients that read no answer of 8 MiB made the sidecar hold 146 to 164 MB of 32, and 1,000 clients with unfinished bodies 46 MB of 32.

Cause: its own buffers are limited by memory_mb, but the operating system let the receive buffers of connections to nodes grow up to several MB each, and those of the 512 clients that may wait to be accepted up to 64 KB each.

Change: receive buffers are set to 16 KiB for clients and operators and to 32 KiB for nodes.

Evidence: both crowds fail before and hold 19 and 25 MB of 32 after, the ordinary request served.

--- a/crates/sidecar/proxy/src/connections/upstreams.rs
+++ b/crates/sidecar/proxy/src/connections/upstreams.rs
@@ -5,6 +5,7 @@
 use super::{ConnectionEvent, Connections, Timer};
 use crate::buffer_pool::Buffer;
 use crate::pool::{Attempt, Blame, ConnectionPool, Phase, UpstreamConnection};
+use crate::receive_buffer;
 use mio::net::TcpStream;
 use mio::Interest;
 use passrelay_load_balancing::{Ending, RequestId, UpstreamId};
@@ -153,6 +154,7 @@
         let key = entry.key();
         let ready = socket.and_then(|mut socket| {
             let _ = socket.set_nodelay(true);
+            receive_buffer::limit(&socket, receive_buffer::NODE_BYTES);
             let token = upstream_token(key, self.last_upstream_serial);
             self.registry.register(&mut socket, token, Interest::READABLE | Interest::WRITABLE)?;
             Ok(socket)
--- a/crates/sidecar/proxy/src/lib.rs
+++ b/crates/sidecar/proxy/src/lib.rs
@@ -10,6 +10,7 @@
 mod listener;
 mod log;
 mod pool;
+mod receive_buffer;
 mod sidecar;
 mod timer_wheel;
 
--- a/crates/sidecar/proxy/src/listener.rs
+++ b/crates/sidecar/proxy/src/listener.rs
@@ -1,5 +1,6 @@
 //! The listening socket for clients.
 
+use crate::receive_buffer;
 use mio::net::{TcpListener, TcpStream};
 use std::io;
 use std::net::SocketAddr;
@@ -38,6 +39,7 @@
         socket.set_reuse_port(true)?;
         socket.set_nonblocking(true)?;
         socket.bind(&address.into())?;
+        receive_buffer::limit(&socket, receive_buffer::CLIENT_BYTES);
         socket.listen(BACKLOG)?;
         Ok(Listener { socket: TcpListener::from_std(socket.into()) })
     }
