Charge answers of the control port that nobody reads, and write them in parts

What callers saw: 100 clients that ask for a configuration of 0.8 MB again and again and read nothing made a process hold 49 to 50 MB of 40, with 50 connections; a machine in service lets in 480.

Cause: each answer was copied from the document, and the connection copied it whole once more into its write buffer.

Change: an answer shares the text of the document, is charged to the budget of the control port while it is written (without room: 503, but never for an acknowledgement), and is given to the connection in parts of 16 KiB.

--- a/crates/passrelay/tests/crowd/other_ports.rs
+++ b/crates/passrelay/tests/crowd/other_ports.rs
@@ -2,7 +2,8 @@
 //! know who sends.
 
 use super::client::{connect_clients, send_bodies, Framing, Sending};
-use super::{served, Machine, MAX_DESCRIPTORS};
+use super::{configuration, served, Machine, MAX_DESCRIPTORS};
+use serde_json::Value;
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -11,6 +12,14 @@
 const CONFIGURATION_BYTES: usize = 15 << 20;
 /// Values in a configuration whose parsed form takes many times its length.
 const SMALL_VALUES: usize = 2 << 20;
+/// Routes of a large configuration in addition to the one of the tests.
+const MORE_ROUTES: usize = 3_200;
+/// Memory of the machine whose answers are not read, in MB.
+const UNREAD_ANSWERS_MEMORY_MB: u64 = 40;
+/// Clients that read no answer.
+const UNREADING_CLIENTS: usize = 100;
+/// Answers that each of them asks for; more than the sockets hold.
+const UNREAD_ANSWERS: usize = 100;
 /// Length of a frame that is within the limit of the internal port.
 const FRAME_BYTES: u32 = 20 << 20;
 /// Connections of a crowd; more than the machine has descriptors.
@@ -61,6 +70,30 @@
     drop(clients);
 }
 
+#[test]
+fn answers_of_the_control_port_that_nobody_reads() {
+    let mut machine = Machine::start_with_memory(UNREAD_ANSWERS_MEMORY_MB, served);
+    assert_eq!(machine.sidecar.put_configuration(3, &large_configuration()), 200);
+    let requests = "GET /config HTTP/1.1\r\nHost: c\r\n\r\n".repeat(UNREAD_ANSWERS);
+    let clients = connect_clients(machine.sidecar.control_address(), UNREADING_CLIENTS, requests.as_bytes());
+    machine.check("answers of the control port that nobody reads");
+    drop(clients);
+}
+
+/// Returns the configuration with many more routes.
+fn large_configuration() -> Value {
+    let mut document = configuration();
+    document["generation"] = 4.into();
+    let routes = document["routes"].as_array_mut().expect("no routes");
+    for number in 0..MORE_ROUTES {
+        let mut route = routes[0].clone();
+        route["name"] = format!("route-{number}").into();
+        route["path-prefix"] = format!("/more-{number}/").into();
+        routes.push(route);
+    }
+    document
+}
+
 #[test]
 fn silent_connections_at_the_control_port() {
     let mut machine = Machine::start(served);
--- a/crates/router/node/src/control_api.rs
+++ b/crates/router/node/src/control_api.rs
@@ -1,6 +1,8 @@
 //! The HTTP API for endpoints and operators: registration, configuration, rollouts and status, and the
 //! readiness probe.
 
+mod heartbeat_body;
+
 use crate::clock::Clock;
 use crate::coordinator_driver::CoordinatorDriver;
 use crate::endpoint_registration::EndpointRegistration;
@@ -11,7 +13,7 @@
 use crate::listener::Port;
 use crate::memory::{Memory, MemoryCharge};
 use crate::readiness::Readiness;
-use crate::responses::{json, Body};
+use crate::responses::{json, shared_json, Body};
 use crate::settings::CurrentSettings;
 use crate::stored_body::{BodyLimits, BodyReadError, StoredBody};
 use crate::tasks::BackgroundTasks;
@@ -21,25 +23,23 @@
 use passrelay_configuration::RolloutOrder;
 use passrelay_control_plane::configuration_change::{ChangeKind, ConfigurationChange};
 use passrelay_control_plane::OperatorRequest;
-use passrelay_data_plane::memory_budget::MemoryUse;
-use passrelay_dissemination::{EndpointRecord, EndpointState, Heartbeat};
+use passrelay_data_plane::memory_budget::{MemoryExhausted, MemoryUse};
 use serde_json::Value;
 use smol::net::TcpStream;
 use smol::Timer;
 use std::future::Future;
-use std::net::SocketAddrV4;
 use std::pin::pin;
 use std::rc::Rc;
 use std::time::Duration;
 
 /// Maximum length of a heartbeat's body, in bytes.
 const MAX_HEARTBEAT_BYTES: usize = 16 * 1024;
-/// Maximum length of an endpoint's version, in bytes. Bounded because versions are replicated.
-const MAX_VERSION_BYTES: usize = 256;
 /// Maximum length of a configuration change's body, in bytes.
 const MAX_CONFIGURATION_CHANGE_BYTES: usize = 16 << 20;
 /// Maximum size of a call's head, in bytes.
 const MAX_HEADER_BYTES: usize = 16 * 1024;
+/// Length up to which an answer always has room, in bytes.
+const MAX_SHORT_ANSWER_BYTES: usize = 4 * 1024;
 /// Maximum time for the whole body of a call.
 const BODY_TIMEOUT: Duration = Duration::from_secs(15);
 /// Memory of a parsed JSON value with its key, in bytes.
@@ -233,12 +233,26 @@
     match api.driver.operator_call(request).recv().await {
         Ok(answer) => {
             let status = StatusCode::from_u16(answer.status).unwrap_or(StatusCode::INTERNAL_SERVER_ERROR);
-            json(status, answer.body.to_string())
+            match charge_answer(api, answer.body.len()) {
+                Ok(charge) => shared_json(status, answer.body, charge),
+                Err(exhausted) => error(StatusCode::SERVICE_UNAVAILABLE, &exhausted.to_string()),
+            }
         }
         Err(_) => error(StatusCode::SERVICE_UNAVAILABLE, "no answer, ask again"),
     }
 }
 
+/// Charges an answer to an operator. A short one, such as an acknowledgement, is never refused.
+fn charge_answer(api: &ControlApi, length: usize) -> Result<MemoryCharge, MemoryExhausted> {
+    let mut charge = api.memory.charge(MemoryUse::ControlBodies);
+    if length <= MAX_SHORT_ANSWER_BYTES {
+        charge.set(length as u64);
+    } else {
+        charge.grow(length as u64)?;
+    }
+    Ok(charge)
+}
+
 async fn change_configuration(call: Call, kind: ChangeKind) -> Response<Body> {
     let base = call.request.headers().get("if-match").and_then(|value| value.to_str().ok());
     let base = base.and_then(|text| text.trim().trim_matches('"').parse::<u64>().ok());
@@ -276,7 +290,7 @@
         Err(problem) => return unread_body(problem, StatusCode::BAD_REQUEST),
     };
     let body: Option<Value> = serde_json::from_slice(&body).ok();
-    match body.and_then(|body| parse_heartbeat(id, &body)) {
+    match body.and_then(|body| heartbeat_body::parse(id, &body)) {
         Some(heartbeat) => acknowledgement(api.registration.heartbeat(&heartbeat).await),
         None => error(
             StatusCode::BAD_REQUEST,
@@ -284,37 +298,3 @@
         ),
     }
 }
-
-/// Parses a heartbeat from a JSON body. Returns `None` if a required key is missing or a value is invalid.
-fn parse_heartbeat(id: &str, body: &Value) -> Option<Heartbeat> {
-    let text = |name: &str| body.get(name).and_then(Value::as_str);
-    let integer = |name: &str| body.get(name).and_then(Value::as_u64);
-    let state = match text("state")? {
-        "ready" => EndpointState::Ready,
-        "draining" => EndpointState::Draining,
-        _ => return None,
-    };
-    let address: SocketAddrV4 = text("address")?.parse().ok()?;
-    Some(Heartbeat {
-        record: EndpointRecord {
-            id: id.to_owned(),
-            service: text("backend")?.to_owned(),
-            address,
-            zone: text("zone").unwrap_or_default().to_owned(),
-            capacity: integer("capacity").and_then(|capacity| u32::try_from(capacity).ok()).unwrap_or(1),
-            state,
-            sequence: integer("sequence")?,
-            version: parse_version(body.get("generation"))?,
-        },
-    })
-}
-
-/// Parses the version that an endpoint reports, empty if it reports none. Returns `None` if the value is invalid.
-fn parse_version(value: Option<&Value>) -> Option<String> {
-    match value {
-        None | Some(Value::Null) => Some(String::new()),
-        Some(Value::String(text)) if text.len() <= MAX_VERSION_BYTES => Some(text.clone()),
-        Some(Value::Number(number)) => Some(number.to_string()),
-        Some(_) => None,
-    }
-}
--- a/crates/router/node/src/lib.rs
+++ b/crates/router/node/src/lib.rs
@@ -5,8 +5,8 @@
 //!
 //! | modules | responsibility |
 //! |---|---|
-//! | `clock`, `logging`, `tasks`, `settings`, `responses` | utilities used by all other modules |
-//! | `memory`, `stored_body`, `inbound_connections` | what clients and peers make the process hold |
+//! | `clock`, `logging`, `tasks`, `settings`, `memory`, `responses` | utilities used by all other modules |
+//! | `stored_body`, `inbound_connections` | what clients and peers make the process hold |
 //! | `transport`, `storage`, `listener`, `http_connection`, `upstream`, `resources` | sockets and disk |
 //! | `configuration_snapshot`, `quota_client`, `load_reporter`, `data_plane` | state used to route requests |
 //! | `freshness`, `graceful_shutdown`, `readiness` | decide whether requests may be forwarded |
--- a/crates/router/node/src/responses.rs
+++ b/crates/router/node/src/responses.rs
@@ -2,13 +2,15 @@
 //!
 //! Responses of endpoints are relayed by `request::relay_body`.
 
+use crate::memory::MemoryCharge;
 use bytes::Bytes;
-use http_body_util::{BodyExt, Full};
+use hyper::body::{Frame, SizeHint};
 use hyper::header::{HeaderValue, CONNECTION, CONTENT_TYPE, RETRY_AFTER};
 use hyper::{Response, StatusCode};
 use passrelay_data_plane::prompt::PromptError;
-use std::convert::Infallible;
 use std::pin::Pin;
+use std::sync::Arc;
+use std::task::{Context, Poll};
 use std::time::Duration;
 use thiserror::Error;
 
@@ -19,6 +21,9 @@
 /// `Retry-After` if a configuration or a grant has to arrive first.
 const RETRY_LATER: Option<Duration> = Some(Duration::from_millis(500));
 
+/// Maximum size of a part that is given to the connection at a time, in bytes.
+const MAX_PART_BYTES: usize = 16 * 1024;
+
 /// Body of a response. An error while reading it closes the client's connection.
 pub type Body = Pin<Box<dyn hyper::body::Body<Data = Bytes, Error = BodyError>>>;
 
@@ -139,7 +144,17 @@
 
 /// Returns a response with a JSON body.
 pub fn json(status: StatusCode, text: String) -> Response<Body> {
-    let mut response = Response::new(full(text.into()));
+    json_response(status, full(text.into()))
+}
+
+/// Returns a response with a JSON body that several responses may share. `charge` covers it as long as the response exists.
+pub fn shared_json(status: StatusCode, text: Arc<str>, charge: MemoryCharge) -> Response<Body> {
+    let rest = Bytes::from_owner(SharedText(text));
+    json_response(status, Box::pin(FullBody { rest, _charge: Some(charge) }))
+}
+
+fn json_response(status: StatusCode, body: Body) -> Response<Body> {
+    let mut response = Response::new(body);
     *response.status_mut() = status;
     response.headers_mut().insert(CONTENT_TYPE, HeaderValue::from_static("application/json"));
     response
@@ -147,5 +162,43 @@
 
 /// Returns a body that consists of `bytes`.
 pub fn full(bytes: Bytes) -> Body {
-    Box::pin(Full::new(bytes).map_err(|never: Infallible| match never {}))
+    Box::pin(FullBody { rest: bytes, _charge: None })
+}
+
+/// Text that several bodies share.
+struct SharedText(Arc<str>);
+
+impl AsRef<[u8]> for SharedText {
+    fn as_ref(&self) -> &[u8] {
+        self.0.as_bytes()
+    }
+}
+
+/// A body of known length that is written in parts, because the connection copies each part that it is given.
+struct FullBody {
+    rest: Bytes,
+    /// Keeps the text charged.
+    _charge: Option<MemoryCharge>,
+}
+
+impl hyper::body::Body for FullBody {
+    type Data = Bytes;
+    type Error = BodyError;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        _: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, BodyError>>> {
+        let length = self.rest.len().min(MAX_PART_BYTES);
+        let part = self.rest.split_to(length);
+        Poll::Ready((!part.is_empty()).then(|| Ok(Frame::data(part))))
+    }
+
+    fn is_end_stream(&self) -> bool {
+        self.rest.is_empty()
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        SizeHint::with_exact(self.rest.len() as u64)
+    }
 }
