Name the limits and their tests by the terms of the field

Change: renames only. The test binary is overload, GET /status has `used_bytes`, the log `connection_limit_reached`. No check, bound or number of clients changes.

--- a/crates/passrelay/tests/fleet/requests.rs
+++ b/crates/passrelay/tests/fleet/requests.rs
@@ -66,7 +66,7 @@
 
 // Guards against a body that is held for as long as a byte of it comes now and then.
 #[test]
-fn a_body_that_is_not_whole_at_the_deadline_is_refused() {
+fn a_body_that_is_incomplete_at_the_deadline_is_refused() {
     let endpoint = Server::start(|_| ok("x"));
     let (_fleet, sidecar) = single_sidecar(&[&endpoint]);
     let text = String::from_utf8(request("/open/1", "", &"b".repeat(200))).unwrap();
--- a/crates/passrelay/tests/crowd/client.rs
+++ b/crates/passrelay/tests/overload/client.rs
@@ -1,4 +1,4 @@
-//! Clients of a crowd: how each frames and sends a body, and where it stops.
+//! Overloading clients: how each frames and sends a body, and where it stops.
 
 use std::io::Write;
 use std::net::{SocketAddr, TcpStream};
@@ -21,7 +21,7 @@
     Chunked(usize),
 }
 
-/// What each client of a crowd sends after the head of its request.
+/// What each client sends after the head of its request.
 #[derive(Clone, Copy)]
 pub struct Sending {
     /// How the length of the body is told.
@@ -29,7 +29,7 @@
     /// Bytes of the body that a client sends, apart from framing, as long as it can write.
     pub body_bytes: usize,
     /// Bytes of the body in one write.
-    pub piece_bytes: usize,
+    pub write_bytes: usize,
     /// Time between two writes.
     pub pause: Duration,
     /// Whether most clients stop just short of the end.
@@ -50,8 +50,8 @@
         let withheld = if is_complete { 0 } else { WITHHELD_BYTES };
         let mut remaining = self.body_bytes - withheld;
         while remaining > 0 {
-            let length = self.piece_bytes.min(remaining);
-            if stream.write_all(&self.piece(length)).is_err() {
+            let length = self.write_bytes.min(remaining);
+            if stream.write_all(&self.framed(length)).is_err() {
                 return;
             }
             remaining -= length;
@@ -65,7 +65,7 @@
     }
 
     /// Returns this many bytes of a body, with the framing of its chunks.
-    fn piece(&self, length: usize) -> Vec<u8> {
+    fn framed(&self, length: usize) -> Vec<u8> {
         let body = vec![b'b'; length];
         match self.framing {
             Framing::Declared(_) => body,
--- a/crates/passrelay/tests/crowd/main.rs
+++ b/crates/passrelay/tests/overload/main.rs
@@ -1,4 +1,4 @@
-//! Crowds of clients that do not keep to the limits. The process must live, stay within the memory and the descriptors of its
+//! Clients that do not keep to the limits. The process must live, stay within the memory and the descriptors of its
 //! machine, and answer an ordinary request.
 //!
 //! The tests run one at a time, because each measures the resources of a process. They check no times and no share of served
@@ -19,7 +19,7 @@
 use std::time::Duration;
 
 const PROGRAM: &str = env!("CARGO_BIN_EXE_passrelay");
-/// Memory of the machine in the tests, in MB; lower than on any machine in service, so that a small crowd is enough.
+/// Memory of the machine in the tests, in MB; lower than on any machine in service, so that few clients are enough.
 const MEMORY_MB: u64 = 80;
 /// Memory of the smallest machine that the deployments have, in MB.
 const SMALLEST_MACHINE_MEMORY_MB: u64 = 160;
@@ -28,7 +28,7 @@
 const BYTES_PER_MB: u64 = 1_000_000;
 /// Longest body that the configuration allows, in bytes.
 const MAX_BODY_BYTES: usize = 4 << 20;
-/// Time for which a crowd stands still with its connections open before the ordinary request.
+/// Time for which the connections stay open without traffic before the ordinary request.
 const STANDSTILL: Duration = Duration::from_millis(500);
 
 static ONE_AT_A_TIME: Mutex<()> = Mutex::new(());
@@ -75,21 +75,21 @@
         }
     }
 
-    /// Checks life and an ordinary request while the crowd stands still, and then the resources that were used.
-    fn check(&mut self, crowd: &str) {
+    /// Checks life and an ordinary request while the overloading clients stay connected, and then the resources that were used.
+    fn check(&mut self, name: &str) {
         thread::sleep(STANDSTILL);
         let answer = self.sidecar.exchange(&ordinary_request());
         let usage = self.recorder.take().expect("checked once").stop();
-        eprintln!("{crowd}: {usage:?}, ordinary request: {}", answer.lines().next().unwrap_or("no answer"));
-        assert!(!self.sidecar.has_exited(), "{crowd}: the process has ended");
-        check_usage(crowd, usage, self.memory_mb, MAX_DESCRIPTORS);
-        assert!(answer.starts_with("HTTP/1.1 200 ") && answer.ends_with("served"), "{crowd}: {answer}");
+        eprintln!("{name}: {usage:?}, ordinary request: {}", answer.lines().next().unwrap_or("no answer"));
+        assert!(!self.sidecar.has_exited(), "{name}: the process has ended");
+        check_usage(name, usage, self.memory_mb, MAX_DESCRIPTORS);
+        assert!(answer.starts_with("HTTP/1.1 200 ") && answer.ends_with("served"), "{name}: {answer}");
     }
 }
 
-fn check_usage(crowd: &str, usage: ResourceUsage, memory_mb: u64, descriptors: usize) {
-    assert!(usage.memory_bytes <= memory_mb * BYTES_PER_MB, "{crowd}: {usage:?}, of {memory_mb} MB");
-    assert!(usage.descriptors <= descriptors, "{crowd}: {usage:?}, of {descriptors} descriptors");
+fn check_usage(name: &str, usage: ResourceUsage, memory_mb: u64, descriptors: usize) {
+    assert!(usage.memory_bytes <= memory_mb * BYTES_PER_MB, "{name}: {usage:?}, of {memory_mb} MB");
+    assert!(usage.descriptors <= descriptors, "{name}: {usage:?}, of {descriptors} descriptors");
 }
 
 fn configuration() -> Value {
--- a/crates/passrelay/tests/crowd/other_ports.rs
+++ b/crates/passrelay/tests/overload/other_ports.rs
@@ -1,4 +1,4 @@
-//! Crowds at the ports for endpoints and operators, for readiness probes and for other processes, which all read before they
+//! Overload of the ports for endpoints and operators, for readiness probes and for other processes, which all read before they
 //! know who sends.
 
 use super::client::{connect_clients, send_bodies, Framing, Sending};
@@ -22,7 +22,7 @@
 const UNREAD_ANSWERS: usize = 100;
 /// Length of a frame that is within the limit of the internal port.
 const FRAME_BYTES: u32 = 20 << 20;
-/// Connections of a crowd; more than the machine has descriptors.
+/// Number of connections; more than the machine has descriptors.
 const CONNECTIONS: usize = 2 * MAX_DESCRIPTORS;
 
 fn check_configurations(name: &str, address: impl Fn(&Machine) -> SocketAddr) {
@@ -39,7 +39,7 @@
     Sending {
         framing: Framing::Declared(length),
         body_bytes: length,
-        piece_bytes: 256 << 10,
+        write_bytes: 256 << 10,
         pause: Duration::ZERO,
         stops_short: true,
     }
--- a/crates/router/data-plane/src/memory_budget.rs
+++ b/crates/router/data-plane/src/memory_budget.rs
@@ -11,18 +11,18 @@
 use thiserror::Error;
 
 /// Part of the machine's memory that is the limit of the budget.
-const LIMIT_SHARE: Share = Share { numerator: 5, denominator: 8 };
+const LIMIT_FRACTION: Fraction = Fraction { numerator: 5, denominator: 8 };
 /// Part of the limit that clients' requests leave free for the control API and for other processes.
-const CONTROL_HEADROOM: Share = Share { numerator: 1, denominator: 8 };
+const CONTROL_HEADROOM: Fraction = Fraction { numerator: 1, denominator: 8 };
 /// Part of the limit that all bodies at the control API may hold together, and all messages of other processes.
-const CONTROL_SHARE: Share = Share { numerator: 1, denominator: 4 };
+const CONTROL_FRACTION: Fraction = Fraction { numerator: 1, denominator: 4 };
 /// Part of the limit that clients' connections may hold together.
-const CONNECTION_SHARE: Share = Share { numerator: 1, denominator: 2 };
+const CONNECTION_FRACTION: Fraction = Fraction { numerator: 1, denominator: 2 };
 /// Part of the limit that has to stay free when a request body grows beyond each of these sizes in bytes, in ascending order.
-const BODY_HEADROOMS: [(u64, Share); 3] = [
-    (4 << 10, Share { numerator: 1, denominator: 4 }),
-    (64 << 10, Share { numerator: 3, denominator: 8 }),
-    (512 << 10, Share { numerator: 1, denominator: 2 }),
+const BODY_HEADROOMS: [(u64, Fraction); 3] = [
+    (4 << 10, Fraction { numerator: 1, denominator: 4 }),
+    (64 << 10, Fraction { numerator: 3, denominator: 8 }),
+    (512 << 10, Fraction { numerator: 1, denominator: 2 }),
 ];
 
 /// Receive buffer of a socket, in bytes. Bytes that have arrived and are not read yet count as memory of the machine.
@@ -38,12 +38,12 @@
 
 /// A fraction of an amount of bytes.
 #[derive(Clone, Copy, Debug)]
-struct Share {
+struct Fraction {
     numerator: u64,
     denominator: u64,
 }
 
-impl Share {
+impl Fraction {
     fn of(self, bytes: u64) -> u64 {
         bytes / self.denominator * self.numerator
     }
@@ -95,7 +95,7 @@
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct UseAccount {
     /// Bytes held at present.
-    pub held_bytes: u64,
+    pub used_bytes: u64,
     /// Charges refused since the start of the process.
     pub refusals: u64,
 }
@@ -110,7 +110,7 @@
 impl MemoryBudget {
     /// Creates the budget of a process on a machine with this much memory for it.
     pub fn new(machine_memory_bytes: u64) -> Self {
-        MemoryBudget { limit_bytes: LIMIT_SHARE.of(machine_memory_bytes), accounts: Default::default() }
+        MemoryBudget { limit_bytes: LIMIT_FRACTION.of(machine_memory_bytes), accounts: Default::default() }
     }
 
     /// Returns the limit of all bytes together.
@@ -119,8 +119,8 @@
     }
 
     /// Returns the bytes held at present.
-    pub fn held_bytes(&self) -> u64 {
-        self.accounts.iter().map(|account| account.held_bytes).sum()
+    pub fn used_bytes(&self) -> u64 {
+        self.accounts.iter().map(|account| account.used_bytes).sum()
     }
 
     /// Returns what is held and was refused for `memory_use`.
@@ -130,7 +130,7 @@
 
     /// Returns how many connections of clients the budget has room for, if all of them are active.
     pub fn max_client_connections(&self) -> usize {
-        let connections = CONNECTION_SHARE.of(self.limit_bytes) / ACTIVE_CONNECTION_BYTES;
+        let connections = CONNECTION_FRACTION.of(self.limit_bytes) / ACTIVE_CONNECTION_BYTES;
         usize::try_from(connections).unwrap_or(usize::MAX)
     }
 
@@ -145,10 +145,10 @@
         owned: u64,
         additional: u64,
     ) -> Result<(), MemoryExhausted> {
-        let held = self.held_bytes() + additional;
-        let use_held = self.account(memory_use).held_bytes + additional;
+        let held = self.used_bytes() + additional;
+        let used_for_use = self.account(memory_use).used_bytes + additional;
         let headroom = self.headroom(memory_use, owned + additional);
-        if held + headroom > self.limit_bytes || use_held > self.use_limit(memory_use) {
+        if held + headroom > self.limit_bytes || used_for_use > self.use_limit(memory_use) {
             self.accounts[memory_use as usize].refusals += 1;
             return Err(MemoryExhausted);
         }
@@ -158,38 +158,38 @@
 
     /// Charges bytes that cannot be refused, because they are in use already or limited otherwise.
     pub fn charge_unconditionally(&mut self, memory_use: MemoryUse, bytes: u64) {
-        self.accounts[memory_use as usize].held_bytes += bytes;
+        self.accounts[memory_use as usize].used_bytes += bytes;
     }
 
     /// Releases bytes that were charged to `memory_use`.
     pub fn release(&mut self, memory_use: MemoryUse, bytes: u64) {
         let account = &mut self.accounts[memory_use as usize];
-        account.held_bytes = account.held_bytes.saturating_sub(bytes);
+        account.used_bytes = account.used_bytes.saturating_sub(bytes);
     }
 
     /// Returns the bytes that have to stay free once an owner holds `owned` bytes.
     fn headroom(&self, memory_use: MemoryUse, owned: u64) -> u64 {
-        let share = match memory_use {
+        let fraction = match memory_use {
             MemoryUse::ControlBodies | MemoryUse::PeerMessages => return 0,
             MemoryUse::Connections | MemoryUse::UpstreamCalls => CONTROL_HEADROOM,
             MemoryUse::RequestBodies => body_headroom(owned),
         };
-        share.of(self.limit_bytes)
+        fraction.of(self.limit_bytes)
     }
 
     /// Returns the bytes that may be held for one use.
     fn use_limit(&self, memory_use: MemoryUse) -> u64 {
         match memory_use {
-            MemoryUse::ControlBodies | MemoryUse::PeerMessages => CONTROL_SHARE.of(self.limit_bytes),
+            MemoryUse::ControlBodies | MemoryUse::PeerMessages => CONTROL_FRACTION.of(self.limit_bytes),
             _ => self.limit_bytes,
         }
     }
 }
 
 /// Returns the part of the limit that has to stay free once a request body has this size.
-fn body_headroom(size: u64) -> Share {
+fn body_headroom(size: u64) -> Fraction {
     let exceeded = BODY_HEADROOMS.iter().rev().find(|(threshold, _)| size > *threshold);
-    exceeded.map_or(CONTROL_HEADROOM, |(_, share)| *share)
+    exceeded.map_or(CONTROL_HEADROOM, |(_, fraction)| *fraction)
 }
 
 #[cfg(test)]
--- a/crates/router/data-plane/src/socket_limits.rs
+++ b/crates/router/data-plane/src/socket_limits.rs
@@ -1,7 +1,7 @@
 //! Numbers of sockets that a process may have open for each purpose.
 
 /// Descriptors kept for files and for the process itself.
-const KEPT_DESCRIPTORS: usize = 200;
+const RESERVED_DESCRIPTORS: usize = 200;
 /// Number of sockets below which no limit falls, so that a process also works where few descriptors are allowed.
 const MIN_SOCKETS: usize = 8;
 
@@ -21,7 +21,7 @@
 impl SocketLimits {
     /// Divides up the descriptors that a process may have open.
     pub fn new(max_descriptors: usize) -> Self {
-        let sockets = max_descriptors.saturating_sub(KEPT_DESCRIPTORS).max(max_descriptors / 4);
+        let sockets = max_descriptors.saturating_sub(RESERVED_DESCRIPTORS).max(max_descriptors / 4);
         let sixteenths = |share: usize| (sockets / 16 * share).max(MIN_SOCKETS);
         SocketLimits {
             clients: sixteenths(7),
--- a/crates/router/data-plane/src/socket_limits/tests.rs
+++ b/crates/router/data-plane/src/socket_limits/tests.rs
@@ -13,8 +13,8 @@
 }
 
 #[test]
-fn descriptors_for_files_are_kept() {
+fn descriptors_for_files_are_reserved() {
     let limits = SocketLimits::new(4_100);
     let sockets = limits.clients + limits.upstream + limits.control + limits.peers;
-    assert!(sockets + KEPT_DESCRIPTORS <= 4_100, "{limits:?}");
+    assert!(sockets + RESERVED_DESCRIPTORS <= 4_100, "{limits:?}");
 }
--- a/crates/router/node/src/control_api.rs
+++ b/crates/router/node/src/control_api.rs
@@ -135,7 +135,7 @@
 impl Call {
     /// Reads the body of the call, up to `max_length` bytes. The returned charge is for the body.
     async fn read_body(self, max_length: usize) -> Result<(Vec<u8>, MemoryCharge), BodyReadError> {
-        let limits = BodyLimits { max_length, part_timeout: BODY_TIMEOUT, total_timeout: BODY_TIMEOUT };
+        let limits = BodyLimits { max_length, chunk_timeout: BODY_TIMEOUT, total_timeout: BODY_TIMEOUT };
         let charge = || self.api.memory.charge(MemoryUse::ControlBodies);
         self.connection.body_started(self.api.clock.now());
         let read = StoredBody::read(limits, charge(), self.request.into_body()).await;
--- a/crates/router/node/src/inbound_connections.rs
+++ b/crates/router/node/src/inbound_connections.rs
@@ -165,7 +165,7 @@
     max_connections: usize,
     memory: Memory,
     /// Number of open connections that were told to make room.
-    leaving: Cell<usize>,
+    evicting: Cell<usize>,
     evictions: Cell<u64>,
     refusals: Cell<u64>,
 }
@@ -178,7 +178,7 @@
             next_id: Cell::new(0),
             max_connections,
             memory,
-            leaving: Cell::new(0),
+            evicting: Cell::new(0),
             evictions: Cell::new(0),
             refusals: Cell::new(0),
         }
@@ -187,7 +187,7 @@
     /// Registers a new connection, for which another one may have to make room. Returns `None` if none can; the new connection
     /// is then to be closed unread, which tells its client that nothing has run.
     pub fn open(self: &Rc<Self>, now: Duration) -> Option<OpenedConnection> {
-        let is_full = self.len() - self.leaving.get() >= self.max_connections;
+        let is_full = self.len() - self.evicting.get() >= self.max_connections;
         if is_full && !self.evict_one(now) {
             self.refusals.set(self.refusals.get() + 1);
             return None;
@@ -216,7 +216,7 @@
             .filter_map(|connection| connection.eviction_rank(now).map(|rank| (rank, connection)));
         let Some((_, connection)) = ranked.min_by_key(|(rank, _)| *rank) else { return false };
         connection.is_evicted.set(true);
-        self.leaving.set(self.leaving.get() + 1);
+        self.evicting.set(self.evicting.get() + 1);
         let _ = connection.commands.force_send(ConnectionCommand::Close);
         self.evictions.set(self.evictions.get() + 1);
         true
@@ -233,7 +233,7 @@
     }
 
     /// Returns the number of connections that were evicted or refused since the start of the process.
-    pub fn turned_away(&self) -> u64 {
+    pub fn limit_events(&self) -> u64 {
         self.evictions.get() + self.refusals.get()
     }
 
@@ -247,7 +247,7 @@
     /// Records that a connection is no longer about to make room.
     fn stays(&self, connection: &InboundConnection) {
         if connection.is_evicted.replace(false) {
-            self.leaving.set(self.leaving.get() - 1);
+            self.evicting.set(self.evicting.get() - 1);
         }
     }
 
--- a/crates/router/node/src/memory.rs
+++ b/crates/router/node/src/memory.rs
@@ -53,10 +53,10 @@
         let mut uses = serde_json::Map::new();
         for memory_use in MemoryUse::ALL {
             let account = budget.account(memory_use);
-            let figures = json!({ "held_bytes": account.held_bytes, "refusals": account.refusals });
+            let figures = json!({ "used_bytes": account.used_bytes, "refusals": account.refusals });
             uses.insert(memory_use.name().to_owned(), figures);
         }
-        json!({ "limit_bytes": budget.limit_bytes(), "held_bytes": budget.held_bytes(), "uses": uses })
+        json!({ "limit_bytes": budget.limit_bytes(), "used_bytes": budget.used_bytes(), "uses": uses })
     }
 }
 
--- a/crates/router/node/src/request/attempts.rs
+++ b/crates/router/node/src/request/attempts.rs
@@ -219,7 +219,7 @@
         let context = self.context.clone();
         let SelectedEndpoint { pick, version, choice } =
             self.select_endpoint(admission, service).ok_or(self.history.exhausted_failure())?;
-        self.ensure_room(&pick)?;
+        self.ensure_capacity(&pick)?;
         self.history.attempts += 1;
         let Some(mut connection) = connect(&context, &pick).await else {
             context.data_plane.balancer.borrow_mut().connect_failed(context.now(), &pick.id);
@@ -272,10 +272,10 @@
     }
 
     /// Charges the memory for a response, and checks that a connection to the endpoint can be had.
-    fn ensure_room(&mut self, pick: &Pick) -> Result<(), Failure> {
+    fn ensure_capacity(&mut self, pick: &Pick) -> Result<(), Failure> {
         let is_charged = self.memory.bytes() > 0 || self.memory.grow(UPSTREAM_CALL_BYTES).is_ok();
-        let has_room = is_charged && self.context.resources.upstream.has_room_for(pick.address);
-        has_room.then_some(()).ok_or_else(|| self.history.admission_failure(Failure::MemoryExhausted))
+        let has_capacity = is_charged && self.context.resources.upstream.has_capacity_for(pick.address);
+        has_capacity.then_some(()).ok_or_else(|| self.history.admission_failure(Failure::MemoryExhausted))
     }
 
     fn select_endpoint(&self, admission: &Admission, service: &str) -> Option<SelectedEndpoint> {
--- a/crates/router/node/src/request/inbound_body.rs
+++ b/crates/router/node/src/request/inbound_body.rs
@@ -28,7 +28,7 @@
 ) -> Result<StoredBody, Failure> {
     let limits = BodyLimits {
         max_length: limits.max_body_bytes,
-        part_timeout: Duration::from_millis(limits.header_timeout_ms.max(1)),
+        chunk_timeout: Duration::from_millis(limits.header_timeout_ms.max(1)),
         total_timeout: deadline.saturating_sub(context.now()).min(MAX_BODY_TIME),
     };
     if body.is_end_stream() {
--- a/crates/router/node/src/resources.rs
+++ b/crates/router/node/src/resources.rs
@@ -21,12 +21,12 @@
     pub peers: Rc<InboundConnections>,
     /// Connections to endpoints.
     pub upstream: Rc<ConnectionPool>,
-    logged: Cell<TurnedAway>,
+    logged: Cell<LimitEvents>,
 }
 
 /// Connections that were evicted or refused since the start of the process.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
-struct TurnedAway {
+struct LimitEvents {
     clients: u64,
     control: u64,
     peers: u64,
@@ -62,16 +62,16 @@
     /// Logs what was refused or evicted since the last call, if anything.
     pub fn log_refusals(&self) {
         self.memory.log_refusals();
-        let now = TurnedAway {
-            clients: self.clients.turned_away(),
-            control: self.control.turned_away(),
-            peers: self.peers.turned_away(),
+        let now = LimitEvents {
+            clients: self.clients.limit_events(),
+            control: self.control.limit_events(),
+            peers: self.peers.limit_events(),
         };
         let before = self.logged.replace(now);
         if now != before {
             log_event!(
                 warn,
-                "connections_turned_away",
+                "connection_limit_reached",
                 clients = now.clients - before.clients,
                 control = now.control - before.control,
                 peers = now.peers - before.peers,
--- a/crates/router/node/src/responses.rs
+++ b/crates/router/node/src/responses.rs
@@ -22,7 +22,7 @@
 const RETRY_LATER: Option<Duration> = Some(Duration::from_millis(500));
 
 /// Maximum size of a part that is given to the connection at a time, in bytes.
-const MAX_PART_BYTES: usize = 16 * 1024;
+const MAX_CHUNK_BYTES: usize = 16 * 1024;
 
 /// Body of a response. An error while reading it closes the client's connection.
 pub type Body = Pin<Box<dyn hyper::body::Body<Data = Bytes, Error = BodyError>>>;
@@ -189,7 +189,7 @@
         mut self: Pin<&mut Self>,
         _: &mut Context<'_>,
     ) -> Poll<Option<Result<Frame<Bytes>, BodyError>>> {
-        let length = self.rest.len().min(MAX_PART_BYTES);
+        let length = self.rest.len().min(MAX_CHUNK_BYTES);
         let part = self.rest.split_to(length);
         Poll::Ready((!part.is_empty()).then(|| Ok(Frame::data(part))))
     }
--- a/crates/router/node/src/stored_body.rs
+++ b/crates/router/node/src/stored_body.rs
@@ -30,7 +30,7 @@
     /// Maximum length, in bytes.
     pub max_length: usize,
     /// Maximum time without any part of the body.
-    pub part_timeout: Duration,
+    pub chunk_timeout: Duration,
     /// Maximum time for the whole body.
     pub total_timeout: Duration,
 }
@@ -81,7 +81,7 @@
             Timer::after(limits.total_timeout).await;
             Err(BodyReadError::TimedOut)
         };
-        smol::future::or(read_parts(limits, charge, body), timeout).await
+        smol::future::or(read_chunks(limits, charge, body), timeout).await
     }
 
     /// Returns the body as it is sent. It shares the segments with this one.
@@ -107,7 +107,7 @@
     }
 }
 
-async fn read_parts(
+async fn read_chunks(
     limits: BodyLimits,
     charge: MemoryCharge,
     mut body: Incoming,
@@ -116,7 +116,7 @@
     let mut segments = SegmentWriter::new(expected, charge);
     loop {
         let timeout = async {
-            Timer::after(limits.part_timeout).await;
+            Timer::after(limits.chunk_timeout).await;
             Err(BodyReadError::TimedOut)
         };
         let frame = smol::future::or(async { Ok(body.frame().await) }, timeout).await?;
--- a/crates/router/node/src/stored_body/tests.rs
+++ b/crates/router/node/src/stored_body/tests.rs
@@ -5,8 +5,8 @@
 
 const MACHINE_BYTES: u64 = 160_000_000;
 
-fn held_bytes(memory: &Memory) -> u64 {
-    memory.status()["held_bytes"].as_u64().unwrap()
+fn used_bytes(memory: &Memory) -> u64 {
+    memory.status()["used_bytes"].as_u64().unwrap()
 }
 
 async fn sent(body: &StoredBody) -> Vec<u8> {
@@ -18,7 +18,7 @@
 #[case::unknown_length(0, 7_000)]
 #[case::single_bytes(0, 1)]
 #[case::announced_too_short(10, 300)]
-fn parts_are_sent_as_they_came(#[case] expected: usize, #[case] part_length: usize) {
+fn a_body_is_sent_as_it_was_received(#[case] expected: usize, #[case] part_length: usize) {
     let memory = Memory::new(MACHINE_BYTES);
     let body: Vec<u8> = (0..100_000_u32).map(|n| n as u8).collect();
     let mut writer = SegmentWriter::new(expected, memory.charge(MemoryUse::RequestBodies));
@@ -31,36 +31,36 @@
 }
 
 #[test]
-fn the_charge_covers_small_parts_and_stays_close_to_the_length() {
+fn the_charge_covers_small_chunks_and_stays_close_to_the_length() {
     let memory = Memory::new(MACHINE_BYTES);
     let mut writer = SegmentWriter::new(0, memory.charge(MemoryUse::RequestBodies));
     for _ in 0..100_000 {
         writer.append(b"x").unwrap();
     }
-    let held = held_bytes(&memory);
+    let held = used_bytes(&memory);
     assert!((100_000..130_000).contains(&held), "{held}");
 }
 
 #[test]
-fn a_body_is_charged_until_the_last_copy_for_sending_is_gone() {
+fn a_body_is_charged_until_its_last_outbound_copy_is_dropped() {
     let memory = Memory::new(MACHINE_BYTES);
     let mut writer = SegmentWriter::new(5, memory.charge(MemoryUse::RequestBodies));
     writer.append(b"hello").unwrap();
     let stored = writer.finish();
     let outbound = stored.to_outbound();
     drop(stored);
-    assert!(held_bytes(&memory) > 0);
+    assert!(used_bytes(&memory) > 0);
     drop(outbound);
-    assert_eq!(held_bytes(&memory), 0);
+    assert_eq!(used_bytes(&memory), 0);
 }
 
 #[test]
-fn a_body_without_room_releases_what_it_held() {
+fn a_refused_body_releases_its_charge() {
     let memory = Memory::new(1_000_000);
     let mut writer = SegmentWriter::new(0, memory.charge(MemoryUse::RequestBodies));
     let refused = (0..1_000).find_map(|_| writer.append(&[0; 1_000]).err());
     assert_eq!(refused, Some(MemoryExhausted));
     drop(writer);
-    assert_eq!(held_bytes(&memory), 0);
+    assert_eq!(used_bytes(&memory), 0);
     assert_eq!(memory.refusals(), 1);
 }
--- a/crates/router/node/src/upstream.rs
+++ b/crates/router/node/src/upstream.rs
@@ -127,7 +127,7 @@
     }
 
     /// Returns whether a connection to `address` is idle or one can be opened, for which another idle one may be dropped.
-    pub fn has_room_for(&self, address: SocketAddrV4) -> bool {
+    pub fn has_capacity_for(&self, address: SocketAddrV4) -> bool {
         if self.open.get() < self.max_connections {
             return true;
         }
--- a/crates/testing/test-support/src/resource_usage.rs
+++ b/crates/testing/test-support/src/resource_usage.rs
@@ -114,13 +114,13 @@
 fn unread_bytes(inodes: &HashSet<u64>, address: IpAddr) -> u64 {
     let list = std::fs::read_to_string("/proc/net/tcp").unwrap_or_default();
     let own = listed_ip(address);
-    list.lines().skip(1).filter_map(|line| unread_bytes_of_line(line, inodes, &own)).sum()
+    list.lines().skip(1).filter_map(|line| unread_bytes_of_entry(line, inodes, &own)).sum()
 }
 
 /// Returns the unread bytes of one line of `/proc/net/tcp`, if it is a connection that counts.
-fn unread_bytes_of_line(line: &str, inodes: &HashSet<u64>, own_ip: &str) -> Option<u64> {
+fn unread_bytes_of_entry(entry: &str, inodes: &HashSet<u64>, own_ip: &str) -> Option<u64> {
     const LISTENING: &str = "0A";
-    let columns: Vec<&str> = line.split_ascii_whitespace().collect();
+    let columns: Vec<&str> = entry.split_ascii_whitespace().collect();
     let (local, state, queues) = (columns.get(1)?, columns.get(3)?, columns.get(4)?);
     let inode: u64 = columns.get(9)?.parse().ok()?;
     let is_pending = inode == 0 && local.starts_with(own_ip);
