Limit the clients that wait at the sidecar in service by its memory, in place of their receive buffers

Cause: set the receive buffer of clients to 16 KiB. The end of a client that has sent more early bytes than the sidecar reads stays in the client's kernel until there is room, so that its request was kept until its time was over.

Change: clients' receive buffers are the operating system's again. What they bounded, the unread bytes of clients that wait to be accepted, is bounded by their number: as many as there may be connections, 512 at most.

--- a/crates/sidecar/proxy/src/admin.rs
+++ b/crates/sidecar/proxy/src/admin.rs
@@ -110,7 +110,7 @@
     /// Binds the listener and registers it with the poller.
     pub fn open(address: SocketAddr, registry: &Registry) -> io::Result<AdminListener> {
         let mut listener = TcpListener::bind(address)?;
-        receive_buffer::limit(&listener, receive_buffer::CLIENT_BYTES);
+        receive_buffer::limit(&listener, receive_buffer::OPERATOR_BYTES);
         registry.register(&mut listener, ADMIN_LISTENER, Interest::READABLE)?;
         Ok(AdminListener { listener, connections: Slab::with_capacity(MAX_CONNECTIONS), cut_off: 0 })
     }
--- a/crates/sidecar/proxy/src/listener.rs
+++ b/crates/sidecar/proxy/src/listener.rs
@@ -1,12 +1,11 @@
 //! The listening socket for clients.
 
-use crate::receive_buffer;
 use mio::net::{TcpListener, TcpStream};
 use std::io;
 use std::net::SocketAddr;
 
-/// Connections that the kernel queues before they are accepted.
-const BACKLOG: i32 = 512;
+/// Maximum number of connections that the kernel queues before they are accepted.
+const MAX_BACKLOG: i32 = 512;
 
 /// The listening socket for clients.
 pub struct Listener {
@@ -27,8 +26,8 @@
 
 impl Listener {
     /// Binds the socket and listens. Address reuse lets a restarted sidecar bind the address of its
-    /// predecessor at once.
-    pub fn open(address: SocketAddr) -> io::Result<Listener> {
+    /// predecessor at once. As many connections as the memory has room for may wait, because their unread bytes count too.
+    pub fn open(address: SocketAddr, max_connections: usize) -> io::Result<Listener> {
         let socket = socket2::Socket::new(
             socket2::Domain::for_address(address),
             socket2::Type::STREAM,
@@ -39,8 +38,8 @@
         socket.set_reuse_port(true)?;
         socket.set_nonblocking(true)?;
         socket.bind(&address.into())?;
-        receive_buffer::limit(&socket, receive_buffer::CLIENT_BYTES);
-        socket.listen(BACKLOG)?;
+        let backlog = i32::try_from(max_connections).unwrap_or(MAX_BACKLOG).min(MAX_BACKLOG);
+        socket.listen(backlog)?;
         Ok(Listener { socket: TcpListener::from_std(socket.into()) })
     }
 
--- a/crates/sidecar/proxy/src/receive_buffer.rs
+++ b/crates/sidecar/proxy/src/receive_buffer.rs
@@ -3,8 +3,8 @@
 use socket2::SockRef;
 use std::os::fd::AsFd;
 
-/// Receive buffer of a client's connection, in bytes. As many clients as the listener's backlog may wait with a full one.
-pub const CLIENT_BYTES: usize = 16 * 1024;
+/// Receive buffer of an operator's connection, in bytes.
+pub const OPERATOR_BYTES: usize = 16 * 1024;
 /// Receive buffer of a connection to a node, in bytes.
 pub const NODE_BYTES: usize = 32 * 1024;
 
--- a/crates/sidecar/proxy/src/sidecar.rs
+++ b/crates/sidecar/proxy/src/sidecar.rs
@@ -107,7 +107,8 @@
             ..
         } = config;
         let poll = Poll::new()?;
-        let mut listener = Listener::open(listen).map_err(|e| format!("listen: {listen}: {e}"))?;
+        let mut listener = Listener::open(listen, max_clients + max_upstreams)
+            .map_err(|e| format!("listen: {listen}: {e}"))?;
         poll.registry().register(&mut listener.socket, LISTENER, Interest::READABLE)?;
         let admin = match operator {
             Some(address) => Some(
