--- a/crates/sidecar/proxy/src/listener.rs
+++ b/crates/sidecar/proxy/src/listener.rs
@@ -26,8 +26,8 @@
 
 impl Listener {
     /// Binds the socket and listens. Address reuse lets a restarted sidecar bind the address of its
-    /// predecessor at once. As many connections as the memory has room for may wait, because their unread bytes count too.
-    pub fn open(address: SocketAddr, max_connections: usize) -> io::Result<Listener> {
+    /// predecessor at once. At most `max_waiting` connections wait to be accepted.
+    pub fn open(address: SocketAddr, max_waiting: usize) -> io::Result<Listener> {
         let socket = socket2::Socket::new(
             socket2::Domain::for_address(address),
             socket2::Type::STREAM,
@@ -38,7 +38,7 @@
         socket.set_reuse_port(true)?;
         socket.set_nonblocking(true)?;
         socket.bind(&address.into())?;
-        let backlog = i32::try_from(max_connections).unwrap_or(MAX_BACKLOG).min(MAX_BACKLOG);
+        let backlog = i32::try_from(max_waiting).unwrap_or(MAX_BACKLOG).min(MAX_BACKLOG);
         socket.listen(backlog)?;
         Ok(Listener { socket: TcpListener::from_std(socket.into()) })
     }
--- a/crates/sidecar/proxy/src/sidecar.rs
+++ b/crates/sidecar/proxy/src/sidecar.rs
@@ -100,6 +100,7 @@
             operator,
             seed,
             max_clients,
+            max_waiting_clients,
             max_upstreams,
             known_nodes,
             service,
@@ -107,8 +108,8 @@
             ..
         } = config;
         let poll = Poll::new()?;
-        let mut listener = Listener::open(listen, max_clients + max_upstreams)
-            .map_err(|e| format!("listen: {listen}: {e}"))?;
+        let mut listener =
+            Listener::open(listen, max_waiting_clients).map_err(|e| format!("listen: {listen}: {e}"))?;
         poll.registry().register(&mut listener.socket, LISTENER, Interest::READABLE)?;
         let admin = match operator {
             Some(address) => Some(
--- a/crates/sidecar/settings/src/config.rs
+++ b/crates/sidecar/settings/src/config.rs
@@ -386,6 +386,8 @@
     pub max_clients: usize,
     /// Maximum number of connections to nodes.
     pub max_upstreams: usize,
+    /// Number of clients whose connections may wait to be accepted. Their unread bytes count as memory.
+    pub max_waiting_clients: usize,
     /// The node list as this sidecar last knew it, if any; written as `known`.
     pub known_nodes: Option<NodeListUpdate>,
     /// Settings of the service.
@@ -476,8 +478,8 @@
         let memory_mb = limit("memory_mb", 192)?;
         // Connections get at most half of the memory, so that the sidecar is not killed for exceeding its
         // limit.
-        let connections =
-            sockets.saturating_sub(RESERVED_DESCRIPTORS).min(memory_mb * 512 / MAX_CONNECTION_KIB);
+        let max_by_memory = memory_mb * 512 / MAX_CONNECTION_KIB;
+        let connections = sockets.saturating_sub(RESERVED_DESCRIPTORS).min(max_by_memory);
         if connections < 4 {
             return invalid(
                 "limits",
@@ -507,6 +509,7 @@
             operator,
             fleet,
             seed,
+            max_waiting_clients: max_by_memory,
             max_clients: connections / 2,
             max_upstreams: connections - connections / 2,
             known_nodes,
