Pass on no response of an endpoint whose head is unsound

What callers saw: a complete 200 whose body was not the endpoint's. A misspelt `Transfer-Encoding: chunke` brought the lines of the chunks as the body; with a length beside it, the body was also cut to that length; a stray line feed made the rest of the head the body. Statuses 600, 999 and 101 were passed on. A 503 or 421 with `X-Passrelay-Not-Executed` in such a head became the promise that the request had not run. A stream that broke off went on with such bytes.

Cause: the HTTP library takes a transfer coding that it does not know for a body that ends with its connection, prefers chunks to a length that is declared beside them, undoes codings that nobody asked for (`gzip, chunked`) and drops their field with the hop-by-hop ones, accepts a line feed alone as the end of a head, and reads every status from 100 to 999. The router asked nobody else.

Held already: all 14 faults of Content-Length by itself, status 000 and 099, versions, lines that are no field, names with a blank or a control byte, and all 15 of unsound chunks, which look broken off.

Change: `passrelay-response-head` decides without I/O whether a head is sound. `response_gate` holds each head back until it is decided, before the library sees it; an unsound one fails the connection, which is not used again. The attempt counts as one that may have run, so that the client gets 502, or another attempt where all its routes allow one, and as a failure of the endpoint.

Why this works: what the crate holds to be sound, the library reads alike; a test replaces, inserts and removes every byte of a head. A response that has not passed the gate is not used, even if the library offers one.

--- a/crates/router/node/src/lib.rs
+++ b/crates/router/node/src/lib.rs
@@ -7,8 +7,8 @@
 //! |---|---|
 //! | `clock`, `logging`, `tasks`, `settings`, `memory`, `responses` | utilities used by all other modules |
 //! | `stored_body`, `inbound_connections` | what clients and peers make the process hold |
-//! | `transport`, `storage`, `listener`, `http_connection`, `upstream`, `resources` | sockets and disk |
-//! | `configuration_snapshot`, `quota_client`, `load_reporter`, `data_plane` | state used to route requests |
+//! | `transport`, `storage`, `listener`, `http_connection`, `response_gate`, `upstream`, `resources` | sockets and disk |
+//! | `configuration_snapshot`, `quota_client`, `load_reporter`, `interrupted_responses`, `unsound_responses`, `data_plane` | state used to route requests |
 //! | `freshness`, `graceful_shutdown`, `readiness` | decide whether requests may be forwarded |
 //! | `operator_calls`, `endpoint_announcements`, `endpoint_persistence` | calls, announcements and writes pending at the coordinator |
 //! | `coordinator_driver`, `endpoint_registration` | pass events to the coordinator and apply its actions |
@@ -49,6 +49,7 @@
 mod request;
 mod request_context;
 mod resources;
+mod response_gate;
 mod responses;
 mod settings;
 mod signals;
@@ -56,6 +57,7 @@
 mod stored_body;
 mod tasks;
 mod transport;
+mod unsound_responses;
 mod upstream;
 
 pub use process::{run, NodeError};
--- a/crates/router/node/src/request/attempts.rs
+++ b/crates/router/node/src/request/attempts.rs
@@ -319,6 +319,11 @@
                 call.end(RequestOutcome::Failed);
                 AttemptOutcome::Unknown
             }
+            Some(Err(SendError::UnsoundHead(fault))) => {
+                self.context.data_plane.unsound_responses.record(call.endpoint(), fault);
+                call.end(RequestOutcome::Failed);
+                AttemptOutcome::Unknown
+            }
             Some(Ok(response)) => {
                 self.classify_response(EndpointResponse { response, connection, call, origin })
             }
--- a/crates/router/node/src/upstream.rs
+++ b/crates/router/node/src/upstream.rs
@@ -2,11 +2,13 @@
 
 use crate::listener::limit_receive_buffer;
 use crate::logging::{log_event, Quoted};
+use crate::response_gate::{ResponseGate, MAX_RESPONSE_HEAD_BYTES};
 use crate::stored_body::OutboundBody;
 use crate::tasks::Spawner;
 use hyper::body::Incoming;
 use hyper::client::conn::http1::{Builder, SendRequest};
-use hyper::{Request, Response};
+use hyper::{Method, Request, Response};
+use passrelay_response_head::{RequestKind, UnsoundHead};
 use serde_json::{json, Value};
 use smol::net::TcpStream;
 use smol::Timer;
@@ -31,7 +33,7 @@
 /// endpoint may close it while the request is in flight.
 const IDLE_MARGIN_S: f64 = 0.3;
 /// Maximum size of the buffers of a connection, for the response and for the request, in bytes.
-const MAX_BUFFER_BYTES: usize = 32 * 1024;
+const MAX_BUFFER_BYTES: usize = MAX_RESPONSE_HEAD_BYTES;
 /// Maximum number of idle connections to one endpoint.
 const MAX_IDLE_PER_ENDPOINT: usize = 32;
 
@@ -47,11 +49,15 @@
     /// The request was written at least partly, so it may have been executed.
     #[error("the connection broke after the request was sent")]
     ConnectionBroken,
+    /// The head of the response is unsound. The request was written, so it may have been executed.
+    #[error("the response is unsound: {0}")]
+    UnsoundHead(#[from] UnsoundHead),
 }
 
 /// A connection that can carry one request at a time.
 pub struct Connection {
     sender: SendRequest<OutboundBody>,
+    gate: ResponseGate,
     address: SocketAddrV4,
     idle_timeout: Duration,
     /// Whether the connection has carried a request before.
@@ -65,14 +71,18 @@
     ///
     /// Returns a [`SendError`], which tells whether the request may have been executed.
     pub async fn send(&mut self, request: UpstreamRequest) -> Result<Response<Incoming>, SendError> {
+        let is_head = request.method() == Method::HEAD;
+        self.gate.expect_response(if is_head { RequestKind::Head } else { RequestKind::Other });
         match self.sender.try_send_request(request).await {
+            // The library has read bytes that came before the request and belong to no response.
+            Ok(_) if !self.gate.has_passed_head() => Err(SendError::ConnectionBroken),
             Ok(response) => {
                 self.apply_keep_alive(&response);
                 Ok(response)
             }
             Err(mut error) => Err(match error.take_message() {
                 Some(_) => SendError::NotSent,
-                None => SendError::ConnectionBroken,
+                None => self.gate.fault().map_or(SendError::ConnectionBroken, SendError::UnsoundHead),
             }),
         }
     }
@@ -191,9 +201,10 @@
             Err(std::io::ErrorKind::TimedOut.into())
         };
         let stream: std::io::Result<TcpStream> = smol::future::or(connect, timeout).await;
+        let gate = ResponseGate::default();
         let (sender, connection) = Builder::new()
             .max_buf_size(MAX_BUFFER_BYTES)
-            .handshake(FuturesIo::new(stream?))
+            .handshake(FuturesIo::new(gate.guard(stream?)))
             .await
             .map_err(std::io::Error::other)?;
         let counted = OpenConnection::count(&self.open);
@@ -203,7 +214,7 @@
                 log_event!(debug, "upstream_broke", address = address, problem = Quoted(&error));
             }
         });
-        Ok(Connection { sender, address, idle_timeout: DEFAULT_IDLE_TIMEOUT, is_reused: false })
+        Ok(Connection { sender, gate, address, idle_timeout: DEFAULT_IDLE_TIMEOUT, is_reused: false })
     }
 }
 
