Declare one length to clients where an endpoint declares the same one several times

What callers saw: nothing. A connection closed without a byte, for a sound response with `Content-Length: 15, 15`, and for the response to a HEAD request with two equal fields.

Cause: the values were passed on as they came; the HTTP library writes no response with such a field. Whoever relays a response has to replace them by a single one (RFC 9110, section 8.6).

Change: `unify_content_length` keeps the first of the values, whose equality the gate has checked.

--- a/crates/passrelay/tests/response_heads/bytes.rs
+++ b/crates/passrelay/tests/response_heads/bytes.rs
@@ -231,6 +231,7 @@
         ("length with zeros before it", fields(b"Content-Length: 0015\r\n")),
         ("length in lower case", fields(b"content-length: 15\r\n")),
         ("the same length twice", fields(b"Content-Length: 15\r\nContent-Length: 15\r\n")),
+        ("list of the same length", fields(b"Content-Length: 15, 15\r\n")),
         ("chunks", coded(b"Transfer-Encoding: chunked\r\n")),
         ("chunks in upper case", coded(b"TRANSFER-ENCODING:CHUNKED\r\n")),
         ("chunks between blanks", coded(b"Transfer-Encoding: \t chunked \t\r\n")),
--- a/crates/passrelay/tests/response_heads/router.rs
+++ b/crates/passrelay/tests/response_heads/router.rs
@@ -325,7 +325,7 @@
     #[values(Connection::Kept, Connection::Closed)] connection: Connection,
 ) {
     let router = Router::start(Route::Unsafe);
-    let declared = ["length", "neither length nor chunks"];
+    let declared = ["length", "the same length twice", "neither length nor chunks"];
     let cases = [sound(), sound_if_closed()].concat();
     let cases = cases.into_iter().filter(|(name, _)| declared.contains(name)).collect();
     let check = |(name, response): &Case| {
--- a/crates/router/node/src/request/headers.rs
+++ b/crates/router/node/src/request/headers.rs
@@ -2,8 +2,8 @@
 //! response tell about its body.
 
 use hyper::header::{
-    HeaderName, CONNECTION, CONTENT_ENCODING, CONTENT_LENGTH, CONTENT_TYPE, TE, TRAILER, TRANSFER_ENCODING,
-    UPGRADE,
+    HeaderName, HeaderValue, CONNECTION, CONTENT_ENCODING, CONTENT_LENGTH, CONTENT_TYPE, TE, TRAILER,
+    TRANSFER_ENCODING, UPGRADE,
 };
 use hyper::HeaderMap;
 
@@ -58,6 +58,16 @@
     forwarded
 }
 
+/// Replaces a length that is declared several times by a single one, as whoever relays a response has to (RFC 9110, section 8.6).
+/// The values are equal, which the gate of the connection has checked.
+pub fn unify_content_length(headers: &mut HeaderMap) {
+    let length = headers.get(CONTENT_LENGTH).and_then(|value| value.to_str().ok());
+    let first = length.and_then(|list| list.split(',').next());
+    if let Some(value) = first.and_then(|first| HeaderValue::from_str(first.trim()).ok()) {
+        headers.insert(CONTENT_LENGTH, value);
+    }
+}
+
 /// Returns whether a response with these headers is a stream of server-sent events whose bytes are those of its text.
 pub fn is_event_stream(headers: &HeaderMap) -> bool {
     let text = |name| headers.get(name).and_then(|value| value.to_str().ok()).unwrap_or_default();
--- a/crates/router/node/src/request/relay_body.rs
+++ b/crates/router/node/src/request/relay_body.rs
@@ -11,7 +11,7 @@
 use super::attempts::{Attempts, EndpointResponse};
 use super::body_content::BodyContent;
 use super::endpoint_call::EndpointCall;
-use super::headers::end_to_end;
+use super::headers::{end_to_end, unify_content_length};
 use crate::interrupted_responses::InterruptedResponses;
 use crate::logging::{log_event, Quoted};
 use crate::responses::{full, Body, BodyError};
@@ -58,6 +58,7 @@
     let mut response = Response::new(());
     *response.status_mut() = parts.status;
     *response.headers_mut() = end_to_end(&parts.headers);
+    unify_content_length(response.headers_mut());
     if is_empty {
         return response.map(|()| full(Bytes::new()));
     }
