Take no unsound answer for the answer to an operator's command

What callers saw: `passrelay config get`, `status` and `rollout status` printed the lines of chunks, a part of the answer or an answer with status 600 or 999, the first ones with exit code 0 (done). Other unsound answers ended with exit code 1, which means that there was no connection, though the order may have been taken.

Cause: the commands read answers by the HTTP library alone, as the router did.

Held: unsound chunks are not printed.

Change: the commands' connection is behind the response gate too; an unsound answer is reported with its reason and ends with 4 (no clear answer, the same order can be sent again). No byte of it is printed.

Why this works: the library is given no byte of such an answer.

--- a/crates/passrelay/src/cli.rs
+++ b/crates/passrelay/src/cli.rs
@@ -3,7 +3,8 @@
 use crate::{config, fleet, lease, rollout};
 use clap::{Parser, Subcommand};
 use passrelay_lease_runtime::background_client::BackgroundClient;
-use passrelay_lease_runtime::fleet_config::FleetConfig;
+use passrelay_lease_runtime::fleet_config::{FleetConfig, FleetConfigError};
+use passrelay_node::control_client::CallError;
 use passrelay_sidecar_proxy::Sidecar;
 use passrelay_sidecar_settings::Config;
 use serde_json::json;
@@ -91,11 +92,23 @@
     };
     done.unwrap_or_else(|e| {
         eprintln!("passrelay: {e}");
-        // Exit code 2 tells the caller to correct the configuration file.
-        ExitCode::from(if e.is::<passrelay_lease_runtime::fleet_config::FleetConfigError>() { 2 } else { 1 })
+        ExitCode::from(exit_code(&*e))
     })
 }
 
+/// Returns the exit code of a command that failed with this error.
+fn exit_code(error: &(dyn Error + 'static)) -> u8 {
+    if error.is::<FleetConfigError>() {
+        // Tells the caller to correct the configuration file.
+        return 2;
+    }
+    match error.downcast_ref() {
+        // The order may have been taken.
+        Some(CallError::UnsoundResponse { .. }) => config::UNCLEAR,
+        _ => 1,
+    }
+}
+
 fn node() -> Result<(), Box<dyn Error>> {
     let format = simplelog::ConfigBuilder::new()
         .set_time_level(simplelog::LevelFilter::Off)
--- a/crates/passrelay/src/config.rs
+++ b/crates/passrelay/src/config.rs
@@ -16,7 +16,7 @@
 /// Exit code if a document is invalid or a request is refused.
 const REFUSED: u8 = 3;
 /// Exit code if the outcome is unknown: the request may have been applied, and can safely be repeated.
-const UNCLEAR: u8 = 4;
+pub const UNCLEAR: u8 = 4;
 
 /// Subcommands of `config`.
 #[derive(Subcommand)]
--- a/crates/passrelay/tests/response_heads/main.rs
+++ b/crates/passrelay/tests/response_heads/main.rs
@@ -5,6 +5,7 @@
 
 mod bytes;
 mod client;
+mod commands;
 mod router;
 mod sidecar;
 
--- a/crates/router/node/src/control_client.rs
+++ b/crates/router/node/src/control_client.rs
@@ -1,9 +1,11 @@
 //! HTTP client for the control port of a sidecar, used by the operators' command line.
 
+use crate::response_gate::ResponseGate;
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full};
 use hyper::client::conn::http1::handshake;
 use hyper::{Method, Request};
+use passrelay_response_head::{RequestKind, UnsoundHead};
 use smol::net::TcpStream;
 use smol::{LocalExecutor, Timer};
 use smol_hyper::rt::FuturesIo;
@@ -25,6 +27,14 @@
         /// The operating system's error.
         source: std::io::Error,
     },
+    /// The head of the response is unsound. The call may have been carried out.
+    #[error("{address}: the response is unsound: {source}")]
+    UnsoundResponse {
+        /// Address of the sidecar's control port.
+        address: SocketAddr,
+        /// What is wrong with the head.
+        source: UnsoundHead,
+    },
     /// The request or the response is not valid HTTP, or the connection broke during the call.
     #[error("{address}: {source}")]
     Protocol {
@@ -79,7 +89,9 @@
     let connection_error = |source| CallError::Connection { address, source };
     let protocol_error = |error: hyper::Error| CallError::Protocol { address, source: error.into() };
     let stream = TcpStream::connect(address).await.map_err(connection_error)?;
-    let (mut sender, connection) = handshake(FuturesIo::new(stream)).await.map_err(protocol_error)?;
+    let gate = ResponseGate::default();
+    let (mut sender, connection) =
+        handshake(FuturesIo::new(gate.guard(stream))).await.map_err(protocol_error)?;
     executor
         .spawn(async move {
             let _ = connection.await;
@@ -93,7 +105,11 @@
     let request = request
         .body(Full::new(Bytes::from(call.body)))
         .map_err(|error| CallError::Protocol { address, source: error.into() })?;
-    let response = sender.send_request(request).await.map_err(protocol_error)?;
+    gate.expect_response(RequestKind::Other);
+    let response = sender.send_request(request).await.map_err(|error| match gate.fault() {
+        Some(source) => CallError::UnsoundResponse { address, source },
+        None => protocol_error(error),
+    })?;
     let status = response.status().as_u16();
     let body = response.into_body().collect().await.map_err(protocol_error)?.to_bytes();
     Ok(ControlResponse { status, body: String::from_utf8_lossy(&body).into_owned() })
