Read answers in the load simulator by the same decision as in the products

What was seen: the generator counted an answer with status 000 or 600, with `Content-Length: +0` or two lengths that differ, with a stray line feed, or without any length as a complete one (the last two with an empty body), and a sidecar as ready by three bytes of its answer.

Cause: `sockets/wire.rs` read heads by `httparse` and took no length for an empty body.

Change: it asks `passrelay-response-head`; reading a response and a request are functions of their own. A body without a length is unreadable.

--- a/crates/testing/load-simulator/src/sockets/program.rs
+++ b/crates/testing/load-simulator/src/sockets/program.rs
@@ -92,6 +92,9 @@
     Some(ticks / 100.0)
 }
 
+/// The beginning of a response that says that the sidecar is ready.
+const READY_STATUS: &[u8; 13] = b"HTTP/1.1 200 ";
+
 fn is_ready(address: &str) -> bool {
     use std::io::{Read, Write};
     let Ok(mut sock) = TcpStream::connect(address) else { return false };
@@ -99,6 +102,6 @@
     if sock.write_all(b"GET /ready HTTP/1.1\r\nHost: lab\r\nConnection: close\r\n\r\n").is_err() {
         return false;
     }
-    let mut head = [0; 12];
-    sock.read_exact(&mut head).is_ok() && &head[9..12] == b"200"
+    let mut start = [0; READY_STATUS.len()];
+    sock.read_exact(&mut start).is_ok() && start == *READY_STATUS
 }
--- a/crates/testing/load-simulator/src/sockets/wire.rs
+++ b/crates/testing/load-simulator/src/sockets/wire.rs
@@ -3,6 +3,7 @@
 
 use mio::net::TcpStream;
 use mio::{Events, Poll};
+use passrelay_response_head::{fields, BodyFraming, HeadParser, RequestKind};
 use std::io::{self, ErrorKind, Read, Write};
 use std::time::Duration;
 
@@ -112,48 +113,82 @@
     ///
     /// Returns [`Unreadable`] if the input cannot be parsed or the body is too long.
     pub fn take(&mut self, answer: bool) -> Result<Option<Message>, Unreadable> {
-        let mut slots = [httparse::EMPTY_HEADER; 48];
-        let mut message = Message::default();
-        let (len, headers) = if answer {
-            let mut parsed = httparse::Response::new(&mut slots);
-            let httparse::Status::Complete(len) = parsed.parse(&self.input).map_err(|_| Unreadable)? else {
-                return Ok(None);
-            };
-            message.status = parsed.code.unwrap_or(0);
-            (len, parsed.headers)
-        } else {
-            let mut parsed = httparse::Request::new(&mut slots);
-            let httparse::Status::Complete(len) = parsed.parse(&self.input).map_err(|_| Unreadable)? else {
-                return Ok(None);
-            };
-            message.method = parsed.method.unwrap_or("").to_owned();
-            message.target = parsed.path.unwrap_or("").to_owned();
-            (len, parsed.headers)
-        };
-        let mut body = 0;
-        for header in headers.iter() {
-            let text = || std::str::from_utf8(header.value).unwrap_or("").trim();
-            let is = |name: &str| header.name.eq_ignore_ascii_case(name);
-            if is("content-length") {
-                body = text().parse().map_err(|_| Unreadable)?;
-            } else if is("transfer-encoding") {
-                return Err(Unreadable);
-            } else if is("x-call-class") {
-                message.class = text().to_owned();
-            } else if is("x-call-info") {
-                let work = text().split(',').find_map(|p| p.trim().strip_prefix("work="));
-                message.work = work.and_then(|w| w.parse().ok());
-            } else if is("retry-after") {
-                message.retry_after = text().parse().ok();
-            } else if is("connection") {
-                message.close = text().eq_ignore_ascii_case("close");
-            }
+        let head = if answer { read_response_head(&self.input)? } else { read_request_head(&self.input)? };
+        let Some(Head { length, body_length, mut message }) = head else { return Ok(None) };
+        if body_length > MAX_MESSAGE_BYTES {
+            return Err(Unreadable);
         }
-        if body > MAX_MESSAGE_BYTES || self.input.len() < len + body {
-            return if body > MAX_MESSAGE_BYTES { Err(Unreadable) } else { Ok(None) };
+        if self.input.len() < length + body_length {
+            return Ok(None);
         }
-        message.body = self.input[len..len + body].to_vec();
-        self.input.drain(..len + body);
+        message.body = self.input[length..length + body_length].to_vec();
+        self.input.drain(..length + body_length);
         Ok(Some(message))
     }
 }
+
+/// The head of a message, and a message without its body.
+struct Head {
+    length: usize,
+    body_length: usize,
+    message: Message,
+}
+
+fn read_response_head(input: &[u8]) -> Result<Option<Head>, Unreadable> {
+    let head = HeadParser::new(RequestKind::Other, MAX_MESSAGE_BYTES).read(input).map_err(|_| Unreadable)?;
+    let Some(head) = head else { return Ok(None) };
+    let body_length = match head.framing {
+        BodyFraming::None => 0,
+        BodyFraming::Length(length) => usize::try_from(length).map_err(|_| Unreadable)?,
+        BodyFraming::Chunked | BodyFraming::Connection => return Err(Unreadable),
+    };
+    let mut message = Message { status: head.status, ..Message::default() };
+    for (name, value) in fields(&input[..head.length]) {
+        message.read_field(name, value);
+    }
+    Ok(Some(Head { length: head.length, body_length, message }))
+}
+
+fn read_request_head(input: &[u8]) -> Result<Option<Head>, Unreadable> {
+    let mut slots = [httparse::EMPTY_HEADER; 48];
+    let mut parsed = httparse::Request::new(&mut slots);
+    let httparse::Status::Complete(length) = parsed.parse(input).map_err(|_| Unreadable)? else {
+        return Ok(None);
+    };
+    let (method, target) = (parsed.method.unwrap_or("").to_owned(), parsed.path.unwrap_or("").to_owned());
+    let mut message = Message { method, target, ..Message::default() };
+    let mut body_length = 0;
+    for header in parsed.headers.iter() {
+        if header.name.eq_ignore_ascii_case("content-length") {
+            body_length = text(header.value).parse().map_err(|_| Unreadable)?;
+        } else if header.name.eq_ignore_ascii_case("transfer-encoding") {
+            return Err(Unreadable);
+        }
+        message.read_field(header.name, header.value);
+    }
+    Ok(Some(Head { length, body_length, message }))
+}
+
+fn text(value: &[u8]) -> &str {
+    std::str::from_utf8(value).unwrap_or("").trim()
+}
+
+impl Message {
+    /// Keeps the value of a field, if the field is used here.
+    fn read_field(&mut self, name: &str, value: &[u8]) {
+        let is = |other: &str| name.eq_ignore_ascii_case(other);
+        if is("x-call-class") {
+            text(value).clone_into(&mut self.class);
+        } else if is("x-call-info") {
+            let work = text(value).split(',').find_map(|part| part.trim().strip_prefix("work="));
+            self.work = work.and_then(|work| work.parse().ok());
+        } else if is("retry-after") {
+            self.retry_after = text(value).parse().ok();
+        } else if is("connection") {
+            self.close = text(value).eq_ignore_ascii_case("close");
+        }
+    }
+}
+
+#[cfg(test)]
+mod tests;
