--- a/crates/passrelay/tests/response_heads/bytes.rs
+++ b/crates/passrelay/tests/response_heads/bytes.rs
@@ -2,6 +2,8 @@
 
 /// Body of each response: one event of a stream.
 pub const BODY: &str = "id: 1\ndata: b\n\n";
+/// A head that announces a response.
+const INTERIM: &[u8] = b"HTTP/1.1 100 Continue\r\n\r\n";
 /// The status line of most responses.
 const STATUS_LINE: &[u8] = b"HTTP/1.1 200 OK\r\n";
 /// Fields that each response of an endpoint has.
@@ -173,6 +175,11 @@
         ("DEL in a field", line(b"X-Bay: 7\x7f8\r\n")),
         ("control byte in the length", fields(b"Content-Length: 15\x01\r\n")),
         ("control byte in the coding", coded(b"Transfer-Encoding: chunked\x01\r\n")),
+        (
+            "announced by a head with a line that is no field",
+            after_interim(b"HTTP/1.1 100 Continue\r\nno field\r\n\r\n"),
+        ),
+        ("announced, with a misspelt coding", [INTERIM, &coded(b"Transfer-Encoding: chunke\r\n")].concat()),
         ("head of 64 KiB", line(&b"X-Bay: 7".repeat(8_192))),
     ]
 }
@@ -244,7 +251,7 @@
         ("no reason", status_line(b"HTTP/1.1 200\r\n")),
         ("reason of several words", status_line(b"HTTP/1.1 200 Bay 7 is\tfree\r\n")),
         ("reason that is no ASCII", status_line(b"HTTP/1.1 200 Bah\xeda\r\n")),
-        ("announced by status 100", after_interim(b"HTTP/1.1 100 Continue\r\n\r\n")),
+        ("announced by status 100", after_interim(INTERIM)),
         ("announced by status 103", after_interim(b"HTTP/1.1 103 Early Hints\r\nLink: </bay>\r\n\r\n")),
         ("line feeds alone", with_line_feeds()),
         ("one line that ends with a line feed", line(b"X-Bay: 7\n")),
--- a/crates/passrelay/tests/response_heads/router.rs
+++ b/crates/passrelay/tests/response_heads/router.rs
@@ -32,21 +32,23 @@
 }
 
 impl Route {
-    fn allows_another_attempt(self) -> bool {
-        matches!(self, Route::Safe | Route::Resumable)
+    fn attempts(self) -> usize {
+        match self {
+            Route::Unsafe | Route::Streaming => 1,
+            Route::Safe | Route::Resumable => 2,
+        }
     }
 
     fn configuration(self) -> serde_json::Value {
-        let (kind, attempts) = match self {
-            Route::Unsafe => ("unsafe", 1),
-            Route::Safe => ("safe", 2),
-            Route::Streaming => ("streaming", 1),
-            Route::Resumable => ("streaming", 2),
+        let kind = match self {
+            Route::Unsafe => "unsafe",
+            Route::Safe => "safe",
+            Route::Streaming | Route::Resumable => "streaming",
         };
         json!({ "generation": 3,
             "routes": [{ "name": "bay", "hostname": "lot.example", "path-prefix": "/bay/", "route-type": kind,
                 "timeout-ms": 1500, "target-latency-ms": 500, "priority": 1, "backend": "bays",
-                "max-attempts": attempts, "resumable": self == Route::Resumable }],
+                "max-attempts": self.attempts(), "resumable": self == Route::Resumable }],
             "services": [{ "name": "bays", "max-connections": 100 }],
             "limits": { "max-header-bytes": 8192, "max-body-bytes": 2000, "header-timeout-ms": 400,
                 "idle-timeout-ms": 5000 } })
@@ -126,10 +128,11 @@
     sound()[0].1.clone()
 }
 
-/// Two endpoints. The first request that any of them gets is answered with these bytes, all others soundly.
-fn endpoints(response: &[u8], connection: Connection) -> [Server; 2] {
+/// As many endpoints as the route allows attempts. The first request that any of them gets is answered with these bytes, all
+/// others soundly.
+fn endpoints(route: Route, response: &[u8], connection: Connection) -> Vec<Server> {
     let is_first = Arc::new(AtomicBool::new(true));
-    [(); 2].map(|()| {
+    let endpoint = || {
         let (is_first, response) = (is_first.clone(), response.to_vec());
         Server::start(move |request| match request.header("last-event-id") {
             // The stream ended with the event that it is to go on after.
@@ -137,7 +140,13 @@
             None if is_first.swap(false, Ordering::SeqCst) => connection.reply(&response),
             None => Reply::Bytes(sound_response()),
         })
-    })
+    };
+    (0..route.attempts()).map(|_| endpoint()).collect()
+}
+
+/// An endpoint that answers the first request with these bytes.
+fn endpoint(response: &[u8], connection: Connection) -> Server {
+    endpoints(Route::Unsafe, response, connection).remove(0)
 }
 
 /// Two endpoints. The first stream breaks off after its first event, and goes on with these bytes.
@@ -156,6 +165,13 @@
     })
 }
 
+/// Checks that the next request to the only endpoint is served, over another connection than the one before.
+fn check_next_request(router: &Router, name: &str, servers: &[&Server]) -> Result<(), String> {
+    expect(name, &router.ask(servers), &whole(200, BODY))?;
+    let connections: Vec<usize> = runs(servers).iter().map(|run| run.connection).collect();
+    expect(name, &connections, &vec![0, 1])
+}
+
 /// Checks what becomes of a response whose head is unsound.
 fn check_unsound_head(
     router: &Router,
@@ -164,12 +180,11 @@
     case: &Case,
 ) -> Result<(), String> {
     let (name, response) = case;
-    let servers = endpoints(response, connection);
-    let servers: Vec<&Server> =
-        servers.iter().take(if route.allows_another_attempt() { 2 } else { 1 }).collect();
+    let servers = endpoints(route, response, connection);
+    let servers: Vec<&Server> = servers.iter().collect();
     router.with_endpoints(&servers, || {
         let received = router.ask(&servers);
-        if route.allows_another_attempt() {
+        if route.attempts() > 1 {
             expect(name, &received, &whole(200, BODY))?;
             return expect(name, &runs(&servers).len(), &2);
         }
@@ -179,9 +194,7 @@
             &Ok(bad_gateway()),
         )?;
         expect(name, &runs(&servers).len(), &1)?;
-        expect(name, &router.ask(&servers), &whole(200, BODY))?;
-        let connections: Vec<usize> = runs(&servers).iter().map(|run| run.connection).collect();
-        expect(name, &connections, &vec![0, 1])
+        check_next_request(router, name, &servers)
     })
 }
 
@@ -220,9 +233,8 @@
     case: &Case,
 ) -> Result<(), String> {
     let (name, response) = case;
-    let servers = endpoints(response, connection);
-    let servers: Vec<&Server> =
-        servers.iter().take(if route.allows_another_attempt() { 2 } else { 1 }).collect();
+    let servers = endpoints(route, response, connection);
+    let servers: Vec<&Server> = servers.iter().collect();
     router.with_endpoints(&servers, || {
         let received = router.ask(&servers);
         if route == Route::Resumable {
@@ -237,12 +249,11 @@
         });
         expect(name, &is_seen, &true).map_err(|problem| format!("{problem} ({received:?})"))?;
         expect(name, &runs(&servers).len(), &1)?;
-        if !route.allows_another_attempt() {
-            expect(name, &router.ask(&servers), &whole(200, BODY))?;
-            let connections: Vec<usize> = runs(&servers).iter().map(|run| run.connection).collect();
-            expect(name, &connections, &vec![0, 1])?;
+        if route.attempts() > 1 {
+            Ok(())
+        } else {
+            check_next_request(router, name, &servers)
         }
-        Ok(())
     })
 }
 
@@ -271,7 +282,7 @@
 ) {
     let router = Router::start(route);
     let check = |(name, response): &Case| {
-        let [server, _] = endpoints(response, connection);
+        let server = endpoint(response, connection);
         router.with_endpoints(&[&server], || {
             expect(name, &router.ask(&[&server]), &whole(200, BODY))?;
             expect(name, &server.requests().len(), &1)
@@ -286,7 +297,7 @@
 ) {
     let router = Router::start(Route::Unsafe);
     let check = |((name, response), status, body): &(Case, u16, &str)| {
-        let [server, _] = endpoints(response, connection);
+        let server = endpoint(response, connection);
         router.with_endpoints(&[&server], || {
             expect(name, &router.ask(&[&server]), &whole(*status, body))?;
             expect(name, &server.requests().len(), &1)
@@ -329,7 +340,7 @@
     let cases = [sound(), sound_if_closed()].concat();
     let cases = cases.into_iter().filter(|(name, _)| declared.contains(name)).collect();
     let check = |(name, response): &Case| {
-        let [server, _] = endpoints(response, connection);
+        let server = endpoint(response, connection);
         router.with_endpoints(&[&server], || {
             expect(name, &router.ask_with("HEAD", &[&server]), &whole(200, ""))?;
             expect(name, &router.ask(&[&server]), &whole(200, BODY))
--- a/crates/sidecar/proxy/src/body_relay.rs
+++ b/crates/sidecar/proxy/src/body_relay.rs
@@ -8,8 +8,9 @@
 //! Once a relay has begun, the response is committed: if the node fails, the client's connection is closed
 //! early, which the client can tell from the length or the missing last chunk.
 
+use crate::body_reader::BodyReader;
 use crate::buffer_pool::Buffer;
-use crate::http::{BodyReader, MAX_RELAYED_BYTES};
+use crate::http::MAX_RELAYED_BYTES;
 use std::io::{self, IoSlice, Read, Write};
 
 /// Maximum number of bytes read from a node before other connections get their turn.
--- a/crates/sidecar/proxy/src/client_connection.rs
+++ b/crates/sidecar/proxy/src/client_connection.rs
@@ -1,8 +1,9 @@
 //! State machine of one client connection: reads one request at a time and writes its response. The event
 //! loop decides how requests are answered.
 
+use crate::body_reader::BodyReader;
 use crate::buffer_pool::{Buffer, BufferPool};
-use crate::http::{BodyReader, Head, MessageError};
+use crate::http::{Head, MessageError};
 use mio::net::TcpStream;
 use passrelay_load_balancing::RequestId;
 use std::io::{self, IoSlice, Read, Write};
--- a/crates/sidecar/proxy/src/discovery_client.rs
+++ b/crates/sidecar/proxy/src/discovery_client.rs
@@ -1,8 +1,9 @@
 //! Client of the discovery service: one long-polling call at a time over one connection. It parses node lists
 //! and their changes; the caller applies them.
 
+use crate::body_reader::BodyReader;
 use crate::buffer_pool::{Buffer, BufferPool};
-use crate::http::{BodyReader, Head};
+use crate::http::Head;
 use mio::net::TcpStream;
 use passrelay_sidecar_settings::NodeListUpdate;
 use std::io::{self, Read, Write};
--- a/crates/sidecar/proxy/src/lib.rs
+++ b/crates/sidecar/proxy/src/lib.rs
@@ -1,6 +1,7 @@
 //! The load-balancing sidecar as an HTTP/1.1 proxy: a single-threaded event loop over non-blocking sockets.
 
 mod admin;
+mod body_reader;
 mod body_relay;
 mod buffer_pool;
 mod client_connection;
--- a/crates/sidecar/proxy/src/pool.rs
+++ b/crates/sidecar/proxy/src/pool.rs
@@ -1,9 +1,10 @@
 //! Connections to nodes, and the pool of connections of each node. An upstream connection carries one attempt
 //! at a time.
 
+use crate::body_reader::BodyReader;
 use crate::body_relay::{BodyRelay, Flow};
 use crate::buffer_pool::{Buffer, BufferPool};
-use crate::http::{streamed_response_head, BodyReader, Head, ResponseFault};
+use crate::http::{streamed_response_head, Head, ResponseFault};
 use mio::net::TcpStream;
 use passrelay_load_balancing::{Ending, LoadReport, RequestId, UpstreamId};
 use passrelay_sidecar_settings::{is_plausible, parse_load_report};
