--- a/crates/http/response-head/src/error.rs
+++ b/crates/http/response-head/src/error.rs
@@ -1,10 +1,10 @@
-//! The reasons for which a head is unsound.
+//! The reasons for which a head is malformed.
 
 use thiserror::Error;
 
-/// Reason for which the head of a response is unsound.
+/// Reason for which the head of a response is malformed.
 #[derive(Clone, Copy, Debug, Error, PartialEq, Eq, PartialOrd, Ord)]
-pub enum UnsoundHead {
+pub enum MalformedHead {
     /// The first line is not that of an HTTP/1.0 or HTTP/1.1 response.
     #[error("the first line is no status line of HTTP/1.0 or HTTP/1.1")]
     StatusLine,
@@ -43,22 +43,22 @@
     TooLong,
 }
 
-impl UnsoundHead {
+impl MalformedHead {
     /// Returns the name under which responses with this fault are counted.
     pub fn label(self) -> &'static str {
         match self {
-            UnsoundHead::StatusLine => "status_line",
-            UnsoundHead::StatusCode(_) => "status_code",
-            UnsoundHead::ProtocolSwitch => "protocol_switch",
-            UnsoundHead::FieldLine => "field_line",
-            UnsoundHead::FieldName => "field_name",
-            UnsoundHead::FieldValue => "field_value",
-            UnsoundHead::StrayLineFeed => "stray_line_feed",
-            UnsoundHead::ContentLength => "content_length",
-            UnsoundHead::TransferEncoding => "transfer_encoding",
-            UnsoundHead::LengthAndCoding => "length_and_coding",
-            UnsoundHead::BodyNotAllowed(_) => "body_not_allowed",
-            UnsoundHead::TooLong => "too_long",
+            MalformedHead::StatusLine => "status_line",
+            MalformedHead::StatusCode(_) => "status_code",
+            MalformedHead::ProtocolSwitch => "protocol_switch",
+            MalformedHead::FieldLine => "field_line",
+            MalformedHead::FieldName => "field_name",
+            MalformedHead::FieldValue => "field_value",
+            MalformedHead::StrayLineFeed => "stray_line_feed",
+            MalformedHead::ContentLength => "content_length",
+            MalformedHead::TransferEncoding => "transfer_encoding",
+            MalformedHead::LengthAndCoding => "length_and_coding",
+            MalformedHead::BodyNotAllowed(_) => "body_not_allowed",
+            MalformedHead::TooLong => "too_long",
         }
     }
 }
--- a/crates/http/response-head/src/framing.rs
+++ b/crates/http/response-head/src/framing.rs
@@ -1,6 +1,6 @@
 //! How the end of a body is determined (RFC 9112, section 6).
 
-use crate::error::UnsoundHead;
+use crate::error::MalformedHead;
 use crate::field::Field;
 use crate::parser::RequestKind;
 use crate::status_line::StatusLine;
@@ -36,7 +36,7 @@
 
 impl DeclaredFraming {
     /// Notes what a field declares, if it declares anything.
-    pub fn note(&mut self, field: &Field) -> Result<(), UnsoundHead> {
+    pub fn note(&mut self, field: &Field) -> Result<(), MalformedHead> {
         if field.is("content-length") {
             self.note_length(field.value)
         } else if field.is("transfer-encoding") {
@@ -47,36 +47,40 @@
     }
 
     /// Notes a length, or a list of equal ones (RFC 9110, section 8.6).
-    fn note_length(&mut self, value: &[u8]) -> Result<(), UnsoundHead> {
+    fn note_length(&mut self, value: &[u8]) -> Result<(), MalformedHead> {
         for item in value.split(|byte| *byte == b',') {
-            let length = parse_length(item.trim_ascii()).ok_or(UnsoundHead::ContentLength)?;
+            let length = parse_length(item.trim_ascii()).ok_or(MalformedHead::ContentLength)?;
             if self.length.replace(length).is_some_and(|previous| previous != length) {
-                return Err(UnsoundHead::ContentLength);
+                return Err(MalformedHead::ContentLength);
             }
         }
         Ok(())
     }
 
     /// Notes a transfer coding. Requests don't ask for any, so that chunks alone are expected, and once.
-    fn note_coding(&mut self, value: &[u8]) -> Result<(), UnsoundHead> {
+    fn note_coding(&mut self, value: &[u8]) -> Result<(), MalformedHead> {
         let is_repeated = std::mem::replace(&mut self.is_chunked, true);
         if is_repeated || !value.eq_ignore_ascii_case(CHUNKED) {
-            return Err(UnsoundHead::TransferEncoding);
+            return Err(MalformedHead::TransferEncoding);
         }
         Ok(())
     }
 
     /// Returns the framing of a response with this status line.
-    pub fn resolve(self, status_line: StatusLine, request: RequestKind) -> Result<BodyFraming, UnsoundHead> {
+    pub fn resolve(
+        self,
+        status_line: StatusLine,
+        request: RequestKind,
+    ) -> Result<BodyFraming, MalformedHead> {
         if self.is_chunked && self.length.is_some() {
-            return Err(UnsoundHead::LengthAndCoding);
+            return Err(MalformedHead::LengthAndCoding);
         }
         if self.is_chunked && status_line.is_http_1_0 {
-            return Err(UnsoundHead::TransferEncoding);
+            return Err(MalformedHead::TransferEncoding);
         }
         let declares_body = self.is_chunked || self.length.is_some_and(|length| length > 0);
         match status_line.status {
-            status @ (100..=199 | NO_CONTENT) if declares_body => Err(UnsoundHead::BodyNotAllowed(status)),
+            status @ (100..=199 | NO_CONTENT) if declares_body => Err(MalformedHead::BodyNotAllowed(status)),
             100..=199 | NO_CONTENT | NOT_MODIFIED => Ok(BodyFraming::None),
             _ if request == RequestKind::Head => Ok(BodyFraming::None),
             _ if self.is_chunked => Ok(BodyFraming::Chunked),
--- a/crates/http/response-head/src/parser.rs
+++ b/crates/http/response-head/src/parser.rs
@@ -1,6 +1,6 @@
 //! Reads a head line by line, as its bytes arrive.
 
-use crate::error::UnsoundHead;
+use crate::error::MalformedHead;
 use crate::field::Field;
 use crate::framing::{BodyFraming, DeclaredFraming};
 use crate::status_line::StatusLine;
@@ -17,7 +17,7 @@
     Other,
 }
 
-/// A sound head.
+/// A well-formed head.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct ResponseHead {
     /// Length of the head in bytes, including the empty line.
@@ -81,14 +81,14 @@
     ///
     /// # Errors
     ///
-    /// Returns the reason for which the head is unsound, as soon as a line shows it.
-    pub fn read(&mut self, bytes: &[u8]) -> Result<Option<ResponseHead>, UnsoundHead> {
+    /// Returns the reason for which the head is malformed, as soon as a line shows it.
+    pub fn read(&mut self, bytes: &[u8]) -> Result<Option<ResponseHead>, MalformedHead> {
         while let Some(line_feed) = bytes[self.searched..].iter().position(|byte| *byte == b'\n') {
             let next_start = self.searched + line_feed + 1;
             let line = &bytes[self.line_start..next_start - 1];
             (self.line_start, self.searched) = (next_start, next_start);
             if next_start > self.max_bytes {
-                return Err(UnsoundHead::TooLong);
+                return Err(MalformedHead::TooLong);
             }
             let (line, end) = match line.strip_suffix(b"\r") {
                 Some(line) => (line, LineEnd::CrLf),
@@ -105,7 +105,7 @@
     }
 
     /// Reads a line. Returns the head if the line ends it.
-    fn read_line(&mut self, line: &[u8], end: LineEnd) -> Result<Option<ResponseHead>, UnsoundHead> {
+    fn read_line(&mut self, line: &[u8], end: LineEnd) -> Result<Option<ResponseHead>, MalformedHead> {
         let Some(status_line) = self.status_line else {
             self.status_line = Some(StatusLine::parse(line)?);
             return Ok(None);
@@ -115,7 +115,7 @@
         }
         self.field_count += 1;
         if self.field_count > MAX_FIELDS {
-            return Err(UnsoundHead::TooLong);
+            return Err(MalformedHead::TooLong);
         }
         self.framing.note(&Field::parse(line)?)?;
         Ok(None)
@@ -123,9 +123,9 @@
 
     /// Ends the head. A line feed by itself after a line with a carriage return is a damaged byte of the next field, not an
     /// empty line: what follows would be taken for the body.
-    fn finish(&self, status_line: StatusLine, end: LineEnd) -> Result<ResponseHead, UnsoundHead> {
+    fn finish(&self, status_line: StatusLine, end: LineEnd) -> Result<ResponseHead, MalformedHead> {
         if end == LineEnd::Lf && self.previous_end == LineEnd::CrLf {
-            return Err(UnsoundHead::StrayLineFeed);
+            return Err(MalformedHead::StrayLineFeed);
         }
         Ok(ResponseHead {
             length: self.line_start,
@@ -136,12 +136,12 @@
     }
 
     /// Checks what can be told of a head that goes on.
-    fn check_incomplete(&self, bytes: &[u8]) -> Result<(), UnsoundHead> {
+    fn check_incomplete(&self, bytes: &[u8]) -> Result<(), MalformedHead> {
         if self.status_line.is_none() && !StatusLine::may_begin_with(bytes) {
-            return Err(UnsoundHead::StatusLine);
+            return Err(MalformedHead::StatusLine);
         }
         if bytes.len() >= self.max_bytes {
-            return Err(UnsoundHead::TooLong);
+            return Err(MalformedHead::TooLong);
         }
         Ok(())
     }
--- a/crates/http/response-head/src/status_line.rs
+++ b/crates/http/response-head/src/status_line.rs
@@ -1,6 +1,6 @@
 //! The status line (RFC 9112, section 4).
 
-use crate::error::UnsoundHead;
+use crate::error::MalformedHead;
 
 /// Length of `HTTP/1.1 200`.
 const CODE_END: usize = 12;
@@ -22,20 +22,20 @@
 
 impl StatusLine {
     /// Reads a status line, without its line end. The reason may be missing, with the blank before it.
-    pub fn parse(line: &[u8]) -> Result<StatusLine, UnsoundHead> {
-        let (start, reason) = line.split_at_checked(CODE_END).ok_or(UnsoundHead::StatusLine)?;
+    pub fn parse(line: &[u8]) -> Result<StatusLine, MalformedHead> {
+        let (start, reason) = line.split_at_checked(CODE_END).ok_or(MalformedHead::StatusLine)?;
         let (version, code) = start.split_at(VERSIONS[0].len());
         if !VERSIONS.iter().any(|known| *known == version) || !is_reason(reason) {
-            return Err(UnsoundHead::StatusLine);
+            return Err(MalformedHead::StatusLine);
         }
         if !code.iter().all(u8::is_ascii_digit) {
-            return Err(UnsoundHead::StatusLine);
+            return Err(MalformedHead::StatusLine);
         }
         let status = code.iter().fold(0, |status, digit| status * 10 + u16::from(digit - b'0'));
         match status {
-            SWITCHING_PROTOCOLS => Err(UnsoundHead::ProtocolSwitch),
+            SWITCHING_PROTOCOLS => Err(MalformedHead::ProtocolSwitch),
             MIN_STATUS..=MAX_STATUS => Ok(StatusLine { is_http_1_0: version == VERSIONS[0], status }),
-            _ => Err(UnsoundHead::StatusCode(status)),
+            _ => Err(MalformedHead::StatusCode(status)),
         }
     }
 
--- a/crates/passrelay/src/cli.rs
+++ b/crates/passrelay/src/cli.rs
@@ -104,7 +104,7 @@
     }
     match error.downcast_ref() {
         // The order may have been taken.
-        Some(CallError::UnsoundResponse { .. }) => config::UNCLEAR,
+        Some(CallError::MalformedResponse { .. }) => config::UNCLEAR,
         _ => 1,
     }
 }
--- a/crates/passrelay/tests/response_heads/bytes.rs
+++ b/crates/passrelay/tests/response_heads/bytes.rs
@@ -1,4 +1,4 @@
-//! The bytes of responses, sound or damaged in one place.
+//! The bytes of responses, well-formed or damaged in one place.
 
 /// Body of each response: one event of a stream.
 pub const BODY: &str = "id: 1\ndata: b\n\n";
@@ -51,7 +51,7 @@
     [interim, &fields(LENGTH)].concat()
 }
 
-/// The sound response whose lines all end with a line feed alone.
+/// The well-formed response whose lines all end with a line feed alone.
 pub fn with_line_feeds() -> Vec<u8> {
     let text = String::from_utf8(fields(LENGTH)).unwrap();
     text.replace("\r\n", "\n").into_bytes()
@@ -70,12 +70,13 @@
 /// A response and what it is.
 pub type Case = (&'static str, Vec<u8>);
 
-/// Responses whose head is unsound: no byte of them may reach a client.
-pub fn unsound_heads() -> Vec<Case> {
-    [unsound_lengths(), unsound_codings(), unsound_statuses(), unsound_lines(), unsound_names()].concat()
+/// Responses whose head is malformed: no byte of them may reach a client.
+pub fn malformed_heads() -> Vec<Case> {
+    [malformed_lengths(), malformed_codings(), malformed_statuses(), malformed_lines(), malformed_names()]
+        .concat()
 }
 
-fn unsound_lengths() -> Vec<Case> {
+fn malformed_lengths() -> Vec<Case> {
     vec![
         ("length with a letter", fields(b"Content-Length: 1x5\r\n")),
         ("length after a plus", fields(b"Content-Length: +15\r\n")),
@@ -94,7 +95,7 @@
     ]
 }
 
-fn unsound_codings() -> Vec<Case> {
+fn malformed_codings() -> Vec<Case> {
     let http_1_0 = |lines| response(b"HTTP/1.0 200 OK\r\n", lines, CHUNKS.as_bytes());
     vec![
         ("misspelt coding", coded(b"Transfer-Encoding: chunke\r\n")),
@@ -125,7 +126,7 @@
     ]
 }
 
-fn unsound_statuses() -> Vec<Case> {
+fn malformed_statuses() -> Vec<Case> {
     let with_body = |line: &[u8]| status_line(line);
     vec![
         ("status 000", with_body(b"HTTP/1.1 000 OK\r\n")),
@@ -159,7 +160,7 @@
     ]
 }
 
-fn unsound_lines() -> Vec<Case> {
+fn malformed_lines() -> Vec<Case> {
     vec![
         ("line without a colon", line(b"no field at all\r\n")),
         ("length without a colon", fields(b"Content-Length 15\r\n")),
@@ -184,7 +185,7 @@
     ]
 }
 
-fn unsound_names() -> Vec<Case> {
+fn malformed_names() -> Vec<Case> {
     vec![
         ("blank in a name", line(b"X Bay: 7\r\n")),
         ("blank after a name", line(b"X-Bay : 7\r\n")),
@@ -205,8 +206,8 @@
     ]
 }
 
-/// Responses with a sound head whose chunks are not: they may not look complete.
-pub fn unsound_chunks() -> Vec<Case> {
+/// Responses with a well-formed head whose chunks are not: they may not look complete.
+pub fn malformed_chunks() -> Vec<Case> {
     vec![
         ("size that is no number", chunks(b"g\r\nid: 1\ndata: b\n\n\r\n0\r\n\r\n")),
         ("size after a plus", chunks(b"+f\r\nid: 1\ndata: b\n\n\r\n0\r\n\r\n")),
@@ -229,8 +230,8 @@
     ]
 }
 
-/// Sound responses with status 200 and [`BODY`], each like an unsound one.
-pub fn sound() -> Vec<Case> {
+/// Well-formed responses with status 200 and [`BODY`], each like a malformed one.
+pub fn well_formed() -> Vec<Case> {
     vec![
         ("length", fields(LENGTH)),
         ("length without a blank", fields(b"Content-Length:15\r\n")),
@@ -269,8 +270,8 @@
     ]
 }
 
-/// Sound responses with status 200 and [`BODY`] that end with their connection.
-pub fn sound_if_closed() -> Vec<Case> {
+/// Well-formed responses with status 200 and [`BODY`] that end with their connection.
+pub fn well_formed_if_closed() -> Vec<Case> {
     vec![
         ("neither length nor chunks", fields(b"")),
         ("neither, and said so", fields(b"Connection: close\r\n")),
@@ -278,8 +279,8 @@
     ]
 }
 
-/// Sound responses with another status, with the status and the body that the client gets.
-pub fn sound_with_other_status() -> Vec<(Case, u16, &'static str)> {
+/// Well-formed responses with another status, with the status and the body that the client gets.
+pub fn well_formed_with_other_status() -> Vec<(Case, u16, &'static str)> {
     let bodiless = |line: &[u8], lines: &[u8]| response(line, lines, b"");
     vec![
         (("status 204", bodiless(b"HTTP/1.1 204 No Content\r\n", b"")), 204, ""),
--- a/crates/passrelay/tests/response_heads/commands.rs
+++ b/crates/passrelay/tests/response_heads/commands.rs
@@ -1,6 +1,6 @@
-//! The operators' commands: what they make of unsound answers, and of the sound ones that resemble them.
+//! The operators' commands: what they make of malformed answers, and of the well-formed ones that resemble them.
 
-use super::bytes::{sound, sound_if_closed, unsound_chunks, unsound_heads, Case, BODY};
+use super::bytes::{malformed_chunks, malformed_heads, well_formed, well_formed_if_closed, Case, BODY};
 use super::{assert_all, expect, Connection, PROGRAM};
 use passrelay_test_support::Server;
 use rstest::rstest;
@@ -19,32 +19,32 @@
 }
 
 #[rstest]
-fn an_unsound_answer_is_no_clear_answer(
+fn a_malformed_answer_is_no_clear_answer(
     #[values(&["config", "get"], &["status"], &["rollout", "status", "bays"])] words: &[&str],
     #[values(Connection::Kept, Connection::Closed)] connection: Connection,
 ) {
     let check = |(name, response): &Case| {
         expect(name, &run(words, response, connection), &(Some(UNCLEAR), String::new()))
     };
-    assert_all(unsound_heads().iter().map(check).collect());
+    assert_all(malformed_heads().iter().map(check).collect());
 }
 
 #[rstest]
-fn an_answer_with_unsound_chunks_is_not_printed(
+fn an_answer_with_malformed_chunks_is_not_printed(
     #[values(Connection::Kept, Connection::Closed)] connection: Connection,
 ) {
     let check = |(name, response): &Case| {
         let (code, text) = run(&["config", "get"], response, connection);
         expect(name, &(code == Some(0), text), &(false, String::new()))
     };
-    assert_all(unsound_chunks().iter().map(check).collect());
+    assert_all(malformed_chunks().iter().map(check).collect());
 }
 
 #[rstest]
-fn a_sound_answer_is_printed(#[values(Connection::Kept, Connection::Closed)] connection: Connection) {
-    let closed = if connection == Connection::Closed { sound_if_closed() } else { Vec::new() };
+fn a_well_formed_answer_is_printed(#[values(Connection::Kept, Connection::Closed)] connection: Connection) {
+    let closed = if connection == Connection::Closed { well_formed_if_closed() } else { Vec::new() };
     let check = |(name, response): &Case| {
         expect(name, &run(&["config", "get"], response, connection), &(Some(0), format!("{BODY}\n")))
     };
-    assert_all([sound(), closed].concat().iter().map(check).collect());
+    assert_all([well_formed(), closed].concat().iter().map(check).collect());
 }
--- a/crates/passrelay/tests/response_heads/main.rs
+++ b/crates/passrelay/tests/response_heads/main.rs
@@ -1,4 +1,4 @@
-//! Responses of endpoints whose head or chunks are unsound, byte by byte, and beside each the sound ones that resemble it.
+//! Responses of endpoints whose head or chunks are malformed, byte by byte, and beside each the well-formed ones that resemble it.
 //!
 //! The fault (issue 88): a client got a complete response whose body was not the endpoint's, because the head was damaged where
 //! it tells the length of the body.
--- a/crates/passrelay/tests/response_heads/router.rs
+++ b/crates/passrelay/tests/response_heads/router.rs
@@ -1,7 +1,8 @@
-//! The router fleet: what its clients get of unsound responses, and of the sound ones that resemble them.
+//! The router fleet: what its clients get of malformed responses, and of the well-formed ones that resemble them.
 
 use super::bytes::{
-    sound, sound_if_closed, sound_with_other_status, unsound_chunks, unsound_heads, Case, BODY,
+    malformed_chunks, malformed_heads, well_formed, well_formed_if_closed, well_formed_with_other_status,
+    Case, BODY,
 };
 use super::client::{exchange, Received};
 use super::{assert_all, expect, Connection, PROGRAM};
@@ -123,13 +124,13 @@
     Received { status: BAD_GATEWAY, seal: None, body: String::new(), is_complete: true }
 }
 
-/// The response of a sound endpoint.
-fn sound_response() -> Vec<u8> {
-    sound()[0].1.clone()
+/// The response of a well-formed endpoint.
+fn well_formed_response() -> Vec<u8> {
+    well_formed()[0].1.clone()
 }
 
 /// As many endpoints as the route allows attempts. The first request that any of them gets is answered with these bytes, all
-/// others soundly.
+/// others with well-formed responses.
 fn endpoints(route: Route, response: &[u8], connection: Connection) -> Vec<Server> {
     let is_first = Arc::new(AtomicBool::new(true));
     let endpoint = || {
@@ -138,7 +139,7 @@
             // The stream ended with the event that it is to go on after.
             Some(_) => Reply::Bytes(super::bytes::chunks(b"0\r\n\r\n")),
             None if is_first.swap(false, Ordering::SeqCst) => connection.reply(&response),
-            None => Reply::Bytes(sound_response()),
+            None => Reply::Bytes(well_formed_response()),
         })
     };
     (0..route.attempts()).map(|_| endpoint()).collect()
@@ -172,8 +173,8 @@
     expect(name, &connections, &vec![0, 1])
 }
 
-/// Checks what becomes of a response whose head is unsound.
-fn check_unsound_head(
+/// Checks what becomes of a response whose head is malformed.
+fn check_malformed_head(
     router: &Router,
     route: Route,
     connection: Connection,
@@ -199,17 +200,17 @@
 }
 
 #[rstest]
-fn a_response_with_an_unsound_head_reaches_no_client(
+fn a_response_with_a_malformed_head_reaches_no_client(
     #[values(Route::Unsafe, Route::Safe, Route::Streaming, Route::Resumable)] route: Route,
     #[values(Connection::Kept, Connection::Closed)] connection: Connection,
 ) {
     let router = Router::start(route);
-    let cases = unsound_heads();
-    assert_all(cases.iter().map(|case| check_unsound_head(&router, route, connection, case)).collect());
+    let cases = malformed_heads();
+    assert_all(cases.iter().map(|case| check_malformed_head(&router, route, connection, case)).collect());
 }
 
 #[rstest]
-fn a_stream_does_not_go_on_with_a_response_whose_head_is_unsound(
+fn a_stream_does_not_go_on_with_a_response_whose_head_is_malformed(
     #[values(Connection::Kept, Connection::Closed)] connection: Connection,
 ) {
     let router = Router::start(Route::Resumable);
@@ -222,11 +223,11 @@
             expect(name, &runs(&servers).len(), &2)
         })
     };
-    assert_all(unsound_heads().iter().map(check).collect());
+    assert_all(malformed_heads().iter().map(check).collect());
 }
 
-/// Checks that unsound chunks do not look like a complete body.
-fn check_unsound_chunks(
+/// Checks that malformed chunks do not look like a complete body.
+fn check_malformed_chunks(
     router: &Router,
     route: Route,
     connection: Connection,
@@ -258,25 +259,25 @@
 }
 
 #[rstest]
-fn a_response_with_unsound_chunks_does_not_look_complete(
+fn a_response_with_malformed_chunks_does_not_look_complete(
     #[values(Route::Unsafe, Route::Safe, Route::Streaming, Route::Resumable)] route: Route,
     #[values(Connection::Kept, Connection::Closed)] connection: Connection,
 ) {
     let router = Router::start(route);
-    let cases = unsound_chunks();
-    assert_all(cases.iter().map(|case| check_unsound_chunks(&router, route, connection, case)).collect());
+    let cases = malformed_chunks();
+    assert_all(cases.iter().map(|case| check_malformed_chunks(&router, route, connection, case)).collect());
 }
 
-/// The sound responses after which an endpoint may treat its connection so.
-fn sound_with(connection: Connection) -> Vec<Case> {
+/// The well-formed responses after which an endpoint may treat its connection so.
+fn well_formed_with(connection: Connection) -> Vec<Case> {
     match connection {
-        Connection::Kept => sound(),
-        Connection::Closed => [sound(), sound_if_closed()].concat(),
+        Connection::Kept => well_formed(),
+        Connection::Closed => [well_formed(), well_formed_if_closed()].concat(),
     }
 }
 
 #[rstest]
-fn a_sound_response_arrives_as_it_is(
+fn a_well_formed_response_arrives_as_it_is(
     #[values(Route::Unsafe, Route::Safe, Route::Streaming, Route::Resumable)] route: Route,
     #[values(Connection::Kept, Connection::Closed)] connection: Connection,
 ) {
@@ -288,11 +289,11 @@
             expect(name, &server.requests().len(), &1)
         })
     };
-    assert_all(sound_with(connection).iter().map(check).collect());
+    assert_all(well_formed_with(connection).iter().map(check).collect());
 }
 
 #[rstest]
-fn a_sound_response_with_another_status_arrives_as_it_is(
+fn a_well_formed_response_with_another_status_arrives_as_it_is(
     #[values(Connection::Kept, Connection::Closed)] connection: Connection,
 ) {
     let router = Router::start(Route::Unsafe);
@@ -303,11 +304,11 @@
             expect(name, &server.requests().len(), &1)
         })
     };
-    assert_all(sound_with_other_status().iter().map(check).collect());
+    assert_all(well_formed_with_other_status().iter().map(check).collect());
 }
 
 #[rstest]
-fn a_stream_goes_on_with_a_sound_response(
+fn a_stream_goes_on_with_a_well_formed_response(
     #[values(Connection::Kept, Connection::Closed)] connection: Connection,
 ) {
     let router = Router::start(Route::Resumable);
@@ -319,10 +320,10 @@
             expect(name, &runs(&servers).len(), &2)
         })
     };
-    assert_all(sound_with(connection).iter().map(check).collect());
+    assert_all(well_formed_with(connection).iter().map(check).collect());
 }
 
-/// The heads of the sound responses with a length or chunks, which all have the same meaning without a body.
+/// The heads of the well-formed responses with a length or chunks, which all have the same meaning without a body.
 fn bodiless(cases: Vec<Case>) -> Vec<Case> {
     let head = |bytes: Vec<u8>| {
         let text_end = bytes.windows(4).rposition(|four| four == b"\r\n\r\n").unwrap();
@@ -337,7 +338,7 @@
 ) {
     let router = Router::start(Route::Unsafe);
     let declared = ["length", "the same length twice", "neither length nor chunks"];
-    let cases = [sound(), sound_if_closed()].concat();
+    let cases = [well_formed(), well_formed_if_closed()].concat();
     let cases = cases.into_iter().filter(|(name, _)| declared.contains(name)).collect();
     let check = |(name, response): &Case| {
         let server = endpoint(response, connection);
@@ -350,11 +351,11 @@
 }
 
 #[test]
-fn unsound_responses_are_counted_logged_and_charged_to_their_endpoint() {
+fn malformed_responses_are_counted_logged_and_charged_to_their_endpoint() {
     const REQUESTS: usize = 40;
-    let (_, unsound) = unsound_heads().into_iter().find(|(name, _)| *name == "misspelt coding").unwrap();
-    let bad = Server::start(move |_| Reply::Bytes(unsound.clone()));
-    let good = Server::start(|_| Reply::Bytes(sound_response()));
+    let (_, malformed) = malformed_heads().into_iter().find(|(name, _)| *name == "misspelt coding").unwrap();
+    let bad = Server::start(move |_| Reply::Bytes(malformed.clone()));
+    let good = Server::start(|_| Reply::Bytes(well_formed_response()));
     let router = Router::start(Route::Safe);
     router.with_endpoints(&[&bad, &good], || {
         for _ in 0..REQUESTS {
@@ -363,10 +364,10 @@
     });
     let count = bad.requests().len();
     assert!((1..=REQUESTS / 4).contains(&count), "{count} of {REQUESTS} requests went to the endpoint");
-    assert_eq!(router.sidecar.status()["unsound_responses"], json!({ "transfer_encoding": count }));
+    assert_eq!(router.sidecar.status()["malformed_responses"], json!({ "transfer_encoding": count }));
     wait_until("the responses are logged", || {
         let log = router.sidecar.log();
-        let lines = log.iter().filter(|line| line.contains("event=unsound_response"));
+        let lines = log.iter().filter(|line| line.contains("event=malformed_response"));
         lines.into_iter().any(|line| line.contains("endpoint=i-0") && line.contains("transfer coding"))
     });
 }
--- a/crates/passrelay/tests/response_heads/sidecar.rs
+++ b/crates/passrelay/tests/response_heads/sidecar.rs
@@ -1,6 +1,8 @@
-//! The sidecar in service (`run`): what its callers get of unsound responses, and of the sound ones that resemble them.
+//! The sidecar in service (`run`): what its callers get of malformed responses, and of the well-formed ones that resemble them.
 
-use super::bytes::{chunks, sound, sound_if_closed, unsound_chunks, unsound_heads, Case, BODY};
+use super::bytes::{
+    chunks, malformed_chunks, malformed_heads, well_formed, well_formed_if_closed, Case, BODY,
+};
 use super::client::{exchange, Received};
 use super::{assert_all, expect, Connection, PROGRAM};
 use passrelay_test_support::{config, node_entry, request, Discovery, Relay, Reply, Server};
@@ -21,15 +23,15 @@
     Ok(Received { status: 200, seal: None, body: body.to_owned(), is_complete: true })
 }
 
-/// Nodes of which one answers the first request with these bytes, and all others are answered soundly.
+/// Nodes of which one answers the first request with these bytes, and all others with well-formed responses.
 fn nodes(count: usize, response: &[u8], connection: Connection) -> Vec<Server> {
     let is_first = Arc::new(AtomicBool::new(true));
     let node = || {
         let (is_first, response) = (is_first.clone(), response.to_vec());
         Server::start(move |request| match request.start_line.contains("/status/load") {
-            true => Reply::Bytes(sound()[0].1.clone()),
+            true => Reply::Bytes(well_formed()[0].1.clone()),
             false if is_first.swap(false, Ordering::SeqCst) => connection.reply(&response),
-            false => Reply::Bytes(sound()[0].1.clone()),
+            false => Reply::Bytes(well_formed()[0].1.clone()),
         })
     };
     (0..count).map(|_| node()).collect()
@@ -68,8 +70,8 @@
     }
 }
 
-/// Checks what becomes of an unsound response.
-fn check_unsound((name, response): &Case, class: &str, connection: Connection) -> Result<(), String> {
+/// Checks what becomes of a malformed response.
+fn check_malformed((name, response): &Case, class: &str, connection: Connection) -> Result<(), String> {
     let is_repeated = class == SAFE;
     let service = Service::start(if is_repeated { 2 } else { 1 }, response, connection);
     let received = service.ask(class);
@@ -89,26 +91,26 @@
 }
 
 #[rstest]
-fn an_unsound_response_reaches_no_caller(
+fn a_malformed_response_reaches_no_caller(
     #[values(UNSAFE, SAFE)] class: &str,
     #[values(Connection::Kept, Connection::Closed)] connection: Connection,
 ) {
-    let cases = [unsound_heads(), unsound_chunks()].concat();
-    assert_all(cases.iter().map(|case| check_unsound(case, class, connection)).collect());
+    let cases = [malformed_heads(), malformed_chunks()].concat();
+    assert_all(cases.iter().map(|case| check_malformed(case, class, connection)).collect());
 }
 
 #[rstest]
-fn a_sound_response_arrives_as_it_is(
+fn a_well_formed_response_arrives_as_it_is(
     #[values(UNSAFE, SAFE)] class: &str,
     #[values(Connection::Kept, Connection::Closed)] connection: Connection,
 ) {
-    let closed = if connection == Connection::Closed { sound_if_closed() } else { Vec::new() };
+    let closed = if connection == Connection::Closed { well_formed_if_closed() } else { Vec::new() };
     let check = |(name, response): &Case| {
         let service = Service::start(1, response, connection);
         expect(name, &service.ask(class), &whole(BODY))?;
         expect(name, &service.connections().concat().len(), &1)
     };
-    assert_all([sound(), closed].concat().iter().map(check).collect());
+    assert_all([well_formed(), closed].concat().iter().map(check).collect());
 }
 
 /// A chunk of a body that is streamed, and this line after it.
@@ -118,7 +120,7 @@
 }
 
 #[rstest]
-fn a_body_that_is_streamed_does_not_look_complete_after_unsound_chunks(
+fn a_body_that_is_streamed_does_not_look_complete_after_malformed_chunks(
     #[values("\r\n\r\n", ";e=1\r\n\r\n", "0\r\nno field\r\n\r\n", "g\r\n\r\n")] line: &str,
     #[values(Connection::Kept, Connection::Closed)] connection: Connection,
 ) {
@@ -137,8 +139,8 @@
     assert_eq!(service.ask(SAFE), whole(&"b".repeat(LONG_BODY_BYTES)));
 }
 
-/// Answers of discovery with this body that are unsound, by their status line and fields.
-fn unsound_lists(list: &str) -> Vec<Vec<u8>> {
+/// Answers of discovery with this body that are malformed, by their status line and fields.
+fn malformed_lists(list: &str) -> Vec<Vec<u8>> {
     let length = list.len();
     let heads = [
         format!("HTTP/1.1 000 OK\r\nContent-Length: {length}\r\n"),
@@ -151,11 +153,11 @@
 }
 
 #[test]
-fn an_unsound_answer_of_discovery_is_no_list() {
-    let node = Server::start(|_| Reply::Bytes(sound()[0].1.clone()));
+fn a_malformed_answer_of_discovery_is_no_list() {
+    let node = Server::start(|_| Reply::Bytes(well_formed()[0].1.clone()));
     let entry = node_entry("s-0", node.address, "in_service");
     let list = json!({"seq": 1, "whole": true, "hosts": [entry]}).to_string();
-    for bytes in unsound_lists(&list) {
+    for bytes in malformed_lists(&list) {
         let text = String::from_utf8_lossy(&bytes).into_owned();
         let discovery = Server::start(move |_| Reply::BytesThenClose(bytes.clone()));
         let relay = Relay::start(PROGRAM, &config(discovery.address));
--- a/crates/router/node/src/client_listener.rs
+++ b/crates/router/node/src/client_listener.rs
@@ -46,7 +46,7 @@
 }
 
 /// Closes timed-out client connections and idle connections to endpoints, and logs what was refused and which responses were
-/// unsound.
+/// malformed.
 fn sweep(context: &RequestContext) {
     let snapshot = context.data_plane.configuration.snapshot();
     let timeouts = snapshot.map_or(DEFAULT_TIMEOUTS, |snapshot| {
@@ -62,7 +62,7 @@
     context.resources.clients.sweep(now, timeouts);
     context.resources.upstream.sweep(now);
     context.resources.log_refusals();
-    context.data_plane.unsound_responses.log_new();
+    context.data_plane.malformed_responses.log_new();
 }
 
 async fn serve_connection(context: Rc<RequestContext>, stream: TcpStream, opened: OpenedConnection) {
--- a/crates/router/node/src/control_client.rs
+++ b/crates/router/node/src/control_client.rs
@@ -1,11 +1,11 @@
 //! HTTP client for the control port of a sidecar, used by the operators' command line.
 
-use crate::response_gate::ResponseGate;
+use crate::response_validator::ResponseValidator;
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full};
 use hyper::client::conn::http1::handshake;
 use hyper::{Method, Request};
-use passrelay_response_head::{RequestKind, UnsoundHead};
+use passrelay_response_head::{MalformedHead, RequestKind};
 use smol::net::TcpStream;
 use smol::{LocalExecutor, Timer};
 use smol_hyper::rt::FuturesIo;
@@ -27,13 +27,13 @@
         /// The operating system's error.
         source: std::io::Error,
     },
-    /// The head of the response is unsound. The call may have been carried out.
-    #[error("{address}: the response is unsound: {source}")]
-    UnsoundResponse {
+    /// The head of the response is malformed. The call may have been carried out.
+    #[error("{address}: the response is malformed: {source}")]
+    MalformedResponse {
         /// Address of the sidecar's control port.
         address: SocketAddr,
         /// What is wrong with the head.
-        source: UnsoundHead,
+        source: MalformedHead,
     },
     /// The request or the response is not valid HTTP, or the connection broke during the call.
     #[error("{address}: {source}")]
@@ -89,9 +89,9 @@
     let connection_error = |source| CallError::Connection { address, source };
     let protocol_error = |error: hyper::Error| CallError::Protocol { address, source: error.into() };
     let stream = TcpStream::connect(address).await.map_err(connection_error)?;
-    let gate = ResponseGate::default();
+    let validator = ResponseValidator::default();
     let (mut sender, connection) =
-        handshake(FuturesIo::new(gate.guard(stream))).await.map_err(protocol_error)?;
+        handshake(FuturesIo::new(validator.validate(stream))).await.map_err(protocol_error)?;
     executor
         .spawn(async move {
             let _ = connection.await;
@@ -105,9 +105,9 @@
     let request = request
         .body(Full::new(Bytes::from(call.body)))
         .map_err(|error| CallError::Protocol { address, source: error.into() })?;
-    gate.expect_response(RequestKind::Other);
-    let response = sender.send_request(request).await.map_err(|error| match gate.fault() {
-        Some(source) => CallError::UnsoundResponse { address, source },
+    validator.expect_response(RequestKind::Other);
+    let response = sender.send_request(request).await.map_err(|error| match validator.fault() {
+        Some(source) => CallError::MalformedResponse { address, source },
         None => protocol_error(error),
     })?;
     let status = response.status().as_u16();
--- a/crates/router/node/src/coordinator_driver.rs
+++ b/crates/router/node/src/coordinator_driver.rs
@@ -217,7 +217,7 @@
         status["unproven_denials"] = data_plane.denials.unproven.get().into();
         status["repeats"] = data_plane.repeats.sent.get().into();
         status["interrupted_responses"] = serde_json::json!(data_plane.interrupted_responses);
-        status["unsound_responses"] = serde_json::json!(data_plane.unsound_responses.counts());
+        status["malformed_responses"] = serde_json::json!(data_plane.malformed_responses.counts());
         status["withheld_repeats"] = data_plane.repeats.withheld.get().into();
         status.to_string()
     }
--- a/crates/router/node/src/data_plane.rs
+++ b/crates/router/node/src/data_plane.rs
@@ -7,9 +7,9 @@
 use crate::denials::Denials;
 use crate::interrupted_responses::InterruptedResponses;
 use crate::logging::{log_event, Quoted};
+use crate::malformed_responses::MalformedResponses;
 use crate::quota_client::QuotaClient;
 use crate::repeats::Repeats;
-use crate::unsound_responses::UnsoundResponses;
 use passrelay_configuration::{parse_document, Configuration, ServiceVersions};
 use passrelay_control_plane::quota::TenantKey;
 use passrelay_data_plane::balancer::Balancer;
@@ -41,8 +41,8 @@
     pub repeats: Repeats,
     /// Number of responses interrupted since the start of the process.
     pub interrupted_responses: InterruptedResponses,
-    /// Number of responses with an unsound head since the start of the process.
-    pub unsound_responses: UnsoundResponses,
+    /// Number of responses with a malformed head since the start of the process.
+    pub malformed_responses: MalformedResponses,
 }
 
 impl DataPlane {
@@ -58,7 +58,7 @@
             denials: Denials::default(),
             repeats: Repeats::default(),
             interrupted_responses: InterruptedResponses::default(),
-            unsound_responses: UnsoundResponses::default(),
+            malformed_responses: MalformedResponses::default(),
         }
     }
 
--- a/crates/router/node/src/lib.rs
+++ b/crates/router/node/src/lib.rs
@@ -7,8 +7,8 @@
 //! |---|---|
 //! | `clock`, `logging`, `tasks`, `settings`, `memory`, `responses` | utilities used by all other modules |
 //! | `stored_body`, `inbound_connections` | what clients and peers make the process hold |
-//! | `transport`, `storage`, `listener`, `http_connection`, `response_gate`, `upstream`, `resources` | sockets and disk |
-//! | `configuration_snapshot`, `quota_client`, `load_reporter`, `interrupted_responses`, `unsound_responses`, `data_plane` | state used to route requests |
+//! | `transport`, `storage`, `listener`, `http_connection`, `response_validator`, `upstream`, `resources` | sockets and disk |
+//! | `configuration_snapshot`, `quota_client`, `load_reporter`, `interrupted_responses`, `malformed_responses`, `data_plane` | state used to route requests |
 //! | `freshness`, `graceful_shutdown`, `readiness` | decide whether requests may be forwarded |
 //! | `operator_calls`, `endpoint_announcements`, `endpoint_persistence` | calls, announcements and writes pending at the coordinator |
 //! | `coordinator_driver`, `endpoint_registration` | pass events to the coordinator and apply its actions |
@@ -39,6 +39,7 @@
 mod listener;
 mod load_reporter;
 mod logging;
+mod malformed_responses;
 mod memory;
 mod operator_calls;
 mod peer_persistence;
@@ -49,7 +50,7 @@
 mod request;
 mod request_context;
 mod resources;
-mod response_gate;
+mod response_validator;
 mod responses;
 mod settings;
 mod signals;
@@ -57,7 +58,6 @@
 mod stored_body;
 mod tasks;
 mod transport;
-mod unsound_responses;
 mod upstream;
 
 pub use process::{run, NodeError};
--- a/crates/router/node/src/unsound_responses.rs
+++ b/crates/router/node/src/malformed_responses.rs
@@ -1,13 +1,13 @@
-//! Counts the responses of endpoints that were not used because their head is unsound, by the reason.
+//! Counts the responses of endpoints that were not used because their head is malformed, by the reason.
 
 use crate::logging::{log_event, Quoted};
-use passrelay_response_head::UnsoundHead;
+use passrelay_response_head::MalformedHead;
 use std::cell::RefCell;
 use std::collections::BTreeMap;
 
-/// Unsound responses since the start of the process.
+/// Malformed responses since the start of the process.
 #[derive(Debug, Default)]
-pub struct UnsoundResponses {
+pub struct MalformedResponses {
     counts: RefCell<BTreeMap<&'static str, u64>>,
     /// Those that have not been logged.
     unlogged: RefCell<Option<Unlogged>>,
@@ -20,12 +20,12 @@
     /// The endpoint of the last one.
     endpoint: String,
     /// The fault of the last one.
-    fault: UnsoundHead,
+    fault: MalformedHead,
 }
 
-impl UnsoundResponses {
+impl MalformedResponses {
     /// Counts a response of this endpoint.
-    pub fn record(&self, endpoint: &str, fault: UnsoundHead) {
+    pub fn record(&self, endpoint: &str, fault: MalformedHead) {
         *self.counts.borrow_mut().entry(fault.label()).or_default() += 1;
         let mut unlogged = self.unlogged.borrow_mut();
         let responses = unlogged.as_ref().map_or(0, |unlogged| unlogged.responses) + 1;
@@ -42,7 +42,7 @@
         if let Some(Unlogged { responses, endpoint, fault }) = self.unlogged.take() {
             log_event!(
                 warn,
-                "unsound_response",
+                "malformed_response",
                 responses = responses,
                 endpoint = endpoint,
                 problem = Quoted(fault),
--- a/crates/router/node/src/request/attempts.rs
+++ b/crates/router/node/src/request/attempts.rs
@@ -319,8 +319,8 @@
                 call.end(RequestOutcome::Failed);
                 AttemptOutcome::Unknown
             }
-            Some(Err(SendError::UnsoundHead(fault))) => {
-                self.context.data_plane.unsound_responses.record(call.endpoint(), fault);
+            Some(Err(SendError::MalformedHead(fault))) => {
+                self.context.data_plane.malformed_responses.record(call.endpoint(), fault);
                 call.end(RequestOutcome::Failed);
                 AttemptOutcome::Unknown
             }
--- a/crates/router/node/src/request/headers.rs
+++ b/crates/router/node/src/request/headers.rs
@@ -59,7 +59,7 @@
 }
 
 /// Replaces a length that is declared several times by a single one, as whoever relays a response has to (RFC 9110, section 8.6).
-/// The values are equal, which the gate of the connection has checked.
+/// The values are equal, which the validator of the connection has checked.
 pub fn unify_content_length(headers: &mut HeaderMap) {
     let length = headers.get(CONTENT_LENGTH).and_then(|value| value.to_str().ok());
     let first = length.and_then(|list| list.split(',').next());
--- a/crates/router/node/src/upstream.rs
+++ b/crates/router/node/src/upstream.rs
@@ -2,13 +2,13 @@
 
 use crate::listener::limit_receive_buffer;
 use crate::logging::{log_event, Quoted};
-use crate::response_gate::{ResponseGate, MAX_RESPONSE_HEAD_BYTES};
+use crate::response_validator::{ResponseValidator, MAX_RESPONSE_HEAD_BYTES};
 use crate::stored_body::OutboundBody;
 use crate::tasks::Spawner;
 use hyper::body::Incoming;
 use hyper::client::conn::http1::{Builder, SendRequest};
 use hyper::{Method, Request, Response};
-use passrelay_response_head::{RequestKind, UnsoundHead};
+use passrelay_response_head::{MalformedHead, RequestKind};
 use serde_json::{json, Value};
 use smol::net::TcpStream;
 use smol::Timer;
@@ -49,15 +49,15 @@
     /// The request was written at least partly, so it may have been executed.
     #[error("the connection broke after the request was sent")]
     ConnectionBroken,
-    /// The head of the response is unsound. The request was written, so it may have been executed.
-    #[error("the response is unsound: {0}")]
-    UnsoundHead(#[from] UnsoundHead),
+    /// The head of the response is malformed. The request was written, so it may have been executed.
+    #[error("the response is malformed: {0}")]
+    MalformedHead(#[from] MalformedHead),
 }
 
 /// A connection that can carry one request at a time.
 pub struct Connection {
     sender: SendRequest<OutboundBody>,
-    gate: ResponseGate,
+    validator: ResponseValidator,
     address: SocketAddrV4,
     idle_timeout: Duration,
     /// Whether the connection has carried a request before.
@@ -72,17 +72,17 @@
     /// Returns a [`SendError`], which tells whether the request may have been executed.
     pub async fn send(&mut self, request: UpstreamRequest) -> Result<Response<Incoming>, SendError> {
         let is_head = request.method() == Method::HEAD;
-        self.gate.expect_response(if is_head { RequestKind::Head } else { RequestKind::Other });
+        self.validator.expect_response(if is_head { RequestKind::Head } else { RequestKind::Other });
         match self.sender.try_send_request(request).await {
             // The library has read bytes that came before the request and belong to no response.
-            Ok(_) if !self.gate.has_passed_head() => Err(SendError::ConnectionBroken),
+            Ok(_) if !self.validator.has_passed_head() => Err(SendError::ConnectionBroken),
             Ok(response) => {
                 self.apply_keep_alive(&response);
                 Ok(response)
             }
             Err(mut error) => Err(match error.take_message() {
                 Some(_) => SendError::NotSent,
-                None => self.gate.fault().map_or(SendError::ConnectionBroken, SendError::UnsoundHead),
+                None => self.validator.fault().map_or(SendError::ConnectionBroken, SendError::MalformedHead),
             }),
         }
     }
@@ -201,10 +201,10 @@
             Err(std::io::ErrorKind::TimedOut.into())
         };
         let stream: std::io::Result<TcpStream> = smol::future::or(connect, timeout).await;
-        let gate = ResponseGate::default();
+        let validator = ResponseValidator::default();
         let (sender, connection) = Builder::new()
             .max_buf_size(MAX_BUFFER_BYTES)
-            .handshake(FuturesIo::new(gate.guard(stream?)))
+            .handshake(FuturesIo::new(validator.validate(stream?)))
             .await
             .map_err(std::io::Error::other)?;
         let counted = OpenConnection::count(&self.open);
@@ -214,7 +214,7 @@
                 log_event!(debug, "upstream_broke", address = address, problem = Quoted(&error));
             }
         });
-        Ok(Connection { sender, gate, address, idle_timeout: DEFAULT_IDLE_TIMEOUT, is_reused: false })
+        Ok(Connection { sender, validator, address, idle_timeout: DEFAULT_IDLE_TIMEOUT, is_reused: false })
     }
 }
 
--- a/crates/sidecar/proxy/src/http.rs
+++ b/crates/sidecar/proxy/src/http.rs
@@ -1,8 +1,8 @@
 //! HTTP/1.1 messages: parsing and serializing of heads. Heads of requests are parsed by `httparse`, those of responses by
-//! `passrelay_response_head`, which decides whether they are sound.
+//! `passrelay_response_head`, which decides whether they are parsed.
 
 use crate::buffer_pool::{MAX_BODY_BYTES, MAX_HEAD_BYTES};
-use passrelay_response_head::{fields, BodyFraming, HeadParser, RequestKind, UnsoundHead};
+use passrelay_response_head::{fields, BodyFraming, HeadParser, MalformedHead, RequestKind};
 use std::fmt::Display;
 use std::io::Write;
 use thiserror::Error;
@@ -19,9 +19,9 @@
 /// Reason for which a response of a node or of discovery cannot be used.
 #[derive(Clone, Copy, Debug, Error, PartialEq, Eq)]
 pub enum ResponseFault {
-    /// The head is unsound.
+    /// The head is malformed.
     #[error(transparent)]
-    Head(#[from] UnsoundHead),
+    Head(#[from] MalformedHead),
     /// The chunks of the body are invalid.
     #[error("the chunks of the body are invalid")]
     Chunks,
@@ -135,9 +135,9 @@
     ///
     /// Returns the reason for which the response cannot be used.
     pub fn parse_response(bytes: &[u8]) -> Result<Option<Head>, ResponseFault> {
-        let sound = HeadParser::new(RequestKind::Other, MAX_HEAD_BYTES).read(bytes)?;
-        let Some(sound) = sound else { return Ok(None) };
-        let framing = match sound.framing {
+        let parsed = HeadParser::new(RequestKind::Other, MAX_HEAD_BYTES).read(bytes)?;
+        let Some(parsed) = parsed else { return Ok(None) };
+        let framing = match parsed.framing {
             BodyFraming::None => Framing::Length(0),
             // A body longer than a buffer is accepted here: a served response is streamed to the client.
             BodyFraming::Length(n) if n > MAX_RELAYED_BYTES as u64 => return Err(ResponseFault::TooLong),
@@ -145,12 +145,12 @@
             BodyFraming::Chunked => Framing::Chunked,
             BodyFraming::Connection => Framing::UntilClose,
         };
-        // A value that is not UTF-8 is sound, but none of those that are used here can be so.
-        let headers = fields(&bytes[..sound.length]).filter_map(|(name, value)| {
+        // A value that is not UTF-8 is parsed, but none of those that are used here can be so.
+        let headers = fields(&bytes[..parsed.length]).filter_map(|(name, value)| {
             Some((name.to_ascii_lowercase(), std::str::from_utf8(value).ok()?.to_owned()))
         });
-        let mut head = Head::new(sound.length, !sound.is_http_1_0, headers.collect());
-        head.status = sound.status;
+        let mut head = Head::new(parsed.length, !parsed.is_http_1_0, headers.collect());
+        head.status = parsed.status;
         head.framing = framing;
         head.close |= framing == Framing::UntilClose;
         Ok(Some(head))
--- a/crates/testing/load-simulator/src/sockets/wire/tests.rs
+++ b/crates/testing/load-simulator/src/sockets/wire/tests.rs
@@ -12,7 +12,7 @@
 }
 
 #[test]
-fn a_sound_response_is_taken_with_its_fields_and_its_body() {
+fn a_well_formed_response_is_taken_with_its_fields_and_its_body() {
     let bytes = b"HTTP/1.1 503 Full\r\nContent-Length: 3\r\nRetry-After: 0.5\r\nConnection: Close\r\n\r\nbay";
     let message = take(bytes).unwrap().unwrap();
     assert_eq!((message.status, &message.body[..], message.close), (503, &b"bay"[..], true));
@@ -21,7 +21,7 @@
 }
 
 #[test]
-fn an_unsound_response_or_one_without_a_length_is_unreadable() {
+fn a_malformed_response_or_one_without_a_length_is_unreadable() {
     let heads = [
         "HTTP/1.1 000 OK\r\nContent-Length: 0",
         "HTTP/1.1 600 OK\r\nContent-Length: 0",
