Read responses in chunks to their end in the soak's clients

Cause: the test's client read the head of a response in chunks and closed its connection. Where it was quicker than the end of the endpoint's connection, which follows the head within microseconds, the router saw an abandoned response, which rightly says nothing about the endpoint: 4 to 6 interrupted responses a process for some hundred that the endpoints had truncated, and a version judged good by 112 requests.

Change: the client reads the body to its end, as clients do.

--- a/crates/passrelay/tests/soak/clients.rs
+++ b/crates/passrelay/tests/soak/clients.rs
@@ -75,6 +75,11 @@
              X-Passrelay-Deadline-Ms: {DEADLINE_MS}\r\nAuthorization: Bearer {key}\r\nContent-Length: 0\r\n\r\n"
         );
         let answer = connection.exchange(&request);
+        let is_in_chunks = |answer: &Message| answer.header("transfer-encoding").is_some();
+        // A client that left at the head would have abandoned the response, which says nothing about its endpoint.
+        if answer.as_ref().is_some_and(is_in_chunks) {
+            connection.read_chunks();
+        }
         let ran_by = answer.as_ref().and_then(|answer| answer.header("x-ran-by")).unwrap_or_default();
         let service = ran_by.split_once(' ').map(|(service, _)| service.to_owned());
         let exchange = Exchange {
@@ -86,10 +91,8 @@
             service,
         };
         self.records.exchanges.lock().unwrap().push(exchange);
-        // The body of a response in chunks is not read.
-        let can_reuse = |answer: Message| {
-            answer.header("connection") != Some("close") && answer.header("transfer-encoding").is_none()
-        };
+        let can_reuse =
+            |answer: Message| answer.header("connection") != Some("close") && !is_in_chunks(&answer);
         answer.is_some_and(can_reuse)
     }
 }
--- a/crates/passrelay/tests/soak/http.rs
+++ b/crates/passrelay/tests/soak/http.rs
@@ -1,13 +1,14 @@
 //! A blocking HTTP client: connections that are kept for many requests, and single calls.
 
 use passrelay_test_support::Message;
-use std::io::{BufReader, Write};
+use std::io::{copy, sink, BufRead, BufReader, Read, Write};
 use std::net::{SocketAddr, TcpStream};
 use std::time::Duration;
 
 /// Operators and endpoints move on to another process after this time without an answer.
 const CALL_TIMEOUT: Duration = Duration::from_millis(1_500);
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(1_000);
+const LINE_END: &str = "\r\n";
 
 /// A connection that carries one request after the other.
 pub struct Connection {
@@ -36,6 +37,19 @@
         let _ = self.stream.write_all(request.as_bytes());
     }
 
+    /// Reads a body in chunks to its last chunk, or as far as the connection brings it.
+    pub fn read_chunks(&mut self) {
+        let mut line = String::new();
+        while self.reader.read_line(&mut line).is_ok() {
+            let Ok(size @ 1..) = u64::from_str_radix(line.trim_end(), 16) else { return };
+            let length = size + LINE_END.len() as u64;
+            if copy(&mut self.reader.by_ref().take(length), &mut sink()).ok() != Some(length) {
+                return;
+            }
+            line.clear();
+        }
+    }
+
     /// Reads the next answer.
     pub fn receive(&mut self) -> Option<Message> {
         Message::read(&mut self.reader)
