--- a/crates/passrelay/tests/response_heads/bytes.rs
+++ b/crates/passrelay/tests/response_heads/bytes.rs
@@ -1,5 +1,7 @@
 //! The bytes of responses, well-formed or damaged in one place.
 
+use super::Connection;
+
 /// Body of each response: one event of a stream.
 pub const BODY: &str = "id: 1\ndata: b\n\n";
 /// A head that announces a response.
@@ -230,6 +232,19 @@
     ]
 }
 
+/// One of the well-formed responses.
+pub fn well_formed_response() -> Vec<u8> {
+    fields(LENGTH)
+}
+
+/// The well-formed responses with status 200 and [`BODY`] after which an endpoint may treat its connection so.
+pub fn well_formed_with(connection: Connection) -> Vec<Case> {
+    match connection {
+        Connection::Kept => well_formed(),
+        Connection::Closed => [well_formed(), well_formed_if_closed()].concat(),
+    }
+}
+
 /// Well-formed responses with status 200 and [`BODY`], each like a malformed one.
 pub fn well_formed() -> Vec<Case> {
     vec![
@@ -271,7 +286,7 @@
 }
 
 /// Well-formed responses with status 200 and [`BODY`] that end with their connection.
-pub fn well_formed_if_closed() -> Vec<Case> {
+fn well_formed_if_closed() -> Vec<Case> {
     vec![
         ("neither length nor chunks", fields(b"")),
         ("neither, and said so", fields(b"Connection: close\r\n")),
--- a/crates/passrelay/tests/response_heads/commands.rs
+++ b/crates/passrelay/tests/response_heads/commands.rs
@@ -1,6 +1,6 @@
 //! The operators' commands: what they make of malformed answers, and of the well-formed ones that resemble them.
 
-use super::bytes::{malformed_chunks, malformed_heads, well_formed, well_formed_if_closed, Case, BODY};
+use super::bytes::{malformed_chunks, malformed_heads, well_formed_with, Case, BODY};
 use super::{assert_all, expect, Connection, PROGRAM};
 use passrelay_test_support::Server;
 use rstest::rstest;
@@ -42,9 +42,8 @@
 
 #[rstest]
 fn a_well_formed_answer_is_printed(#[values(Connection::Kept, Connection::Closed)] connection: Connection) {
-    let closed = if connection == Connection::Closed { well_formed_if_closed() } else { Vec::new() };
     let check = |(name, response): &Case| {
         expect(name, &run(&["config", "get"], response, connection), &(Some(0), format!("{BODY}\n")))
     };
-    assert_all([well_formed(), closed].concat().iter().map(check).collect());
+    assert_all(well_formed_with(connection).iter().map(check).collect());
 }
--- a/crates/passrelay/tests/response_heads/router.rs
+++ b/crates/passrelay/tests/response_heads/router.rs
@@ -1,7 +1,7 @@
 //! The router fleet: what its clients get of malformed responses, and of the well-formed ones that resemble them.
 
 use super::bytes::{
-    malformed_chunks, malformed_heads, well_formed, well_formed_if_closed, well_formed_with_other_status,
+    malformed_chunks, malformed_heads, well_formed_response, well_formed_with, well_formed_with_other_status,
     Case, BODY,
 };
 use super::client::{exchange, Received};
@@ -10,18 +10,14 @@
 use passrelay_test_support::{wait_until, Message, Reply, Server};
 use rstest::rstest;
 use serde_json::json;
-use std::cell::Cell;
+use std::cell::{Cell, RefCell};
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::sync::Arc;
-use std::thread;
-use std::time::Duration;
 
 /// Bad gateway: the endpoint may have executed the request.
 const BAD_GATEWAY: u16 = 502;
 /// The event before that of [`BODY`].
 const FIRST_EVENT: &str = "id: 0\ndata: a\n\n";
-/// Time after which the fleet is asked again whether it has an endpoint.
-const RETRY_DELAY: Duration = Duration::from_millis(10);
 
 /// A kind of route, with the number of attempts that it allows.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -74,7 +70,7 @@
     }
 
     /// Runs `check` with these endpoints in service, and no others.
-    fn with_endpoints<T>(&self, endpoints: &[&Server], check: impl FnOnce() -> T) -> T {
+    fn with_endpoints<T>(&self, endpoints: &[Server], check: impl FnOnce() -> T) -> T {
         let first = self.endpoints.get();
         self.endpoints.set(first + endpoints.len());
         for (index, endpoint) in endpoints.iter().enumerate() {
@@ -90,28 +86,28 @@
     }
 
     /// Sends a request once an endpoint is in service, and returns what a client gets.
-    fn ask(&self, endpoints: &[&Server]) -> Result<Received, String> {
+    fn ask(&self, endpoints: &[Server]) -> Result<Received, String> {
         self.ask_with("POST", endpoints)
     }
 
-    fn ask_with(&self, method: &str, endpoints: &[&Server]) -> Result<Received, String> {
+    fn ask_with(&self, method: &str, endpoints: &[Server]) -> Result<Received, String> {
         let before = runs(endpoints).len();
-        loop {
+        let received = RefCell::new(Err("no request was sent".to_owned()));
+        wait_until("an endpoint is in service", || {
             let request = format!(
                 "{method} /bay/7 HTTP/1.1\r\nHost: lot.example\r\nX-Passrelay-Request-Id: r1\r\n\
                  X-Passrelay-Deadline-Ms: 1500\r\nConnection: close\r\nContent-Length: 0\r\n\r\n"
             );
-            let received = exchange(self.sidecar.client(), request.as_bytes());
-            let is_unserved = received.as_ref().is_ok_and(|received| received.status == 503);
-            if !is_unserved || runs(endpoints).len() > before {
-                return received;
-            }
-            thread::sleep(RETRY_DELAY);
-        }
+            let result = exchange(self.sidecar.client(), request.as_bytes());
+            let is_unserved = result.as_ref().is_ok_and(|received| received.status == 503);
+            *received.borrow_mut() = result;
+            !is_unserved || runs(endpoints).len() > before
+        });
+        received.into_inner()
     }
 }
 
-fn runs(endpoints: &[&Server]) -> Vec<Message> {
+fn runs(endpoints: &[Server]) -> Vec<Message> {
     endpoints.iter().flat_map(|endpoint| endpoint.requests()).collect()
 }
 
@@ -124,11 +120,6 @@
     Received { status: BAD_GATEWAY, seal: None, body: String::new(), is_complete: true }
 }
 
-/// The response of a well-formed endpoint.
-fn well_formed_response() -> Vec<u8> {
-    well_formed()[0].1.clone()
-}
-
 /// As many endpoints as the route allows attempts. The first request that any of them gets is answered with these bytes, all
 /// others with well-formed responses.
 fn endpoints(route: Route, response: &[u8], connection: Connection) -> Vec<Server> {
@@ -145,11 +136,6 @@
     (0..route.attempts()).map(|_| endpoint()).collect()
 }
 
-/// An endpoint that answers the first request with these bytes.
-fn endpoint(response: &[u8], connection: Connection) -> Server {
-    endpoints(Route::Unsafe, response, connection).remove(0)
-}
-
 /// Two endpoints. The first stream breaks off after its first event, and goes on with these bytes.
 fn endpoints_of_a_resumed_stream(response: &[u8], connection: Connection) -> [Server; 2] {
     let requests = Arc::new(AtomicUsize::new(0));
@@ -167,7 +153,7 @@
 }
 
 /// Checks that the next request to the only endpoint is served, over another connection than the one before.
-fn check_next_request(router: &Router, name: &str, servers: &[&Server]) -> Result<(), String> {
+fn check_next_request(router: &Router, name: &str, servers: &[Server]) -> Result<(), String> {
     expect(name, &router.ask(servers), &whole(200, BODY))?;
     let connections: Vec<usize> = runs(servers).iter().map(|run| run.connection).collect();
     expect(name, &connections, &vec![0, 1])
@@ -182,7 +168,6 @@
 ) -> Result<(), String> {
     let (name, response) = case;
     let servers = endpoints(route, response, connection);
-    let servers: Vec<&Server> = servers.iter().collect();
     router.with_endpoints(&servers, || {
         let received = router.ask(&servers);
         if route.attempts() > 1 {
@@ -215,8 +200,7 @@
 ) {
     let router = Router::start(Route::Resumable);
     let check = |(name, response): &Case| {
-        let [one, other] = endpoints_of_a_resumed_stream(response, connection);
-        let servers = [&one, &other];
+        let servers = endpoints_of_a_resumed_stream(response, connection);
         router.with_endpoints(&servers, || {
             let expected = Received { is_complete: false, ..whole(200, FIRST_EVENT).unwrap() };
             expect(name, &router.ask(&servers), &Ok(expected))?;
@@ -235,7 +219,6 @@
 ) -> Result<(), String> {
     let (name, response) = case;
     let servers = endpoints(route, response, connection);
-    let servers: Vec<&Server> = servers.iter().collect();
     router.with_endpoints(&servers, || {
         let received = router.ask(&servers);
         if route == Route::Resumable {
@@ -268,14 +251,6 @@
     assert_all(cases.iter().map(|case| check_malformed_chunks(&router, route, connection, case)).collect());
 }
 
-/// The well-formed responses after which an endpoint may treat its connection so.
-fn well_formed_with(connection: Connection) -> Vec<Case> {
-    match connection {
-        Connection::Kept => well_formed(),
-        Connection::Closed => [well_formed(), well_formed_if_closed()].concat(),
-    }
-}
-
 #[rstest]
 fn a_well_formed_response_arrives_as_it_is(
     #[values(Route::Unsafe, Route::Safe, Route::Streaming, Route::Resumable)] route: Route,
@@ -283,10 +258,10 @@
 ) {
     let router = Router::start(route);
     let check = |(name, response): &Case| {
-        let server = endpoint(response, connection);
-        router.with_endpoints(&[&server], || {
-            expect(name, &router.ask(&[&server]), &whole(200, BODY))?;
-            expect(name, &server.requests().len(), &1)
+        let servers = endpoints(Route::Unsafe, response, connection);
+        router.with_endpoints(&servers, || {
+            expect(name, &router.ask(&servers), &whole(200, BODY))?;
+            expect(name, &runs(&servers).len(), &1)
         })
     };
     assert_all(well_formed_with(connection).iter().map(check).collect());
@@ -298,10 +273,10 @@
 ) {
     let router = Router::start(Route::Unsafe);
     let check = |((name, response), status, body): &(Case, u16, &str)| {
-        let server = endpoint(response, connection);
-        router.with_endpoints(&[&server], || {
-            expect(name, &router.ask(&[&server]), &whole(*status, body))?;
-            expect(name, &server.requests().len(), &1)
+        let servers = endpoints(Route::Unsafe, response, connection);
+        router.with_endpoints(&servers, || {
+            expect(name, &router.ask(&servers), &whole(*status, body))?;
+            expect(name, &runs(&servers).len(), &1)
         })
     };
     assert_all(well_formed_with_other_status().iter().map(check).collect());
@@ -313,8 +288,7 @@
 ) {
     let router = Router::start(Route::Resumable);
     let check = |(name, response): &Case| {
-        let [one, other] = endpoints_of_a_resumed_stream(response, connection);
-        let servers = [&one, &other];
+        let servers = endpoints_of_a_resumed_stream(response, connection);
         router.with_endpoints(&servers, || {
             expect(name, &router.ask(&servers), &whole(200, &format!("{FIRST_EVENT}{BODY}")))?;
             expect(name, &runs(&servers).len(), &2)
@@ -338,13 +312,15 @@
 ) {
     let router = Router::start(Route::Unsafe);
     let declared = ["length", "the same length twice", "neither length nor chunks"];
-    let cases = [well_formed(), well_formed_if_closed()].concat();
-    let cases = cases.into_iter().filter(|(name, _)| declared.contains(name)).collect();
+    let cases = well_formed_with(Connection::Closed)
+        .into_iter()
+        .filter(|(name, _)| declared.contains(name))
+        .collect();
     let check = |(name, response): &Case| {
-        let server = endpoint(response, connection);
-        router.with_endpoints(&[&server], || {
-            expect(name, &router.ask_with("HEAD", &[&server]), &whole(200, ""))?;
-            expect(name, &router.ask(&[&server]), &whole(200, BODY))
+        let servers = endpoints(Route::Unsafe, response, connection);
+        router.with_endpoints(&servers, || {
+            expect(name, &router.ask_with("HEAD", &servers), &whole(200, ""))?;
+            expect(name, &router.ask(&servers), &whole(200, BODY))
         })
     };
     assert_all(bodiless(cases).iter().map(check).collect());
@@ -357,12 +333,13 @@
     let bad = Server::start(move |_| Reply::Bytes(malformed.clone()));
     let good = Server::start(|_| Reply::Bytes(well_formed_response()));
     let router = Router::start(Route::Safe);
-    router.with_endpoints(&[&bad, &good], || {
+    let servers = [bad, good];
+    router.with_endpoints(&servers, || {
         for _ in 0..REQUESTS {
-            assert_eq!(router.ask(&[&bad, &good]), whole(200, BODY));
+            assert_eq!(router.ask(&servers), whole(200, BODY));
         }
     });
-    let count = bad.requests().len();
+    let count = servers[0].requests().len();
     assert!((1..=REQUESTS / 4).contains(&count), "{count} of {REQUESTS} requests went to the endpoint");
     assert_eq!(router.sidecar.status()["malformed_responses"], json!({ "transfer_encoding": count }));
     wait_until("the responses are logged", || {
--- a/crates/passrelay/tests/response_heads/sidecar.rs
+++ b/crates/passrelay/tests/response_heads/sidecar.rs
@@ -1,7 +1,7 @@
 //! The sidecar in service (`run`): what its callers get of malformed responses, and of the well-formed ones that resemble them.
 
 use super::bytes::{
-    chunks, malformed_chunks, malformed_heads, well_formed, well_formed_if_closed, Case, BODY,
+    chunks, malformed_chunks, malformed_heads, well_formed_response, well_formed_with, Case, BODY,
 };
 use super::client::{exchange, Received};
 use super::{assert_all, expect, Connection, PROGRAM};
@@ -29,9 +29,9 @@
     let node = || {
         let (is_first, response) = (is_first.clone(), response.to_vec());
         Server::start(move |request| match request.start_line.contains("/status/load") {
-            true => Reply::Bytes(well_formed()[0].1.clone()),
+            true => Reply::Bytes(well_formed_response()),
             false if is_first.swap(false, Ordering::SeqCst) => connection.reply(&response),
-            false => Reply::Bytes(well_formed()[0].1.clone()),
+            false => Reply::Bytes(well_formed_response()),
         })
     };
     (0..count).map(|_| node()).collect()
@@ -104,13 +104,12 @@
     #[values(UNSAFE, SAFE)] class: &str,
     #[values(Connection::Kept, Connection::Closed)] connection: Connection,
 ) {
-    let closed = if connection == Connection::Closed { well_formed_if_closed() } else { Vec::new() };
     let check = |(name, response): &Case| {
         let service = Service::start(1, response, connection);
         expect(name, &service.ask(class), &whole(BODY))?;
         expect(name, &service.connections().concat().len(), &1)
     };
-    assert_all([well_formed(), closed].concat().iter().map(check).collect());
+    assert_all(well_formed_with(connection).iter().map(check).collect());
 }
 
 /// A chunk of a body that is streamed, and this line after it.
@@ -154,7 +153,7 @@
 
 #[test]
 fn a_malformed_answer_of_discovery_is_no_list() {
-    let node = Server::start(|_| Reply::Bytes(well_formed()[0].1.clone()));
+    let node = Server::start(|_| Reply::Bytes(well_formed_response()));
     let entry = node_entry("s-0", node.address, "in_service");
     let list = json!({"seq": 1, "whole": true, "hosts": [entry]}).to_string();
     for bytes in malformed_lists(&list) {
