Wait for the sidecar's log line in response_heads

Cause: the test looked for the line at once. It comes through a pipe that another thread of the test reads; that the process had counted the response, which it does just before it logs, was checked a line above.

--- a/crates/passrelay/tests/response_heads/sidecar.rs
+++ b/crates/passrelay/tests/response_heads/sidecar.rs
@@ -85,9 +85,9 @@
         expect(name, &service.connections(), &vec![vec![0, 1]])?;
     }
     expect(name, &service.relay.status()["invalid_responses"], &json!(1))?;
-    let is_logged =
-        service.relay.find_log("event=invalid_response").is_some_and(|line| line.contains("problem="));
-    expect(name, &is_logged, &true)
+    // The line reaches the test through a pipe, some time after it was written.
+    let line = service.relay.wait_for_log("event=invalid_response");
+    expect(name, &line.contains("problem="), &true)
 }
 
 #[rstest]
